Serve requests through separate processes on one machine

Cause: there was no code. A request has to travel from a caller through a spraying fabric, any entry and the agent of a target, with targets that announce themselves. Ruled out: passing strays from candidate to candidate, because agents with unequal tables send a packet in circles; the owner asks candidates instead. A revision in force that is read from the newest configuration received; it is read from the table that the data path used, and idle receivers are probed so that they take up a new table. Before: nothing ran. Control keeps its state in memory only, and admission is a plain slot count; both are to be replaced.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+GO ?= go
+
+.PHONY: build demo test lint fuzz
+
+build:
+	$(GO) build -o bin/cherviltide ./cmd/cherviltide
+	$(GO) build -o bin/cherviltide-bench ./cmd/cherviltide-bench
+
+demo: build
+	bin/cherviltide-bench demo --binary bin/cherviltide
+
+test:
+	$(GO) test ./...
+
+lint:
+	test -z "$$(gofmt -l .)"
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -set_exit_status ./...
+
+fuzz:
+	$(GO) test ./framer -run '^$$' -fuzz FuzzDecode -fuzztime 3s
--- /dev/null
+++ b/bench/caller/caller.go
@@ -0,0 +1,74 @@
+// Package caller is a caller of services: a plain HTTP/3 client that checks whether answers are whole.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"cherviltide.example/cherviltide/bench/responder"
+)
+
+// Caller holds one connection for each service that it calls.
+type Caller struct {
+	client    *http.Client
+	transport *http3.Transport
+}
+
+// Answer is a checked answer.
+type Answer struct {
+	Status   int
+	Target   string
+	Customer string
+	Took     time.Duration
+	Bytes    int
+	// Whole is true when the status is 200 and the body is the one that the target serves.
+	Whole   bool
+	Outcome string
+}
+
+// New returns a caller with its own QUIC connections.
+func New(config *tls.Config) *Caller {
+	t := &http3.Transport{TLSClientConfig: config, QUICConfig: &quic.Config{DisablePathMTUDiscovery: true}}
+	return &Caller{client: &http.Client{Transport: t}, transport: t}
+}
+
+// Get fetches size bytes of a path below base.
+func (c *Caller) Get(ctx context.Context, base, path string, size int) (Answer, error) {
+	started := time.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path+"?bytes="+strconv.Itoa(size), nil)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	res, err := c.client.Do(req)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	return Answer{
+		Status:   res.StatusCode,
+		Target:   res.Header.Get(responder.HeaderTarget),
+		Customer: res.Header.Get(responder.HeaderCustomer),
+		Outcome:  res.Header.Get("Cherviltide-Outcome"),
+		Took:     time.Since(started),
+		Bytes:    len(body),
+		Whole:    res.StatusCode == http.StatusOK && bytes.Equal(body, responder.Body(path, size)),
+	}, nil
+}
+
+// Close closes the connections.
+func (c *Caller) Close() error {
+	return c.transport.Close()
+}
--- /dev/null
+++ b/bench/launcher/demo.go
@@ -0,0 +1,89 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cherviltide.example/cherviltide/bench/caller"
+)
+
+const demoTimeout = 28 * time.Second
+
+// DemoPlan returns the plan of the demo: two services at the size of a small deployment.
+func DemoPlan(folder, binary, bench string) Plan {
+	fast, slow := 5*time.Millisecond, 20*time.Millisecond
+	return Plan{
+		Folder: folder, Binary: binary, Bench: bench,
+		Controls: 1, Entries: 3, Seed: 1,
+		FailureDomains: []string{"salt-lake", "rajarhat", "howrah"},
+		Customer:       "air-bengal",
+		Services: []ServicePlan{{
+			Name: "advisory-desk", Address: netip.MustParseAddr("127.8.1.1"), Slots: 2,
+			Speeds: []time.Duration{fast, fast, slow},
+			Rules:  "Kind advisory-desk fetch Path /advisories/ Class Urgent Priority 1 Deadline 2s Objective 99.9 # requested by demo\n",
+		}, {
+			Name: "chart-store", Address: netip.MustParseAddr("127.8.2.1"), Slots: 2,
+			Speeds: []time.Duration{fast, slow},
+			Rules:  "Kind chart-store chart Path /charts/ Class Bulky Priority 5 Deadline 20s Objective 99 # requested by demo\n",
+		}},
+	}
+}
+
+// Demo runs the whole path as separate processes, prints what happened and fails unless every answer was whole.
+func Demo(ctx context.Context, out io.Writer, binary, bench string) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	folder, err := os.MkdirTemp("", "cherviltide-demo-")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	system, err := Start(ctx, DemoPlan(folder, binary, bench))
+	if err != nil {
+		return errors.Annotatef(err, "logs are in %s", folder)
+	}
+	defer system.Stop()
+	_, _ = fmt.Fprintf(out, "%d processes run; revision 1 is in force at %d members\n", len(system.Processes), system.members())
+	if err := call(ctx, out, system); err != nil {
+		return errors.Annotatef(err, "logs are in %s", folder)
+	}
+	_, _ = fmt.Fprintln(out, "every answer was whole")
+	return errors.Trace(os.RemoveAll(folder))
+}
+
+// call sends requests to both services and prints the answers.
+func call(ctx context.Context, out io.Writer, system *System) error {
+	config, err := system.CallerTLS(system.Plan.Customer)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	requests := []struct {
+		service int
+		path    string
+		size    int
+	}{{0, "/advisories/VECC", 2_000}, {0, "/advisories/VIDP", 2_000}, {1, "/charts/world", 8 << 20}}
+	for flow := range 4 {
+		c := caller.New(config)
+		for _, r := range requests {
+			service := system.Plan.Services[r.service]
+			a, err := c.Get(ctx, system.URL(service), r.path, r.size)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			_, _ = fmt.Fprintf(out, "flow %d %s%s: status %d, %d bytes, whole %t, target %s, customer %s, %d ms\n",
+				flow+1, service.Name, r.path, a.Status, a.Bytes, a.Whole, a.Target, a.Customer, a.Took.Milliseconds())
+			if !a.Whole {
+				return errors.Errorf("answer of %s%s is not whole", service.Name, r.path)
+			}
+		}
+		if err := c.Close(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/launcher/system.go
@@ -0,0 +1,328 @@
+package launcher
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/bench/issuer"
+	"cherviltide.example/cherviltide/certifier"
+	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/messenger"
+)
+
+const (
+	packetKey    = "000102030405060708090a0b0c0d0e0f"
+	startTimeout = 15 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// Plan describes a system.
+type Plan struct {
+	// Folder receives settings, certificates, logs and data.
+	Folder string
+	// Binary and Bench are the paths of cherviltide and cherviltide-bench.
+	Binary, Bench string
+	Controls      int
+	Entries       int
+	Services      []ServicePlan
+	// FailureDomains are given out in turn.
+	FailureDomains []string
+	Customer       string
+	Seed           uint64
+}
+
+// ServicePlan describes a service and its targets.
+type ServicePlan struct {
+	Name    string
+	Address netip.Addr
+	// Speeds has the service time of each target.
+	Speeds []time.Duration
+	Slots  int
+	// Rules has further rule lines, such as its kinds.
+	Rules string
+}
+
+// System is a running system.
+type System struct {
+	Plan      Plan
+	Port      uint16
+	Control   []netip.AddrPort
+	Processes map[string]*Process
+	issuer    *issuer.Issuer
+	client    *http.Client
+	entryPort []uint16
+}
+
+// Start starts all processes of a plan, applies the rules and waits until every process has them in force.
+func Start(ctx context.Context, plan Plan) (*System, error) {
+	s := &System{Plan: plan, Processes: map[string]*Process{}, client: messenger.NewClient(nil)}
+	var err error
+	if s.issuer, err = issuer.New(plan.Folder); err != nil {
+		return nil, errors.Trace(err)
+	}
+	s.Port = freePort()
+	steps := []func() error{s.startControls, s.startEntries, s.startServices, s.startFabric}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			s.Stop()
+			return nil, errors.Trace(err)
+		}
+	}
+	if err := s.apply(ctx); err != nil {
+		s.Stop()
+		return nil, errors.Trace(err)
+	}
+	if err := s.WaitInForce(ctx, 1, s.members()); err != nil {
+		s.Stop()
+		return nil, errors.Trace(err)
+	}
+	return s, nil
+}
+
+// Stop kills all processes.
+func (s *System) Stop() {
+	for _, p := range s.Processes {
+		p.Kill()
+	}
+}
+
+// URL returns the base URL of a service.
+func (s *System) URL(service ServicePlan) string {
+	return "https://" + netip.AddrPortFrom(service.Address, s.Port).String()
+}
+
+// CallerTLS returns the TLS configuration of a customer's caller.
+func (s *System) CallerTLS(customer string) (*tls.Config, error) {
+	certificate, key, err := s.issuer.Issue("customer-"+customer, customer)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return certifier.Client(certifier.Files{Certificate: certificate, Key: key, Authority: s.issuer.Authority()}, "h3")
+}
+
+// Status asks the control instances for the members.
+func (s *System) Status(ctx context.Context) (*messenger.StatusResponse, error) {
+	var err error
+	for _, a := range s.Control {
+		var res *messenger.StatusResponse
+		if res, err = messenger.Status.Call(ctx, s.client, "http://"+a.String(), &messenger.StatusRequest{}); err == nil {
+			return res, nil
+		}
+	}
+	return nil, errors.Trace(err)
+}
+
+// WaitInForce waits until the given number of active members have at least a revision in force.
+func (s *System) WaitInForce(ctx context.Context, revision uint64, members int) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		res, err := s.Status(ctx)
+		if err == nil && inForce(res, revision) >= members {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("%d members did not have revision %d in force: %v %v", members, revision, res, err)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func inForce(res *messenger.StatusResponse, revision uint64) int {
+	n := 0
+	for _, m := range res.Members {
+		if m.State == cherviltide.StateActive && m.RevisionInForce >= revision {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *System) members() int {
+	n := s.Plan.Entries
+	for _, v := range s.Plan.Services {
+		n += len(v.Speeds)
+	}
+	return n
+}
+
+func (s *System) process(name string, number int) loader.Process {
+	domains := s.Plan.FailureDomains
+	return loader.Process{
+		Name:          name,
+		FailureDomain: domains[number%len(domains)],
+		Region:        "local",
+		Control:       s.Control,
+		PacketKey:     packetKey,
+	}
+}
+
+func (s *System) startControls() error {
+	for range s.Plan.Controls {
+		s.Control = append(s.Control, loopback(freePort()))
+	}
+	for i, listen := range s.Control {
+		name := fmt.Sprintf("control-%d", i+1)
+		settings := loader.Control{Process: s.process(name, i), Listen: listen, Data: filepath.Join(s.Plan.Folder, name)}
+		if err := s.startRole("control", name, settings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startEntries() error {
+	for i := range s.Plan.Entries {
+		port := freePort()
+		s.entryPort = append(s.entryPort, port)
+		name := fmt.Sprintf("entry-%d", i+1)
+		settings := loader.Entry{
+			Process:  s.process(name, i),
+			Listen:   netip.IPv4Unspecified(),
+			Ports:    []loader.Port{{Listen: port, Virtual: s.Port}},
+			Internal: loopback(freePort()),
+		}
+		if err := s.startRole("entry", name, settings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startServices() error {
+	for _, v := range s.Plan.Services {
+		certificate, key, err := s.issuer.Issue("service-"+v.Name, v.Name, net.IP(v.Address.AsSlice()))
+		if err != nil {
+			return err
+		}
+		callers := loader.TLS{Certificate: certificate, Key: key, Authority: s.issuer.Authority()}
+		for i, speed := range v.Speeds {
+			if err := s.startTarget(v, i, speed, callers); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *System) startTarget(v ServicePlan, i int, speed time.Duration, callers loader.TLS) error {
+	target := loopback(freePort())
+	name := fmt.Sprintf("%s-%d", v.Name, i+1)
+	p, err := start(s.Plan.Folder, "target-"+name, s.Plan.Bench, "target", "--name", name, "--listen", target.String(),
+		"--slots", strconv.Itoa(v.Slots), "--service", speed.String())
+	if err != nil {
+		return err
+	}
+	s.Processes["target-"+name] = p
+	return s.startRole("agent", name, loader.Agent{
+		Process:   s.process(name, i),
+		Service:   v.Name,
+		Data:      loopback(freePort()),
+		Peer:      loopback(freePort()),
+		Target:    target,
+		Slots:     v.Slots,
+		CallerTLS: callers,
+	})
+}
+
+func (s *System) startFabric() error {
+	args := []string{"fabric", "--seed", strconv.FormatUint(s.Plan.Seed, 10), "--virtual"}
+	for _, v := range s.Plan.Services {
+		args = append(args, netip.AddrPortFrom(v.Address, s.Port).String())
+	}
+	args = append(args, "--entry")
+	for _, p := range s.entryPort {
+		args = append(args, strconv.Itoa(int(p)))
+	}
+	p, err := start(s.Plan.Folder, "fabric", s.Plan.Bench, args...)
+	if err != nil {
+		return err
+	}
+	s.Processes["fabric"] = p
+	return nil
+}
+
+func (s *System) startRole(role, name string, settings any) error {
+	path := filepath.Join(s.Plan.Folder, name+".json")
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return errors.Trace(err)
+	}
+	p, err := start(s.Plan.Folder, name, s.Plan.Binary, role, "--settings", path)
+	if err != nil {
+		return err
+	}
+	s.Processes[name] = p
+	return nil
+}
+
+// Rules returns the rules file of the plan.
+func (s *System) Rules() string {
+	var b strings.Builder
+	var names []string
+	for _, v := range s.Plan.Services {
+		fmt.Fprintf(&b, "Service %s Address %s # requested by demo\n", v.Name, netip.AddrPortFrom(v.Address, s.Port))
+		b.WriteString(v.Rules)
+		names = append(names, v.Name)
+	}
+	fmt.Fprintf(&b, "Customer %s Services %s # requested by demo\n", s.Plan.Customer, strings.Join(names, ","))
+	return b.String()
+}
+
+func (s *System) apply(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	req := &messenger.ApplyRequest{EditID: "first", Operator: "demo", Text: s.Rules()}
+	for {
+		var err error
+		for _, a := range s.Control {
+			if _, err = messenger.Apply.Call(ctx, s.client, "http://"+a.String(), req); err == nil {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Annotate(err, "rules were not accepted")
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func loopback(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+}
+
+// freePort returns a port that is free for TCP and UDP on all addresses at the time of the call.
+func freePort() uint16 {
+	for {
+		listener, err := net.Listen("tcp4", ":0")
+		if err != nil {
+			continue
+		}
+		port := listener.Addr().(*net.TCPAddr).Port
+		conn, err := net.ListenPacket("udp4", fmt.Sprintf(":%d", port))
+		_ = listener.Close()
+		if err != nil {
+			continue
+		}
+		_ = conn.Close()
+		return uint16(port)
+	}
+}
--- /dev/null
+++ b/cmd/cherviltide-bench/main.go
@@ -0,0 +1,82 @@
+// Command cherviltide-bench holds the stand-ins for the systems around cherviltide, and the demo.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"cherviltide.example/cherviltide/bench/launcher"
+	"cherviltide.example/cherviltide/bench/responder"
+	"cherviltide.example/cherviltide/bench/sprayer"
+	"cherviltide.example/cherviltide/proxier"
+)
+
+type fabricCommand struct {
+	Virtual []netip.AddrPort `arg:"required" help:"virtual addresses"`
+	Entry   []uint16         `arg:"required" help:"listening ports of the entries"`
+	Seed    uint64           `default:"1" help:"seed of the choice of entries"`
+}
+
+func (c *fabricCommand) run(ctx context.Context) error {
+	s, err := sprayer.Listen(c.Virtual, c.Entry, c.Seed)
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx)
+}
+
+type targetCommand struct {
+	Name    string         `arg:"required" help:"name in the answers"`
+	Listen  netip.AddrPort `arg:"required" help:"address"`
+	Slots   int            `default:"2" help:"requests that run at once"`
+	Service time.Duration  `default:"10ms" help:"time that a request takes"`
+}
+
+func (c *targetCommand) run(ctx context.Context) error {
+	return responder.New(responder.Config{
+		Name: c.Name, Listen: c.Listen, Slots: c.Slots, Service: c.Service, CustomerHeader: proxier.HeaderCustomer,
+	}).Run(ctx)
+}
+
+type demoCommand struct {
+	Binary string `default:"bin/cherviltide" help:"path of cherviltide"`
+}
+
+func (c *demoCommand) run(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	return launcher.Demo(ctx, os.Stdout, c.Binary, self)
+}
+
+type command interface {
+	run(ctx context.Context) error
+}
+
+var arguments struct {
+	Fabric *fabricCommand `arg:"subcommand:fabric" help:"spray datagrams over entries"`
+	Target *targetCommand `arg:"subcommand:target" help:"serve requests as a target"`
+	Demo   *demoCommand   `arg:"subcommand:demo" help:"run the whole path on this machine"`
+}
+
+func main() {
+	parser := arg.MustParse(&arguments)
+	c, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.Fail("missing subcommand")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := c.run(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/flow.go
@@ -0,0 +1,34 @@
+package cherviltide
+
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServiceID identifies a service on the wire. It is the low 32 bits of the hash of the service's name;
+// the rules checker refuses two services with the same ID.
+type ServiceID uint32
+
+// ServiceIDOf returns the ID of the service with the given name.
+func ServiceIDOf(name string) ServiceID {
+	return ServiceID(uint32(xxhash.Sum64String(name)))
+}
+
+// FlowKey identifies a flow: every packet from one caller address to one virtual address.
+type FlowKey struct {
+	Caller  netip.AddrPort
+	Virtual netip.AddrPort
+}
+
+// Hash returns a 64-bit hash of the key that is the same in every process.
+func (k FlowKey) Hash() uint64 {
+	var b [36]byte
+	caller := k.Caller.Addr().As16()
+	virtual := k.Virtual.Addr().As16()
+	copy(b[0:16], caller[:])
+	b[16], b[17] = byte(k.Caller.Port()>>8), byte(k.Caller.Port())
+	copy(b[18:34], virtual[:])
+	b[34], b[35] = byte(k.Virtual.Port()>>8), byte(k.Virtual.Port())
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/framer/framer.go
@@ -0,0 +1,141 @@
+// Package framer encodes, authenticates and decodes the header of datagrams between entries and agents.
+// All integers are big endian. A header is Size bytes and stands before the caller's datagram.
+package framer
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+
+	"github.com/dchest/siphash"
+
+	"cherviltide.example/cherviltide"
+)
+
+// Sizes of the header, in bytes.
+const (
+	Size       = 80
+	sizeTagged = Size - 8
+)
+
+// Version is the only header version that is accepted.
+const Version = 1
+
+// MaxHops is the highest number of times that agents may pass on one datagram.
+const MaxHops = 250
+
+// Type tells the direction of a datagram.
+type Type uint8
+
+// The types of datagrams.
+const (
+	TypeForward Type = 1 // From the caller towards the target.
+	TypeReply   Type = 2 // From the target towards the caller.
+)
+
+// Flags carry the progress of the search for a flow's holder.
+type Flags uint8
+
+// The flags of a forwarded datagram. At most one is set.
+const (
+	FlagProbe    Flags = 1 << iota // The owner asks a candidate whether it holds the flow.
+	FlagReturned                   // The candidate does not hold the flow.
+	FlagOffered                    // The owner asks the second to open the flow.
+	FlagDeclined                   // The second declined the offer.
+	FlagBehind                     // The receiver's table is older than the sender's; the sender decides.
+	FlagHeld                       // Notice without payload: the sender holds the flow.
+)
+
+// Errors of Decode. They are plain values so that the packet path does not allocate.
+var (
+	ErrShort   = errors.New("datagram is shorter than the header")
+	ErrVersion = errors.New("header version is not supported")
+	ErrType    = errors.New("datagram type is not known")
+	ErrLength  = errors.New("payload length does not match the datagram")
+	ErrHops    = errors.New("hop limit exceeded")
+	ErrTag     = errors.New("authentication tag does not match")
+)
+
+// Header describes a datagram between cherviltide processes.
+type Header struct {
+	Type Type
+	// Position is the index in the owner's candidate chain that a probe asks.
+	Position   uint8
+	Hops       uint8
+	Flags      Flags
+	Service    cherviltide.ServiceID
+	Generation uint64
+	Flow       cherviltide.FlowKey
+	// Entry is the address to which replies are sent.
+	Entry netip.AddrPort
+}
+
+// Framer holds the shared key. It is immutable and safe for concurrent use.
+type Framer struct {
+	k0, k1 uint64
+}
+
+// New returns a framer with a key of 16 bytes.
+func New(key [16]byte) Framer {
+	return Framer{k0: binary.LittleEndian.Uint64(key[:8]), k1: binary.LittleEndian.Uint64(key[8:])}
+}
+
+// Encode writes the header for a payload of the given length into b, which must have at least Size bytes.
+func (f Framer) Encode(b []byte, h Header, length int) {
+	_ = b[Size-1]
+	b[0] = Version<<4 | byte(h.Type)
+	b[1] = h.Position
+	b[2] = h.Hops
+	b[3] = byte(h.Flags)
+	binary.BigEndian.PutUint32(b[4:], uint32(h.Service))
+	binary.BigEndian.PutUint64(b[8:], h.Generation)
+	putAddrPort(b[16:], h.Flow.Caller)
+	putAddrPort(b[34:], h.Flow.Virtual)
+	putAddrPort(b[52:], h.Entry)
+	binary.BigEndian.PutUint16(b[70:], uint16(length))
+	binary.BigEndian.PutUint64(b[sizeTagged:], siphash.Hash(f.k0, f.k1, b[:sizeTagged]))
+}
+
+// Decode checks a datagram and returns its header and its payload, which shares memory with b.
+func (f Framer) Decode(b []byte) (Header, []byte, error) {
+	if len(b) < Size {
+		return Header{}, nil, ErrShort
+	}
+	if b[0]>>4 != Version {
+		return Header{}, nil, ErrVersion
+	}
+	if binary.BigEndian.Uint64(b[sizeTagged:]) != siphash.Hash(f.k0, f.k1, b[:sizeTagged]) {
+		return Header{}, nil, ErrTag
+	}
+	if int(binary.BigEndian.Uint16(b[70:])) != len(b)-Size {
+		return Header{}, nil, ErrLength
+	}
+	h := Header{
+		Type:       Type(b[0] & 0x0f),
+		Position:   b[1],
+		Hops:       b[2],
+		Flags:      Flags(b[3]),
+		Service:    cherviltide.ServiceID(binary.BigEndian.Uint32(b[4:])),
+		Generation: binary.BigEndian.Uint64(b[8:]),
+		Flow:       cherviltide.FlowKey{Caller: addrPort(b[16:]), Virtual: addrPort(b[34:])},
+		Entry:      addrPort(b[52:]),
+	}
+	if h.Type != TypeForward && h.Type != TypeReply {
+		return Header{}, nil, ErrType
+	}
+	if h.Hops > MaxHops {
+		return Header{}, nil, ErrHops
+	}
+	return h, b[Size:], nil
+}
+
+func putAddrPort(b []byte, a netip.AddrPort) {
+	ip := a.Addr().As16()
+	copy(b, ip[:])
+	binary.BigEndian.PutUint16(b[16:], a.Port())
+}
+
+func addrPort(b []byte) netip.AddrPort {
+	ip := netip.AddrFrom16([16]byte(b[:16])).Unmap()
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[16:]))
+}
--- /dev/null
+++ b/framer/framer_test.go
@@ -0,0 +1,86 @@
+package framer_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/framer"
+)
+
+var testHeader = framer.Header{
+	Type:       framer.TypeForward,
+	Position:   3,
+	Hops:       2,
+	Flags:      framer.FlagProbe,
+	Service:    cherviltide.ServiceIDOf("advisory-desk"),
+	Generation: 77,
+	Flow: cherviltide.FlowKey{
+		Caller:  netip.MustParseAddrPort("10.1.2.3:4567"),
+		Virtual: netip.MustParseAddrPort("10.9.9.9:443"),
+	},
+	Entry: netip.MustParseAddrPort("10.0.0.1:7000"),
+}
+
+func encoded(f framer.Framer, payload string) []byte {
+	b := append(make([]byte, framer.Size), payload...)
+	f.Encode(b, testHeader, len(payload))
+	return b
+}
+
+// Guards against fields that are lost or mixed up between two processes.
+func TestDecodeReturnsWhatWasEncoded(t *testing.T) {
+	f := framer.New([16]byte{1, 2, 3})
+	h, payload, err := f.Decode(encoded(f, "datagram"))
+	require.NoError(t, err)
+	require.Equal(t, testHeader, h)
+	require.Equal(t, "datagram", string(payload))
+}
+
+// Guards against datagrams that are accepted although they are damaged, foreign or endless.
+func TestDecodeRefusesBadDatagrams(t *testing.T) {
+	f := framer.New([16]byte{1, 2, 3})
+	cases := map[string]struct {
+		change func(b []byte) []byte
+		want   error
+	}{
+		"empty":         {func([]byte) []byte { return nil }, framer.ErrShort},
+		"cut header":    {func(b []byte) []byte { return b[:framer.Size-1] }, framer.ErrShort},
+		"cut payload":   {func(b []byte) []byte { return b[:len(b)-1] }, framer.ErrLength},
+		"long payload":  {func(b []byte) []byte { return append(b, 0) }, framer.ErrLength},
+		"other version": {func(b []byte) []byte { b[0] = 0x21; return b }, framer.ErrVersion},
+		"other service": {func(b []byte) []byte { b[7]++; return b }, framer.ErrTag},
+		"other tag":     {func(b []byte) []byte { b[framer.Size-1]++; return b }, framer.ErrTag},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := f.Decode(c.change(encoded(f, "datagram")))
+			require.ErrorIs(t, err, c.want)
+		})
+	}
+}
+
+// Guards against datagrams from a process with another key.
+func TestDecodeRefusesOtherKey(t *testing.T) {
+	_, _, err := framer.New([16]byte{9}).Decode(encoded(framer.New([16]byte{8}), "datagram"))
+	require.ErrorIs(t, err, framer.ErrTag)
+}
+
+// Guards against a panic or an accepted forgery on arbitrary input.
+func FuzzDecode(f *testing.F) {
+	fr := framer.New([16]byte{1})
+	f.Add(encoded(fr, "datagram"))
+	f.Add([]byte{})
+	f.Add(make([]byte, framer.Size))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h, payload, err := fr.Decode(b)
+		if err != nil {
+			return
+		}
+		again := append(make([]byte, framer.Size), payload...)
+		fr.Encode(again, h, len(payload))
+		require.Equal(t, b, again)
+	})
+}
--- /dev/null
+++ b/holder/flow.go
@@ -0,0 +1,95 @@
+package holder
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"cherviltide.example/cherviltide"
+)
+
+// flow is a flow that the agent holds. It serves as the remote address of the flow's QUIC connection.
+type flow struct {
+	key  cherviltide.FlowKey
+	text string
+	// opened is the generation of the agent's table when it opened the flow.
+	opened uint64
+	entry  atomic.Pointer[netip.AddrPort]
+	last   atomic.Int64
+}
+
+// Network returns the name of the transport.
+func (f *flow) Network() string { return "udp" }
+
+// String returns a text that is different for each flow, since quic-go compares addresses by it.
+func (f *flow) String() string { return f.text }
+
+// seen records the entry and the time of a datagram.
+func (f *flow) seen(entry netip.AddrPort, now cherviltide.Millis) {
+	if p := f.entry.Load(); p == nil || *p != entry {
+		f.entry.Store(&entry)
+	}
+	f.last.Store(int64(now))
+}
+
+// flows is the set of flows that an agent holds. It is safe for concurrent use.
+type flows struct {
+	mu   sync.RWMutex
+	byID map[cherviltide.FlowKey]*flow
+}
+
+func newFlows() *flows {
+	return &flows{byID: map[cherviltide.FlowKey]*flow{}}
+}
+
+func (s *flows) get(key cherviltide.FlowKey) *flow {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byID[key]
+}
+
+func (s *flows) open(key cherviltide.FlowKey, generation uint64) *flow {
+	f := &flow{key: key, text: key.Caller.String() + ">" + key.Virtual.String(), opened: generation}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byID[key] = f
+	return f
+}
+
+func (s *flows) remove(f *flow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID[f.key] == f {
+		delete(s.byID, f.key)
+	}
+}
+
+func (s *flows) len() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.byID)
+}
+
+// expire removes the flows without a datagram since before.
+func (s *flows) expire(before cherviltide.Millis) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for key, f := range s.byID {
+		if cherviltide.Millis(f.last.Load()) < before {
+			delete(s.byID, key)
+			n++
+		}
+	}
+	return n
+}
+
+// oldest returns the lowest generation at which a held flow was opened, or the given one when there is none.
+func (s *flows) oldest(generation uint64) uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, f := range s.byID {
+		generation = min(generation, f.opened)
+	}
+	return generation
+}
--- /dev/null
+++ b/holder/holder.go
@@ -0,0 +1,255 @@
+// Package holder is the data path of an agent: it holds flows, passes datagrams of other agents' flows on, and is the
+// net.PacketConn on which the agent's QUIC server runs.
+package holder
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/follower"
+	"cherviltide.example/cherviltide/framer"
+)
+
+const (
+	// maxDatagram is the largest UDP payload, in bytes.
+	maxDatagram = 65535
+	// socketBuffer is the receive and send buffer, in bytes. quic-go cannot set it on a wrapped connection.
+	socketBuffer = 8 << 20
+	// FlowIdle is how long a flow without datagrams is held. It is longer than QUIC's idle timeout.
+	FlowIdle cherviltide.Millis = 45_000
+	// expireInterval is the time between two searches for idle flows.
+	expireInterval = 5 * time.Second
+	// probeInterval is the time between two empty datagrams that the agent sends to its own data socket. They make an
+	// idle receiver take up the current view, so that the reported revision is the one that the receiver decides with.
+	probeInterval = 250 * time.Millisecond
+)
+
+var errNoEntry = errors.New("flow has no entry to reply through")
+
+// Error is a failure of the holder.
+type Error struct{ cherviltide.Fault }
+
+// Config describes an agent's data path.
+type Config struct {
+	Self   cherviltide.Member
+	Framer framer.Framer
+	Clock  cherviltide.Clock
+	View   func() *follower.View
+	// Busy reports whether a new flow would wait too long at this agent.
+	Busy func() bool
+}
+
+// Holder implements net.PacketConn over the flows of an agent.
+type Holder struct {
+	config   Config
+	conn     *net.UDPConn
+	flows    *flows
+	inForce  atomic.Uint64
+	buffers  sync.Pool
+	receive  []byte
+	Counters Counters
+}
+
+// Counters count datagrams since the start of the process.
+type Counters struct {
+	Delivered    atomic.Uint64
+	Opened       atomic.Uint64
+	Passed       atomic.Uint64
+	Returned     atomic.Uint64
+	NoHolder     atomic.Uint64 // No candidate holds the flow and the datagram cannot open one.
+	WrongService atomic.Uint64
+	Full         atomic.Uint64 // The agent holds as many flows as the service allows.
+	Malformed    atomic.Uint64
+	Expired      atomic.Uint64 // Flows that ended by the idle timeout.
+}
+
+// Listen opens the agent's data socket.
+func Listen(config Config) (*Holder, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Self.Address))
+	if err != nil {
+		return nil, fault("holder.Listen", err)
+	}
+	if err := errors.Join(conn.SetReadBuffer(socketBuffer), conn.SetWriteBuffer(socketBuffer)); err != nil {
+		_ = conn.Close()
+		return nil, fault("holder.Listen", err)
+	}
+	h := &Holder{config: config, conn: conn, flows: newFlows(), receive: make([]byte, framer.Size+maxDatagram)}
+	h.buffers.New = func() any { b := make([]byte, framer.Size+maxDatagram); return &b }
+	return h, nil
+}
+
+// InForce returns the configuration revision that decided the last datagram.
+func (h *Holder) InForce() uint64 {
+	return h.inForce.Load()
+}
+
+// Flows returns the number of flows held.
+func (h *Holder) Flows() int {
+	return h.flows.len()
+}
+
+// Generations returns the generation of the agent's table and the lowest one at which a held flow was opened.
+func (h *Holder) Generations() (current, oldest uint64) {
+	table, ok := h.config.View().Tables[h.config.Self.Service]
+	if !ok {
+		return 0, 0
+	}
+	return table.Generation(), h.flows.oldest(table.Generation())
+}
+
+// Run ends idle flows and probes the receiver until ctx ends.
+func (h *Holder) Run(ctx context.Context) error {
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	probe := time.NewTicker(probeInterval)
+	defer probe.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-probe.C:
+			_, _ = h.conn.WriteToUDPAddrPort(nil, h.config.Self.Address)
+		case <-expire.C:
+			n := h.flows.expire(h.config.Clock.Now() - FlowIdle)
+			h.Counters.Expired.Add(uint64(n))
+		}
+	}
+}
+
+// Ended releases the flow with the given remote address, after its connection has closed.
+func (h *Holder) Ended(remote net.Addr) {
+	if f, ok := remote.(*flow); ok {
+		h.flows.remove(f)
+	}
+}
+
+// ReadFrom returns the next datagram of a flow that the agent holds. The QUIC transport calls it from one goroutine.
+func (h *Holder) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		n, sender, err := h.conn.ReadFromUDPAddrPort(h.receive)
+		view := h.config.View()
+		h.inForce.Store(view.Rules.Revision)
+		if err != nil {
+			return 0, nil, err
+		}
+		if n == 0 {
+			continue
+		}
+		f, payload := h.handle(view, h.receive[:n], sender)
+		if f != nil {
+			return copy(p, payload), f, nil
+		}
+	}
+}
+
+// handle decides about one datagram and returns the flow and the payload when it is to be delivered here.
+func (h *Holder) handle(view *follower.View, datagram []byte, sender netip.AddrPort) (*flow, []byte) {
+	header, payload, err := h.config.Framer.Decode(datagram)
+	if err != nil || header.Type != framer.TypeForward {
+		h.Counters.Malformed.Add(1)
+		return nil, nil
+	}
+	table, ok := view.Tables[h.config.Self.Service]
+	if !ok || header.Service != table.Service().ID {
+		h.Counters.WrongService.Add(1)
+		return nil, nil
+	}
+	f := h.flows.get(header.Flow)
+	step := Decide(Situation{
+		Self:    h.config.Self,
+		Table:   table,
+		Header:  header,
+		Held:    f != nil,
+		Opening: opening(payload),
+		Full:    h.flows.len() >= table.Service().Connections,
+		Busy:    h.config.Busy(),
+	})
+	switch step.Action {
+	case ActionOpen:
+		if h.flows.len() >= table.Service().Connections {
+			h.Counters.Full.Add(1)
+			return nil, nil
+		}
+		f = h.flows.open(header.Flow, table.Generation())
+		h.Counters.Opened.Add(1)
+	case ActionDeliver:
+		h.Counters.Delivered.Add(1)
+	case ActionPass:
+		h.Counters.Passed.Add(1)
+		h.send(datagram, header, step, table.Generation(), step.Next.Address)
+		return nil, nil
+	case ActionReturn:
+		h.Counters.Returned.Add(1)
+		h.send(datagram, header, step, header.Generation, sender)
+		return nil, nil
+	default:
+		h.Counters.NoHolder.Add(1)
+		return nil, nil
+	}
+	f.seen(header.Entry, h.config.Clock.Now())
+	return f, payload
+}
+
+// send passes a datagram on with a changed header. The payload stays where it is.
+func (h *Holder) send(datagram []byte, header framer.Header, step Step, generation uint64, to netip.AddrPort) {
+	if header.Hops >= framer.MaxHops {
+		h.Counters.Malformed.Add(1)
+		return
+	}
+	header.Hops++
+	header.Flags = step.Flags
+	header.Position = step.Position
+	header.Generation = generation
+	h.config.Framer.Encode(datagram, header, len(datagram)-framer.Size)
+	_, _ = h.conn.WriteToUDPAddrPort(datagram, to)
+}
+
+// WriteTo sends a datagram to the caller of a flow through the entry that last delivered one.
+func (h *Holder) WriteTo(p []byte, addr net.Addr) (int, error) {
+	f, ok := addr.(*flow)
+	if !ok {
+		return 0, fault("holder.WriteTo", net.InvalidAddrError(addr.String()))
+	}
+	entry := f.entry.Load()
+	if entry == nil {
+		return 0, fault("holder.WriteTo", errNoEntry)
+	}
+	buffer := h.buffers.Get().(*[]byte)
+	defer h.buffers.Put(buffer)
+	b := (*buffer)[:framer.Size+len(p)]
+	copy(b[framer.Size:], p)
+	h.config.Framer.Encode(b, framer.Header{
+		Type:    framer.TypeReply,
+		Service: cherviltide.ServiceIDOf(h.config.Self.Service),
+		Flow:    f.key,
+	}, len(p))
+	if _, err := h.conn.WriteToUDPAddrPort(b, *entry); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// Close closes the data socket.
+func (h *Holder) Close() error { return h.conn.Close() }
+
+// LocalAddr returns the address of the data socket.
+func (h *Holder) LocalAddr() net.Addr { return h.conn.LocalAddr() }
+
+// SetDeadline sets the deadlines of the data socket.
+func (h *Holder) SetDeadline(t time.Time) error { return h.conn.SetDeadline(t) }
+
+// SetReadDeadline sets the read deadline of the data socket.
+func (h *Holder) SetReadDeadline(t time.Time) error { return h.conn.SetReadDeadline(t) }
+
+// SetWriteDeadline sets the write deadline of the data socket.
+func (h *Holder) SetWriteDeadline(t time.Time) error { return h.conn.SetWriteDeadline(t) }
+
+func fault(op string, err error) error {
+	return &Error{cherviltide.Fault{Op: op, Kind: cherviltide.KindInternal, Err: err}}
+}
--- /dev/null
+++ b/member.go
@@ -0,0 +1,73 @@
+package cherviltide
+
+import "net/netip"
+
+// Role is the job of a process in the system.
+type Role string
+
+// The roles of processes.
+const (
+	RoleEntry   Role = "Entry"
+	RoleAgent   Role = "Agent"
+	RoleControl Role = "Control"
+)
+
+// Member is a process that has announced itself to control.
+type Member struct {
+	// Name is unique in the system and is the same after a restart.
+	Name string
+	Role Role
+	// Incarnation differs after each restart and grows; a new incarnation inherits no flow.
+	Incarnation uint64
+	// Address receives forwarded datagrams (UDP).
+	Address netip.AddrPort
+	// Peer receives requests of other processes (TCP).
+	Peer          netip.AddrPort
+	FailureDomain string
+	Region        string
+	// Service is empty for entries.
+	Service string
+	// Weight is the relative speed of an agent's target; 1,000 is the speed of one nominal slot.
+	Weight uint32
+}
+
+// MemberState is what control believes about a member.
+type MemberState string
+
+// The states of a member. Only active members receive new flows.
+const (
+	StateActive  MemberState = "Active"
+	StateSuspect MemberState = "Suspect"
+	StateLeaving MemberState = "Leaving"
+	StateDead    MemberState = "Dead"
+)
+
+// EventType tells what a member event changes.
+type EventType string
+
+// The member events, in the order in which a member usually sees them.
+const (
+	EventJoined    EventType = "Joined"
+	EventWeighed   EventType = "Weighed"
+	EventSuspected EventType = "Suspected"
+	EventCleared   EventType = "Cleared"
+	EventLeaving   EventType = "Leaving"
+	EventReleased  EventType = "Released"
+	EventDied      EventType = "Died"
+)
+
+// MemberEvent is one entry of the membership log.
+type MemberEvent struct {
+	Type EventType
+	// Member is complete for Joined; other events need only Name, Service and Incarnation, and Weight for Weighed.
+	Member Member
+	// Generation is set for Released: the member holds no flow that it opened at an older generation.
+	Generation uint64
+}
+
+// PlacedEvent is a member event with its position in the membership log.
+type PlacedEvent struct {
+	// Position is at least 1 and grows by one for each entry of the log.
+	Position uint64
+	Event    MemberEvent
+}
--- /dev/null
+++ b/ports.go
@@ -0,0 +1,26 @@
+package cherviltide
+
+import "context"
+
+// Log is a replicated log as its users see it.
+type Log interface {
+	// Propose appends an entry and returns its position after a majority has stored it.
+	// A fault of kind Unavailable that wraps ErrNotLeader means that the entry was not appended.
+	// Any other error leaves it unknown whether the entry will be committed.
+	Propose(ctx context.Context, entry []byte) (uint64, error)
+	// Confirm returns nil when a majority has confirmed that this instance is the leader since the call.
+	Confirm(ctx context.Context) error
+}
+
+// StateMachine applies the committed entries of a log in order. The log's owner calls it from one goroutine.
+type StateMachine interface {
+	Apply(position uint64, entry []byte)
+	Snapshot() ([]byte, error)
+	Restore(position uint64, snapshot []byte) error
+}
+
+// Picker decides which agent a packet goes to.
+type Picker interface {
+	// Pick returns the agent for a flow, and false when the service has none.
+	Pick(key FlowKey) (Member, bool)
+}
--- /dev/null
+++ b/rules.go
@@ -0,0 +1,95 @@
+package cherviltide
+
+import "net/netip"
+
+// Class tells how the requests of a kind share the slots of a target.
+type Class string
+
+// The classes of traffic.
+const (
+	ClassUrgent  Class = "Urgent"  // Has a reserve of slots.
+	ClassNormal  Class = "Normal"  // Ordered by priority and deadline.
+	ClassBulky   Class = "Bulky"   // Long transfers; never hold the last slot.
+	ClassPatient Class = "Patient" // Waits, but is never starved.
+)
+
+// Service is a group of targets behind virtual addresses.
+type Service struct {
+	Name      string
+	ID        ServiceID
+	Addresses []netip.AddrPort
+	// Buckets is the number of placement buckets; it never changes while the service exists.
+	Buckets int
+	// Connections is the highest number of flows that one agent holds.
+	Connections int
+}
+
+// Kind is a kind of traffic of a service.
+type Kind struct {
+	Name    string
+	Service string
+	// Method is empty when the kind takes any method.
+	Method string
+	// PathPrefix is never empty; the longest matching prefix of a service wins.
+	PathPrefix string
+	Class      Class
+	// Priority orders kinds; 1 is the most urgent.
+	Priority   int
+	Deadline   Millis
+	AtMostOnce bool
+	// Objective is the share of requests that must be timely, in percent, between 0 and 100.
+	Objective float64
+}
+
+// Customer is a customer and the services that it may reach.
+type Customer struct {
+	Name string
+	// Certificate is the common name of the customer's client certificates.
+	Certificate string
+	Services    []string
+}
+
+// Rules is one accepted rules file. It is immutable.
+type Rules struct {
+	// Revision is 0 before the first file is accepted and grows by one with each accepted file.
+	Revision  uint64
+	Services  []Service
+	Kinds     []Kind
+	Customers []Customer
+}
+
+// WithRevision returns the rules with another revision.
+func (r Rules) WithRevision(revision uint64) Rules {
+	r.Revision = revision
+	return r
+}
+
+// Service returns the service with the given name.
+func (r Rules) Service(name string) (Service, bool) {
+	for _, s := range r.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// CustomerOf returns the customer whose certificates have the given common name.
+func (r Rules) CustomerOf(commonName string) (Customer, bool) {
+	for _, c := range r.Customers {
+		if c.Certificate == commonName {
+			return c, true
+		}
+	}
+	return Customer{}, false
+}
+
+// MayReach reports whether the customer may send requests to the service.
+func (c Customer) MayReach(service string) bool {
+	for _, s := range c.Services {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,52 @@
+// Package runner starts goroutines that report their end to their owner.
+package runner
+
+import "context"
+
+// End reports that a goroutine has ended.
+type End struct {
+	Name string
+	// Err is nil when the goroutine ended as planned.
+	Err error
+}
+
+// Start runs f in a goroutine and sends its end to ends, which must have room or a reader.
+func Start(ctx context.Context, name string, ends chan<- End, f func(context.Context) error) {
+	go func() {
+		ends <- End{Name: name, Err: f(ctx)}
+	}()
+}
+
+// Group owns several goroutines that stop together.
+type Group struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	ends    chan End
+	started int
+}
+
+// NewGroup returns a group whose goroutines end when ctx ends. It starts at most limit goroutines.
+func NewGroup(ctx context.Context, limit int) *Group {
+	ctx, cancel := context.WithCancel(ctx)
+	return &Group{ctx: ctx, cancel: cancel, ends: make(chan End, limit)}
+}
+
+// Go starts a goroutine of the group. Only the owner calls it.
+func (g *Group) Go(name string, f func(context.Context) error) {
+	g.started++
+	Start(g.ctx, name, g.ends, f)
+}
+
+// Wait returns after all goroutines have ended, with the first error. The first end stops the others.
+func (g *Group) Wait() error {
+	defer g.cancel()
+	var first error
+	for range g.started {
+		end := <-g.ends
+		g.cancel()
+		if first == nil && end.Err != nil {
+			first = end.Err
+		}
+	}
+	return first
+}
