Split commands and control by job and add the measurement frame

Cause: several people work on entry, agent and control at once, and one file held the wiring of all roles. Change: one file for each role, one for members and one for edits at control, and a frame that runs measurement cases and prints JSON lines.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build demo test lint fuzz
+.PHONY: build demo measure bench test lint fuzz
 
 build:
 	$(GO) build -o bin/cherviltide ./cmd/cherviltide
@@ -9,6 +9,12 @@
 demo: build
 	bin/cherviltide-bench demo --binary bin/cherviltide
 
+measure: build
+	bin/cherviltide-bench measure $(if $(CASE),--case $(CASE))
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./picker ./framer ./forwarder
+
 test:
 	$(GO) test ./...
 
--- /dev/null
+++ b/bench/measurer/line.go
@@ -0,0 +1,42 @@
+// Package measurer runs the measurement cases and prints one JSON line for each result.
+package measurer
+
+// Line is one result. Fields that do not apply to a case are absent.
+type Line struct {
+	Case string
+	// Variant is Default or the name of a baseline.
+	Variant string
+	Seed    uint64
+
+	Flows       *int     `json:",omitempty"`
+	BrokenFlows *int     `json:",omitempty"`
+	Imbalance   *float64 `json:",omitempty"` // Maximum over mean of load relative to speed.
+	ExtraHops   *float64 `json:",omitempty"` // Per datagram.
+
+	Kind         string   `json:",omitempty"`
+	Load         *float64 `json:",omitempty"` // Offered load relative to capacity.
+	Timely       *int     `json:",omitempty"`
+	Late         *int     `json:",omitempty"`
+	Refused      *int     `json:",omitempty"`
+	Unknown      *int     `json:",omitempty"`
+	Lost         *int     `json:",omitempty"`
+	Doubled      *int     `json:",omitempty"`
+	NotRunButRan *int     `json:",omitempty"`
+	// WrongCustomer counts answers that reached another customer.
+	WrongCustomer *int `json:",omitempty"`
+
+	Subscribers    *int     `json:",omitempty"`
+	InForceP99Ms   *float64 `json:",omitempty"`
+	InForceMaxMs   *float64 `json:",omitempty"`
+	BytesPerSecond *float64 `json:",omitempty"`
+	CpuPercent     *float64 `json:",omitempty"` // Percent of one core.
+	MemoryBytes    *uint64  `json:",omitempty"`
+
+	// Note tells what else was measured, with units.
+	Note string `json:",omitempty"`
+}
+
+// Of returns a pointer to a value, for the optional fields of a Line.
+func Of[T any](value T) *T {
+	return &value
+}
--- /dev/null
+++ b/bench/measurer/measurer.go
@@ -0,0 +1,47 @@
+package measurer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Case is one measurement. Emit prints a result.
+type Case struct {
+	Name string
+	Run  func(ctx context.Context, seed uint64, emit func(Line)) error
+}
+
+// cases lists all measurements in the order in which they run.
+var cases = []Case{}
+
+// Run runs the case with the given name, or all cases when the name is empty.
+func Run(ctx context.Context, out io.Writer, name string, seed uint64) error {
+	encoder := json.NewEncoder(out)
+	var names []string
+	found := false
+	for _, c := range cases {
+		names = append(names, c.Name)
+		if name != "" && name != c.Name {
+			continue
+		}
+		found = true
+		emit := func(l Line) {
+			l.Case, l.Seed = c.Name, seed
+			if l.Variant == "" {
+				l.Variant = "Default"
+			}
+			_ = encoder.Encode(l)
+		}
+		if err := c.Run(ctx, seed, emit); err != nil {
+			return errors.Annotatef(err, "case %s", c.Name)
+		}
+	}
+	if !found && name != "" {
+		return errors.Errorf("there is no case %q; the cases are %s", name, strings.Join(names, ", "))
+	}
+	return nil
+}
--- a/cmd/cherviltide-bench/main.go
+++ b/cmd/cherviltide-bench/main.go
@@ -13,6 +13,7 @@
 	"github.com/alexflint/go-arg"
 
 	"cherviltide.example/cherviltide/bench/launcher"
+	"cherviltide.example/cherviltide/bench/measurer"
 	"cherviltide.example/cherviltide/bench/responder"
 	"cherviltide.example/cherviltide/bench/sprayer"
 	"cherviltide.example/cherviltide/proxier"
@@ -57,14 +58,24 @@
 	return launcher.Demo(ctx, os.Stdout, c.Binary, self)
 }
 
+type measureCommand struct {
+	Case string `help:"run only this case"`
+	Seed uint64 `default:"1" help:"seed of all random choices"`
+}
+
+func (c *measureCommand) run(ctx context.Context) error {
+	return measurer.Run(ctx, os.Stdout, c.Case, c.Seed)
+}
+
 type command interface {
 	run(ctx context.Context) error
 }
 
 var arguments struct {
-	Fabric *fabricCommand `arg:"subcommand:fabric" help:"spray datagrams over entries"`
-	Target *targetCommand `arg:"subcommand:target" help:"serve requests as a target"`
-	Demo   *demoCommand   `arg:"subcommand:demo" help:"run the whole path on this machine"`
+	Fabric  *fabricCommand  `arg:"subcommand:fabric" help:"spray datagrams over entries"`
+	Target  *targetCommand  `arg:"subcommand:target" help:"serve requests as a target"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole path on this machine"`
+	Measure *measureCommand `arg:"subcommand:measure" help:"run measurements and print JSON lines"`
 }
 
 func main() {
--- /dev/null
+++ b/commands/entry.go
@@ -0,0 +1,52 @@
+package commands
+
+import (
+	"context"
+	"io"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/forwarder"
+	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/messenger"
+)
+
+type entryCommand struct {
+	Settings string `arg:"required" help:"settings file (JSON)"`
+}
+
+func (c *entryCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
+	var s loader.Entry
+	if err := loader.Read(c.Settings, &s); err != nil {
+		return err
+	}
+	key, err := s.Key()
+	if err != nil {
+		return err
+	}
+	member := newMember(s.Process, cherviltide.RoleEntry, "", s.Internal, netip.AddrPort{})
+	var data *forwarder.Forwarder
+	f, err := newFollower(s.Process, member, "", log, func(r *messenger.AnnounceRequest) { r.RevisionInForce = data.InForce() })
+	if err != nil {
+		return err
+	}
+	data, err = forwarder.Listen(forwarder.Config{
+		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View,
+	})
+	if err != nil {
+		return err
+	}
+	log.Info("EntryStarted", zap.String("Name", s.Name))
+	return runGracefully(ctx, f, log, data.Run)
+}
+
+func ports(list []loader.Port) []forwarder.Port {
+	var out []forwarder.Port
+	for _, p := range list {
+		out = append(out, forwarder.Port(p))
+	}
+	return out
+}
--- a/ports.go
+++ b/ports.go
@@ -24,3 +24,8 @@
 	// Pick returns the agent for a flow, and false when the service has none.
 	Pick(key FlowKey) (Member, bool)
 }
+
+// Recorder counts the outcomes of requests for the service-level report. It is safe for concurrent use.
+type Recorder interface {
+	Record(service, kind string, outcome Outcome, took Millis)
+}
