--- a/bench/measurer/line.go
+++ b/bench/measurer/line.go
@@ -29,7 +29,7 @@
 	InForceP99Ms   *float64 `json:",omitempty"`
 	InForceMaxMs   *float64 `json:",omitempty"`
 	BytesPerSecond *float64 `json:",omitempty"`
-	CpuPercent     *float64 `json:",omitempty"` // Percent of one core.
+	CPUPercent     *float64 `json:"CpuPercent,omitempty"` // Percent of one core.
 	MemoryBytes    *uint64  `json:",omitempty"`
 
 	// Note tells what else was measured, with units.
