Let requests in progress finish when an agent stops

Cause: http3.Server.ServeListener returns as soon as a shutdown starts, and the agent then closed its QUIC transport, which cut downloads in progress. A caller saw "timeout: no recent network activity" after 30 s. Ruled out: loss at the entries. With the transport kept open the download was whole although two of three entries were gone. A second failure with the same text was the fabric stand-in: it sprayed two thirds of the packets to closed ports for good, which no fabric does; it now checks the ports. Change: the agent waits for its requests, keeps connections open for 3 s so that callers can acknowledge, then closes them; new requests on old flows are refused as not run. Before: a 48 MiB download broke on a planned stop of its agent. After: it is whole across a join, a planned stop of an entry and of its agent and the crash of an entry (7.6 s), and the agent ends by itself. Conclusion: a planned stop cuts nothing in this test; minutes-long downloads were not run.

--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -41,14 +41,20 @@
 	return &Caller{client: &http.Client{Transport: t}, transport: t}
 }
 
-// Get fetches size bytes of a path below base.
-func (c *Caller) Get(ctx context.Context, base, path string, size int) (Answer, error) {
-	started := time.Now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path+"?bytes="+strconv.Itoa(size), nil)
+// Open starts a request and returns the answer with its body unread.
+func (c *Caller) Open(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return Answer{}, errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	res, err := c.client.Do(req)
+	return res, errors.Trace(err)
+}
+
+// Get fetches size bytes of a path below base.
+func (c *Caller) Get(ctx context.Context, base, path string, size int) (Answer, error) {
+	started := time.Now()
+	res, err := c.Open(ctx, base+path+"?bytes="+strconv.Itoa(size))
 	if err != nil {
 		return Answer{}, errors.Trace(err)
 	}
--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -64,11 +64,13 @@
 	issuer    *issuer.Issuer
 	client    *http.Client
 	entryPort []uint16
+	// callers has the identity of each service towards callers.
+	callers map[string]loader.TLS
 }
 
 // Start starts all processes of a plan, applies the rules and waits until every process has them in force.
 func Start(ctx context.Context, plan Plan) (*System, error) {
-	s := &System{Plan: plan, Processes: map[string]*Process{}, client: messenger.NewClient(nil)}
+	s := &System{Plan: plan, Processes: map[string]*Process{}, callers: map[string]loader.TLS{}, client: messenger.NewClient(nil)}
 	var err error
 	if s.issuer, err = issuer.New(plan.Folder); err != nil {
 		return nil, errors.Trace(err)
@@ -210,6 +212,7 @@
 			return err
 		}
 		callers := loader.TLS{Certificate: certificate, Key: key, Authority: s.issuer.Authority()}
+		s.callers[v.Name] = callers
 		for i, speed := range v.Speeds {
 			if err := s.startTarget(v, i, speed, callers); err != nil {
 				return err
--- a/bench/sprayer/sprayer.go
+++ b/bench/sprayer/sprayer.go
@@ -1,4 +1,4 @@
-// Package sprayer stands in for the network fabric: it sends each datagram of a caller to a random entry.
+// Package sprayer stands in for the network fabric: it sends each datagram of a caller to a random entry that is up.
 package sprayer
 
 import (
@@ -27,6 +27,7 @@
 	// Sprayed counts the datagrams sent to each entry.
 	Sprayed []atomic.Uint64
 	random  func(n int) int
+	health  *health
 }
 
 // front is one virtual address, as callers see it.
@@ -42,7 +43,7 @@
 func Listen(virtual []netip.AddrPort, ports []uint16, seed uint64) (*Sprayer, error) {
 	var mu sync.Mutex
 	source := rand.New(rand.NewPCG(seed, seed))
-	s := &Sprayer{ports: ports, Sprayed: make([]atomic.Uint64, len(ports))}
+	s := &Sprayer{ports: ports, Sprayed: make([]atomic.Uint64, len(ports)), health: newHealth(ports)}
 	s.random = func(n int) int {
 		mu.Lock()
 		defer mu.Unlock()
@@ -64,7 +65,8 @@
 func (s *Sprayer) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
-	group := runner.NewGroup(ctx, len(s.fronts))
+	group := runner.NewGroup(ctx, len(s.fronts)+1)
+	group.Go("health", s.health.run)
 	for _, f := range s.fronts {
 		group.Go("front", func(ctx context.Context) error { return s.spray(ctx, f) })
 	}
@@ -96,7 +98,8 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		entry := s.random(len(s.ports))
+		up := *s.health.up.Load()
+		entry := up[s.random(len(up))]
 		s.Sprayed[entry].Add(1)
 		_, _ = conn.WriteToUDPAddrPort(buffer[:n], netip.AddrPortFrom(f.virtual.Addr(), s.ports[entry]))
 	}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -71,11 +71,12 @@
 	config Config
 	server *http3.Server
 	client *http.Transport
+	gate   *gate
 }
 
 // New returns a proxier that has not started.
 func New(config Config) *Proxier {
-	p := &Proxier{config: config, client: &http.Transport{
+	p := &Proxier{config: config, gate: newGate(), client: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
 	}}
@@ -97,22 +98,22 @@
 		context.AfterFunc(c.Context(), func() { conn.Ended(c.RemoteAddr()) })
 		return ctx
 	}
-	stop := context.AfterFunc(ctx, p.stop)
-	defer stop()
+	stopped := make(chan struct{})
+	notStarted := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		p.stop()
+	})
 	err = p.server.ServeListener(listener)
+	// ServeListener returns as soon as the shutdown starts; closing the transport then would cut the requests in progress.
+	if !notStarted() {
+		<-stopped
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		err = nil
 	}
 	return errors.Join(err, transport.Close())
 }
 
-// stop sends GOAWAY on all connections and waits for the requests in progress.
-func (p *Proxier) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	_ = p.server.Shutdown(ctx)
-}
-
 // customer returns the customer of a request, by the caller's verified certificate.
 func (p *Proxier) customer(r *http.Request, rules cherviltide.Rules) (cherviltide.Customer, bool) {
 	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
--- a/proxier/serve.go
+++ b/proxier/serve.go
@@ -14,6 +14,11 @@
 
 // serve handles one request of a caller.
 func (p *Proxier) serve(w http.ResponseWriter, r *http.Request) {
+	if !p.gate.enter() {
+		refuse(w, http.StatusServiceUnavailable, "agent is leaving")
+		return
+	}
+	defer p.gate.leave()
 	rules := p.config.Rules()
 	customer, ok := p.customer(r, rules)
 	if !ok {
