--- a/picker/table.go
+++ b/picker/table.go
@@ -5,13 +5,14 @@
 import (
 	"math"
 	"slices"
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
+	"sync/atomic"
 
 	"cherviltide.example/cherviltide"
 )
 
+// MaxBuckets is the highest number of placement buckets of a service. Tables refer to rows by 16-bit numbers.
+const MaxBuckets = math.MaxUint16
+
 // none marks the absence of a target in a bucket.
 const none = math.MaxUint16
 
@@ -19,39 +20,28 @@
 type Table struct {
 	service    cherviltide.Service
 	generation uint64
-	targets    []target
-	buckets    []bucket
-}
-
-// target is an agent that the table knows.
-type target struct {
-	member cherviltide.Member
-	state  cherviltide.MemberState
-	seed   uint64
-}
-
-// bucket is the placement of the flows whose hash falls into it.
-type bucket struct {
-	owner  uint16
-	second uint16
-	// history is newest first and holds each target at most once, never the owner or the second.
-	history []former
-}
-
-// former is a target that was the owner or the second of a bucket.
-type former struct {
-	target uint16
-	// left is the generation of the event that took the bucket from the target.
-	left uint64
-}
-
-// New returns an empty table of a service.
+	// targets are the live agents in the order of their names, each name once.
+	targets []target
+	// dead has the incarnations that died last, newest last.
+	dead []tombstone
+	// rows are distinct, in the order in which the buckets use them first.
+	rows []row
+	// buckets has the index of each bucket's row.
+	buckets []uint16
+	// forgetful tables keep no history. They exist for comparison.
+	forgetful bool
+	// digest caches the result of Digest; 0 means that it is not known.
+	digest atomic.Uint64
+}
+
+// New returns an empty table of a service. A number of buckets below 1 or above MaxBuckets counts as that bound.
 func New(service cherviltide.Service) *Table {
-	t := &Table{service: service, buckets: make([]bucket, service.Buckets)}
-	for i := range t.buckets {
-		t.buckets[i] = bucket{owner: none, second: none}
+	service.Buckets = min(max(service.Buckets, 1), MaxBuckets)
+	return &Table{
+		service: service,
+		rows:    []row{{owner: none, second: none}},
+		buckets: make([]uint16, service.Buckets),
 	}
-	return t
 }
 
 // Generation returns the position of the last event that changed the table.
@@ -64,211 +54,117 @@
 	return t.service
 }
 
-// WithEvent returns the table after an event. Events of other services leave it unchanged.
+// WithService returns the table under a newer rule of its service, with other addresses or limits. The name and the
+// number of buckets stay as they are.
+func (t *Table) WithService(service cherviltide.Service) *Table {
+	next := t.clone()
+	service.Name, service.ID, service.Buckets = t.service.Name, t.service.ID, t.service.Buckets
+	next.service = service
+	return next
+}
+
+// WithEvent returns the table after an event. Events of other services and events that change nothing leave the table
+// and its generation as they are.
 func (t *Table) WithEvent(position uint64, e cherviltide.MemberEvent) *Table {
-	if e.Member.Service != t.service.Name || e.Member.Role != cherviltide.RoleAgent {
+	if e.Member.Service != t.service.Name {
 		return t
 	}
-	next := &Table{service: t.service, generation: position, targets: slices.Clone(t.targets), buckets: t.buckets}
-	if !next.update(e) {
+	if e.Type == cherviltide.EventJoined && e.Member.Role != cherviltide.RoleAgent {
 		return t
 	}
+	next := t.clone()
+	next.generation = position
 	if e.Type == cherviltide.EventReleased {
-		next.release(e)
-		return next
+		return next.release(t, e)
+	}
+	moved, changed := next.update(e)
+	if !changed {
+		return t
 	}
-	next.place(t.buckets)
+	next.place(moved)
 	return next
 }
 
 // Pick returns the owner of a flow.
 func (t *Table) Pick(key cherviltide.FlowKey) (cherviltide.Member, bool) {
-	b := &t.buckets[key.Hash()%uint64(len(t.buckets))]
-	if b.owner == none {
+	r := t.row(key)
+	if r.owner == none {
 		return cherviltide.Member{}, false
 	}
-	return t.targets[b.owner].member, true
+	return t.targets[r.owner].member, true
 }
 
-// Chain appends the candidates for a flow to dst: the owner, former holders newest first, the second.
+// Chain appends the candidates for a flow to dst: the owner, former holders newest first, the second. There are at most
+// 102, so that a position fits the header and a walk over all candidates stays within the hop limit.
 func (t *Table) Chain(dst []cherviltide.Member, key cherviltide.FlowKey) []cherviltide.Member {
-	b := &t.buckets[key.Hash()%uint64(len(t.buckets))]
-	if b.owner != none {
-		dst = append(dst, t.targets[b.owner].member)
+	r := t.row(key)
+	if r.owner != none {
+		dst = append(dst, t.targets[r.owner].member)
 	}
-	for _, f := range b.history {
+	for _, f := range r.history {
 		dst = append(dst, t.targets[f.target].member)
 	}
-	if b.second != none {
-		dst = append(dst, t.targets[b.second].member)
+	if r.second != none {
+		dst = append(dst, t.targets[r.second].member)
 	}
 	return dst
 }
 
-// update applies an event to the targets and reports whether anything changed.
-func (t *Table) update(e cherviltide.MemberEvent) bool {
-	i := t.index(e.Member)
-	if e.Type == cherviltide.EventJoined {
-		return t.join(i, e.Member)
-	}
-	if i < 0 || t.targets[i].state == cherviltide.StateDead {
-		return false
-	}
-	switch e.Type {
-	case cherviltide.EventWeighed:
-		t.targets[i].member.Weight = e.Member.Weight
-	case cherviltide.EventSuspected:
-		t.targets[i].state = cherviltide.StateSuspect
-	case cherviltide.EventCleared:
-		t.targets[i].state = cherviltide.StateActive
-	case cherviltide.EventLeaving:
-		t.targets[i].state = cherviltide.StateLeaving
-	case cherviltide.EventDied:
-		t.targets[i].state = cherviltide.StateDead
-	case cherviltide.EventReleased:
-	default:
-		return false
-	}
-	return true
-}
-
-// join adds a member. A newer incarnation replaces an older one, which is then dead.
-func (t *Table) join(i int, m cherviltide.Member) bool {
-	if i >= 0 {
-		return false
-	}
-	for j := range t.targets {
-		if t.targets[j].member.Name == m.Name {
-			t.targets[j].state = cherviltide.StateDead
-		}
-	}
-	added := target{member: m, state: cherviltide.StateActive, seed: xxhash.Sum64String(m.Name)}
-	for j := range t.targets {
-		if t.targets[j].state == cherviltide.StateDead && !t.referenced(j) {
-			t.targets[j] = added
-			return true
-		}
-	}
-	t.targets = append(t.targets, added)
-	return true
+func (t *Table) row(key cherviltide.FlowKey) *row {
+	return &t.rows[t.buckets[key.Hash()%uint64(len(t.buckets))]]
 }
 
-// referenced reports whether a bucket of the previous table still names a target's index.
-func (t *Table) referenced(i int) bool {
-	for b := range t.buckets {
-		if int(t.buckets[b].owner) == i || int(t.buckets[b].second) == i {
-			return true
-		}
-		for _, f := range t.buckets[b].history {
-			if int(f.target) == i {
-				return true
-			}
-		}
+func (t *Table) clone() *Table {
+	return &Table{
+		service:    t.service,
+		generation: t.generation,
+		targets:    t.targets,
+		dead:       t.dead,
+		rows:       t.rows,
+		buckets:    t.buckets,
+		forgetful:  t.forgetful,
 	}
-	return false
-}
-
-func (t *Table) index(m cherviltide.Member) int {
-	return slices.IndexFunc(t.targets, func(x target) bool {
-		return x.member.Name == m.Name && x.member.Incarnation == m.Incarnation
-	})
 }
 
 // place computes the owner and the second of each bucket and moves their predecessors into the history.
-func (t *Table) place(previous []bucket) {
-	t.buckets = make([]bucket, len(previous))
-	order := t.eligible()
-	for i := range previous {
-		owner, second := t.rank(order, uint64(i))
-		t.buckets[i] = t.succeed(previous[i], owner, second)
-	}
-}
-
-// eligible returns the indexes of the targets that take new flows, in the order of their names.
-func (t *Table) eligible() []uint16 {
-	var list []uint16
-	for i := range t.targets {
-		if t.targets[i].state == cherviltide.StateActive {
-			list = append(list, uint16(i))
+func (t *Table) place(moved []uint16) {
+	old, buckets := make([]row, len(t.rows)), t.buckets
+	for i, r := range t.rows {
+		old[i] = r.moved(moved)
+	}
+	a := newAssigner(t.targets, func(bucket int) *row { return &old[buckets[bucket]] })
+	a.assign(len(buckets))
+	set := newRowSet(len(buckets))
+	for b, i := range buckets {
+		r := old[i].succeeded(a.owners[b], a.seconds[b], t.generation)
+		if t.forgetful {
+			r.history = nil
 		}
+		set.add(r)
 	}
-	slices.SortFunc(list, func(a, b uint16) int {
-		return strings.Compare(t.targets[a].member.Name, t.targets[b].member.Name)
-	})
-	return list
+	t.rows, t.buckets = set.rows, set.buckets
 }
 
-// rank returns the two targets with the highest weighted rendezvous scores for a bucket.
-func (t *Table) rank(list []uint16, bucket uint64) (owner, second uint16) {
-	owner, second = none, none
-	best, next := math.Inf(-1), math.Inf(-1)
-	for _, i := range list {
-		s := score(t.targets[i].seed, bucket, t.targets[i].member.Weight)
-		switch {
-		case s > best:
-			second, next = owner, best
-			owner, best = i, s
-		case s > next:
-			second, next = i, s
-		}
+// release drops the history entries of a member that are not newer than the declared generation. It returns the
+// previous table when there are none.
+func (t *Table) release(previous *Table, e cherviltide.MemberEvent) *Table {
+	i, ok := t.search(e.Member.Name)
+	if !ok || t.targets[i].member.Incarnation != e.Member.Incarnation {
+		return previous
 	}
-	return owner, second
-}
-
-// succeed returns a bucket with a new owner and second, given the bucket before the event.
-func (t *Table) succeed(old bucket, owner, second uint16) bucket {
-	b := bucket{owner: owner, second: second}
-	if old.owner == owner && old.second == second && !t.anyDead(old.history) {
-		b.history = old.history
-		return b
+	changed := false
+	rows := slices.Clone(t.rows)
+	for n, r := range rows {
+		rows[n] = r.released(uint16(i), e.Generation)
+		changed = changed || len(rows[n].history) != len(r.history)
 	}
-	for _, i := range []uint16{old.owner, old.second} {
-		b.history = t.remember(b, i, t.generation)
+	if !changed {
+		return previous
 	}
-	for _, f := range old.history {
-		b.history = t.remember(b, f.target, f.left)
+	set := newRowSet(len(t.buckets))
+	for _, n := range t.buckets {
+		set.add(rows[n])
 	}
-	return b
-}
-
-func (t *Table) anyDead(history []former) bool {
-	return slices.ContainsFunc(history, func(f former) bool {
-		return t.targets[f.target].state == cherviltide.StateDead
-	})
-}
-
-// remember appends a former holder unless it is dead, current or listed already.
-func (t *Table) remember(b bucket, i uint16, left uint64) []former {
-	if i == none || i == b.owner || i == b.second || t.targets[i].state == cherviltide.StateDead {
-		return b.history
-	}
-	if slices.ContainsFunc(b.history, func(f former) bool { return f.target == i }) {
-		return b.history
-	}
-	return append(b.history, former{target: i, left: left})
-}
-
-// release drops the history entries of a member that are not newer than the declared generation.
-func (t *Table) release(e cherviltide.MemberEvent) {
-	i := uint16(t.index(e.Member))
-	t.buckets = slices.Clone(t.buckets)
-	for b := range t.buckets {
-		t.buckets[b].history = slices.DeleteFunc(slices.Clone(t.buckets[b].history), func(f former) bool {
-			return f.target == i && f.left <= e.Generation
-		})
-	}
-}
-
-// score is the weighted rendezvous score of a target for a bucket.
-func score(seed, bucket uint64, weight uint32) float64 {
-	h := mix(seed ^ mix(bucket+0x9e3779b97f4a7c15))
-	u := (float64(h>>11) + 0.5) / (1 << 53)
-	return -float64(max(weight, 1)) / math.Log(u)
-}
-
-// mix is the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	t.rows, t.buckets = set.rows, set.buckets
+	return t
 }
