Keep membership as a bounded state machine with leases of the leader

Cause: the tracker kept every event and every dead member, expelled members after a step of the clock, had no answer to a mass silence and never released history. A member that was declared dead could not come back.

Change: the log is founded with a base above all positions of a lost log, services receive their tables through the log (Defined), dead members are reduced to a bounded list of incarnations and old events are dropped. Leases, smoothed rates and release reports are memory of the leader, counted in steps of at most 1 s. More than 50% of a service, or of all members, silent at once keeps the old set; status and log name it. A release needs two reports in a row to one leader. Announcements and status requests at an instance that does not lead are passed on to the leader.

Ruled out: positions with a separate epoch field, because the generation in the header of forwarded datagrams and in OldestGeneration would need it too.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -42,22 +42,21 @@
 	registrar   *registrar.Registrar
 	tracker     *tracker.Tracker
 	distributor *distributor.Distributor
-	// position is the newest position of the membership log.
-	position uint64
-	reports  map[string]messenger.AnnounceRequest
-	calls    chan func()
+	members     members
+	calls       chan func()
 }
 
 // New returns a controller that has not started.
 func New(config Config) *Controller {
-	return &Controller{
+	c := &Controller{
 		config:      config,
 		registrar:   registrar.New(),
 		tracker:     tracker.New(),
 		distributor: distributor.New(),
-		reports:     map[string]messenger.AnnounceRequest{},
 		calls:       make(chan func()),
 	}
+	c.members = newMembers(&alone{commit: c.commitMember})
+	return c
 }
 
 // Run serves until ctx ends.
@@ -110,7 +109,7 @@
 		case call := <-c.calls:
 			call()
 		case <-ticker.C:
-			c.record(c.tracker.Tick(c.config.Clock.Now()))
+			c.tickMembers()
 		}
 	}
 }
--- a/controller/members.go
+++ b/controller/members.go
@@ -2,16 +2,68 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
+	"strings"
 
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/parser"
 	"cherviltide.example/cherviltide/tracker"
 )
 
-// record appends member events to the log.
+var errNoLeader = errors.New("no leader of the membership group is known")
+
+// membershipLog is the log of the membership group as the control goroutine sees it. Its committed entries come back in
+// order through commitMember, on the control goroutine.
+type membershipLog interface {
+	// Record proposes an entry without waiting for it. The entry may be lost; the tracker then proposes it again.
+	Record(entry []byte)
+	// Leads reports whether this instance leads the group.
+	Leads() bool
+	// Leader returns the leader's base URL and a client for it. The URL is empty when no leader is known.
+	Leader() (base string, client *http.Client)
+}
+
+// alone is the membership log of a single instance; it is kept in memory.
+type alone struct {
+	index  uint64
+	commit func(index uint64, entry []byte)
+}
+
+func (a *alone) Record(entry []byte) {
+	a.index++
+	a.commit(a.index, entry)
+}
+
+func (a *alone) Leads() bool { return true }
+
+func (a *alone) Leader() (string, *http.Client) { return "", nil }
+
+// members is the controller's part of membership beside the tracker. It belongs to the control goroutine.
+type members struct {
+	log membershipLog
+	// reports has the last announcement of each member to this instance.
+	reports map[string]messenger.AnnounceRequest
+	// rules are those of the registrar's current revision.
+	rules cherviltide.Rules
+	held  string
+}
+
+func newMembers(log membershipLog) members {
+	return members{log: log, reports: map[string]messenger.AnnounceRequest{}}
+}
+
+// commitMember applies a committed entry of the membership log.
+func (c *Controller) commitMember(index uint64, entry []byte) {
+	c.tracker.Apply(index, entry)
+	c.publish()
+}
+
+// record proposes member events.
 func (c *Controller) record(events []cherviltide.MemberEvent) {
 	for _, e := range events {
 		entry, err := tracker.Encode(e)
@@ -19,53 +71,153 @@
 			c.config.Log.Error("EventNotEncoded", zap.Error(err))
 			continue
 		}
-		c.position++
-		c.tracker.Apply(c.position, entry)
 		c.config.Log.Info("MemberEvent", zap.String("Type", string(e.Type)), zap.String("Member", e.Member.Name),
-			zap.Uint64("Position", c.position))
+			zap.String("Service", e.Member.Service))
+		c.members.log.Record(entry)
+	}
+}
+
+// tickMembers follows the leadership, checks the leases and defines the tables of the rules' services.
+func (c *Controller) tickMembers() {
+	now := c.config.Clock.Now()
+	if leads := c.members.log.Leads(); leads != c.tracker.Leads() {
+		if leads {
+			c.tracker.Lead(now)
+		} else {
+			c.tracker.Yield()
+		}
+		c.config.Log.Info("MembershipLeadership", zap.Bool("Leads", leads))
 	}
-	if len(events) > 0 {
-		c.publish()
+	c.record(c.tracker.Tick(now))
+	c.record(c.tracker.Maintain(now, c.members.rules.Services))
+	c.reportHeld()
+	for name, report := range c.members.reports {
+		if !c.tracker.Alive(report.Member) {
+			delete(c.members.reports, name)
+		}
+	}
+}
+
+// reportHeld logs when silent members are kept or no longer kept.
+func (c *Controller) reportHeld() {
+	held := strings.Join(c.tracker.Held(), " ")
+	if held == c.members.held {
+		return
 	}
+	c.members.held = held
+	c.config.Log.Warn("FailStatic", zap.String("Held", held))
 }
 
+// publish gives the newest state to the distributor, after defining the tables of new services.
 func (c *Controller) publish() {
 	current := c.registrar.Current()
+	if current.Number != c.members.rules.Revision {
+		rules, err := parser.Parse(current.Edit.Text)
+		if err != nil {
+			c.config.Log.Error("RulesNotParsed", zap.Uint64("Revision", current.Number), zap.Error(err))
+		}
+		c.members.rules = rules.WithRevision(current.Number)
+		c.record(c.tracker.Maintain(c.config.Clock.Now(), c.members.rules.Services))
+	}
 	c.distributor.Publish(distributor.State{
 		Revision: current.Number,
 		Text:     current.Edit.Text,
-		Position: c.position,
+		Position: c.tracker.Position(),
 		Events:   c.tracker.Events(),
+		Tables:   c.tracker.Tables(),
 	})
 }
 
+// announce handles an announcement, or passes it on to the leader.
 func (c *Controller) announce(ctx context.Context, req *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
+	res := &messenger.AnnounceResponse{}
+	accepted := false
 	err := c.do(ctx, func() {
-		c.reports[req.Member.Name] = *req
-		c.record(c.tracker.Announce(c.config.Clock.Now(), tracker.Announcement{
-			Member:           req.Member,
-			Leaving:          req.Leaving,
-			Ended:            req.Ended,
-			Generation:       req.Generation,
-			OldestGeneration: req.OldestGeneration,
-		}))
+		if accepted = c.tracker.Leads(); accepted {
+			res = c.accept(req)
+		}
 	})
-	return &messenger.AnnounceResponse{Lease: tracker.Lease}, err
+	if err != nil || accepted {
+		return res, err
+	}
+	if req.Forwarded {
+		return nil, unavailable("controller.announce", errNoLeader)
+	}
+	base, client, err := c.leader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	forwarded := *req
+	forwarded.Forwarded = true
+	return messenger.Announce.Call(ctx, client, base, &forwarded)
 }
 
-func (c *Controller) status(ctx context.Context, _ *messenger.StatusRequest) (*messenger.StatusResponse, error) {
-	res := &messenger.StatusResponse{Confirmed: true}
-	err := c.do(ctx, func() {
-		res.Revision, res.Position = c.registrar.Current().Number, c.position
-		for _, entry := range c.tracker.Entries() {
-			report := c.reports[entry.Member.Name]
-			res.Members = append(res.Members, messenger.MemberStatus{
-				Member:          entry.Member,
-				State:           entry.State,
-				RevisionSeen:    report.RevisionSeen,
-				RevisionInForce: report.RevisionInForce,
-			})
-		}
-	})
-	return res, err
+// accept handles an announcement on the control goroutine of the leader.
+func (c *Controller) accept(req *messenger.AnnounceRequest) *messenger.AnnounceResponse {
+	if known, late := c.tracker.Known(req.Member); late {
+		return &messenger.AnnounceResponse{Expelled: !req.Ended, Incarnation: known}
+	}
+	c.members.reports[req.Member.Name] = *req
+	c.record(c.tracker.Announce(c.config.Clock.Now(), tracker.Announcement{
+		Member:           req.Member,
+		Leaving:          req.Leaving,
+		Ended:            req.Ended,
+		Rate:             req.Rate,
+		Generation:       req.Generation,
+		OldestGeneration: req.OldestGeneration,
+	}))
+	if !c.tracker.Alive(req.Member) {
+		return &messenger.AnnounceResponse{}
+	}
+	return &messenger.AnnounceResponse{Lease: tracker.Lease}
+}
+
+// leader returns how to reach the leader of the membership group.
+func (c *Controller) leader(ctx context.Context) (base string, client *http.Client, err error) {
+	err = c.do(ctx, func() { base, client = c.members.log.Leader() })
+	if err == nil && base == "" {
+		err = unavailable("controller.leader", errNoLeader)
+	}
+	return base, client, err
+}
+
+// status lists the members as the leader knows them. Without a leader it lists them as this instance knows them and
+// marks the list as not confirmed.
+func (c *Controller) status(ctx context.Context, req *messenger.StatusRequest) (*messenger.StatusResponse, error) {
+	res := &messenger.StatusResponse{}
+	if err := c.do(ctx, func() { c.describe(res) }); err != nil {
+		return nil, err
+	}
+	if res.Confirmed || req.Forwarded {
+		return res, nil
+	}
+	base, client, err := c.leader(ctx)
+	if err != nil {
+		return res, nil
+	}
+	if led, err := messenger.Status.Call(ctx, client, base, &messenger.StatusRequest{Forwarded: true}); err == nil {
+		return led, nil
+	}
+	return res, nil
+}
+
+// describe fills in a status on the control goroutine.
+func (c *Controller) describe(res *messenger.StatusResponse) {
+	res.Revision, res.Position = c.registrar.Current().Number, c.tracker.Position()
+	res.Confirmed, res.Held = c.tracker.Leads(), c.tracker.Held()
+	for _, entry := range c.tracker.Entries() {
+		report := c.members.reports[entry.Member.Name]
+		res.Members = append(res.Members, messenger.MemberStatus{
+			Member:          entry.Member,
+			State:           entry.State,
+			RevisionSeen:    report.RevisionSeen,
+			RevisionInForce: report.RevisionInForce,
+			Generation:      report.Generation,
+			Lags:            report.RevisionInForce < res.Revision,
+		})
+	}
+}
+
+func unavailable(op string, err error) error {
+	return &Error{cherviltide.Fault{Op: op, Kind: cherviltide.KindUnavailable, Err: err}}
 }
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -8,6 +8,7 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/picker"
 )
 
 // Heartbeat is the longest time between two messages of a stream. Followers close a stream that is silent for longer.
@@ -18,8 +19,10 @@
 	Revision uint64
 	Text     string
 	Position uint64
-	// Events are in the order of their positions, starting with position 1.
+	// Events are the newest events in the order of their positions.
 	Events []cherviltide.PlacedEvent
+	// Tables has the table of each defined service at Position.
+	Tables map[string]*picker.Table
 }
 
 // Distributor publishes states to streams. It is safe for concurrent use.
--- a/member.go
+++ b/member.go
@@ -56,6 +56,14 @@
 	EventDied      EventType = "Died"
 )
 
+// The events of the log itself.
+const (
+	// EventFounded is the first event of a log and carries its base in Generation.
+	EventFounded EventType = "Founded"
+	// EventDefined starts the table of the service Member.Service with Buckets buckets; 0 removes the table.
+	EventDefined EventType = "Defined"
+)
+
 // MemberEvent is one entry of the membership log.
 type MemberEvent struct {
 	Type EventType
@@ -63,11 +71,14 @@
 	Member Member
 	// Generation is set for Released: the member holds no flow that it opened at an older generation.
 	Generation uint64
+	// Buckets is set for Defined.
+	Buckets int
 }
 
 // PlacedEvent is a member event with its position in the membership log.
 type PlacedEvent struct {
-	// Position is at least 1 and grows by one for each entry of the log.
+	// Position is the base of the log plus the index of the entry. The base of a log that replaces a lost one is higher
+	// than every position of the lost log, so positions of different logs never compare as equal.
 	Position uint64
 	Event    MemberEvent
 }
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -27,12 +27,19 @@
 	// OldestGeneration is the lowest generation at which the agent opened a flow that it still holds.
 	// It equals Generation when the agent holds no flow.
 	OldestGeneration uint64
+	// Rate is the measured service rate in thousandths of a nominal slot; 0 when it is not known.
+	Rate uint32
+	// Forwarded is set when another control instance passes the announcement on. It is not passed on again.
+	Forwarded bool
 }
 
 // AnnounceResponse grants a lease.
 type AnnounceResponse struct {
-	// Lease is counted from the moment at which the request was sent.
+	// Lease is counted from the moment at which the request was sent. It is 0 when the announcement was not accepted.
 	Lease cherviltide.Millis
+	// Expelled is set when the announced incarnation is dead or replaced; Incarnation is then the newest known one.
+	Expelled    bool
+	Incarnation uint64
 }
 
 // ApplyRequest asks control to accept a rules file.
@@ -62,7 +69,10 @@
 }
 
 // StatusRequest asks for the state of all members.
-type StatusRequest struct{}
+type StatusRequest struct {
+	// Forwarded is set when another control instance passes the request on. It is not passed on again.
+	Forwarded bool
+}
 
 // StatusResponse lists the members as the instance knows them.
 type StatusResponse struct {
@@ -70,14 +80,21 @@
 	Position  uint64
 	Confirmed bool
 	Members   []MemberStatus
+	// Held names the services and roles whose silent members are kept, because too many are silent at once.
+	Held []string
 }
 
 // MemberStatus is the state of one member.
 type MemberStatus struct {
-	Member          cherviltide.Member
-	State           cherviltide.MemberState
+	Member cherviltide.Member
+	State  cherviltide.MemberState
+	// RevisionSeen is what the member received, RevisionInForce what decided its last packet.
 	RevisionSeen    uint64
 	RevisionInForce uint64
+	// Generation is the generation of an agent's own table.
+	Generation uint64
+	// Lags is set when the member does not run the accepted revision.
+	Lags bool
 }
 
 // FollowRequest subscribes to configuration and membership.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -2,20 +2,22 @@
 package tracker
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/picker"
 )
 
-// Lease times.
+// Bounds of the state.
 const (
-	// Lease is how long a member counts as alive after an announcement.
-	Lease cherviltide.Millis = 5_000
-	// SuspectAfter is how long a member may be silent before it receives no new flows.
-	SuspectAfter cherviltide.Millis = 2_500
+	// eventLimit is how many events are kept for followers that lag; those further behind need a snapshot.
+	eventLimit = 4096
+	// graveLimit is how many dead members are remembered, so that late announcements of theirs change nothing.
+	graveLimit = 8192
 )
 
 // Error is damaged membership state.
@@ -27,17 +29,30 @@
 	State  cherviltide.MemberState
 }
 
-// Tracker holds the members and the log of their events. One goroutine uses it.
+// grave remembers a dead member.
+type grave struct {
+	Incarnation uint64
+	Position    uint64
+}
+
+// Tracker holds the members, the tables of the services and the newest events. One goroutine uses it.
 type Tracker struct {
+	// base is 0 until the log is founded.
+	base     uint64
+	position uint64
+	// entries has no dead members.
 	entries map[string]Entry
-	events  []cherviltide.PlacedEvent
-	// heard is when each member last announced itself, by this instance's clock.
-	heard map[string]cherviltide.Millis
+	graves  map[string]grave
+	// events has at most 2*eventLimit events; older ones are in tables and entries only.
+	events []cherviltide.PlacedEvent
+	tables map[string]*picker.Table
+	// leases is nil unless this instance leads the membership group.
+	leases *leases
 }
 
 // New returns a tracker without members.
 func New() *Tracker {
-	return &Tracker{entries: map[string]Entry{}, heard: map[string]cherviltide.Millis{}}
+	return &Tracker{entries: map[string]Entry{}, graves: map[string]grave{}, tables: map[string]*picker.Table{}}
 }
 
 // Encode returns the log entry of an event.
@@ -45,127 +60,176 @@
 	return cbor.Marshal(e)
 }
 
-// Apply applies a committed event.
-func (t *Tracker) Apply(position uint64, entry []byte) {
+// Founded returns the first event of a log that starts at the given time since the Unix epoch. Positions of the log are
+// above all positions of a log that was founded a millisecond earlier and has had fewer than 65,536 events for each
+// millisecond since.
+func Founded(now cherviltide.Millis) cherviltide.MemberEvent {
+	return cherviltide.MemberEvent{Type: cherviltide.EventFounded, Generation: uint64(now) << 16}
+}
+
+// Apply applies the committed entry with the given index in the log. Entries that do not fit the state change nothing.
+func (t *Tracker) Apply(index uint64, entry []byte) {
 	var e cherviltide.MemberEvent
 	if err := cbor.Unmarshal(entry, &e); err != nil {
 		return
 	}
-	t.events = append(t.events, cherviltide.PlacedEvent{Position: position, Event: e})
-	current, known := t.entries[e.Member.Name]
-	if e.Type == cherviltide.EventJoined {
-		t.entries[e.Member.Name] = Entry{Member: e.Member, State: cherviltide.StateActive}
+	if e.Type == cherviltide.EventFounded && t.base == 0 {
+		t.base = e.Generation
+	}
+	if t.base == 0 {
 		return
 	}
+	t.position = t.base + index
+	if t.leases != nil {
+		delete(t.leases.proposed, e.Member.Name)
+	}
+	if !t.change(e) {
+		return
+	}
+	t.retain(cherviltide.PlacedEvent{Position: t.position, Event: e})
+	if table, ok := t.tables[e.Member.Service]; ok {
+		t.tables[e.Member.Service] = table.WithEvent(t.position, e)
+	}
+}
+
+// change applies an event to the members and reports whether it fits them.
+func (t *Tracker) change(e cherviltide.MemberEvent) bool {
+	switch e.Type {
+	case cherviltide.EventFounded:
+		return false
+	case cherviltide.EventDefined:
+		t.define(e)
+		return false
+	case cherviltide.EventJoined:
+		return t.join(e.Member)
+	}
+	current, known := t.entries[e.Member.Name]
 	if !known || current.Member.Incarnation != e.Member.Incarnation {
+		return false
+	}
+	next, fits := current.with(e)
+	if next.State == cherviltide.StateDead {
+		t.bury(e.Member)
+	} else {
+		t.entries[e.Member.Name] = next
+	}
+	return fits
+}
+
+// join adds a member unless the same or a newer incarnation is known.
+func (t *Tracker) join(m cherviltide.Member) bool {
+	if m.Incarnation <= t.incarnation(m.Name) {
+		return false
+	}
+	delete(t.graves, m.Name)
+	t.entries[m.Name] = Entry{Member: m, State: cherviltide.StateActive}
+	return true
+}
+
+// incarnation returns the newest known incarnation of a member, dead or alive, or 0.
+func (t *Tracker) incarnation(name string) uint64 {
+	return max(t.entries[name].Member.Incarnation, t.graves[name].Incarnation)
+}
+
+// bury moves a member to the dead and forgets the member that died first when there are too many.
+func (t *Tracker) bury(m cherviltide.Member) {
+	delete(t.entries, m.Name)
+	t.graves[m.Name] = grave{Incarnation: m.Incarnation, Position: t.position}
+	if len(t.graves) <= graveLimit {
+		return
+	}
+	var oldest string
+	for name, g := range t.graves {
+		if oldest == "" || g.Position < t.graves[oldest].Position {
+			oldest = name
+		}
+	}
+	delete(t.graves, oldest)
+}
+
+// define starts the table of a service from its present members, so every instance derives the same table.
+func (t *Tracker) define(e cherviltide.MemberEvent) {
+	name := e.Member.Service
+	if e.Buckets <= 0 {
+		delete(t.tables, name)
 		return
 	}
-	t.entries[e.Member.Name] = current.with(e)
+	if old, ok := t.tables[name]; ok && old.Service().Buckets == e.Buckets {
+		return
+	}
+	table := picker.New(cherviltide.Service{Name: name, ID: cherviltide.ServiceIDOf(name), Buckets: e.Buckets})
+	for _, x := range t.Entries() {
+		for _, event := range x.events() {
+			table = table.WithEvent(t.position, event)
+		}
+	}
+	t.tables[name] = table
+}
+
+// events returns the events that lead a new table to the entry's state.
+func (x Entry) events() []cherviltide.MemberEvent {
+	list := []cherviltide.MemberEvent{{Type: cherviltide.EventJoined, Member: x.Member}}
+	switch x.State {
+	case cherviltide.StateSuspect:
+		list = append(list, cherviltide.MemberEvent{Type: cherviltide.EventSuspected, Member: x.Member})
+	case cherviltide.StateLeaving:
+		list = append(list, cherviltide.MemberEvent{Type: cherviltide.EventLeaving, Member: x.Member})
+	}
+	return list
 }
 
-// with returns the entry after an event of its member.
-func (x Entry) with(e cherviltide.MemberEvent) Entry {
+// with returns the entry after an event of its member, and false when the event does not fit the state.
+func (x Entry) with(e cherviltide.MemberEvent) (Entry, bool) {
+	before := x.State
 	switch e.Type {
 	case cherviltide.EventWeighed:
+		fits := x.Member.Weight != e.Member.Weight
 		x.Member.Weight = e.Member.Weight
+		return x, fits
+	case cherviltide.EventReleased:
+		return x, true
 	case cherviltide.EventSuspected:
-		x.State = cherviltide.StateSuspect
+		if before == cherviltide.StateActive {
+			x.State = cherviltide.StateSuspect
+		}
 	case cherviltide.EventCleared:
-		x.State = cherviltide.StateActive
+		if before == cherviltide.StateSuspect {
+			x.State = cherviltide.StateActive
+		}
 	case cherviltide.EventLeaving:
 		x.State = cherviltide.StateLeaving
 	case cherviltide.EventDied:
 		x.State = cherviltide.StateDead
 	}
-	return x
+	return x, x.State != before
 }
 
-// Announcement is what a member says about itself.
-type Announcement struct {
-	Member         cherviltide.Member
-	Leaving, Ended bool
-	// Generation and OldestGeneration are as in the announcing agent's table.
-	Generation, OldestGeneration uint64
+// retain appends an event and drops the older half when there are too many. Published slices stay as they are.
+func (t *Tracker) retain(e cherviltide.PlacedEvent) {
+	if len(t.events) >= 2*eventLimit {
+		t.events = slices.Clone(t.events[eventLimit:])
+	}
+	t.events = append(t.events, e)
 }
 
-// Announce records an announcement and returns the events to propose.
-func (t *Tracker) Announce(now cherviltide.Millis, a Announcement) []cherviltide.MemberEvent {
-	m := a.Member
-	entry, known := t.entries[m.Name]
-	if known && entry.Member.Incarnation > m.Incarnation {
-		return nil
-	}
-	t.heard[m.Name] = now
-	if !known || entry.Member.Incarnation < m.Incarnation {
-		if a.Ended {
-			return nil
-		}
-		return []cherviltide.MemberEvent{{Type: cherviltide.EventJoined, Member: m}}
-	}
-	switch {
-	case a.Ended && entry.State != cherviltide.StateDead:
-		return []cherviltide.MemberEvent{{Type: cherviltide.EventDied, Member: m}}
-	case a.Leaving && entry.State != cherviltide.StateLeaving && entry.State != cherviltide.StateDead:
-		return []cherviltide.MemberEvent{{Type: cherviltide.EventLeaving, Member: m}}
-	case !a.Leaving && entry.State == cherviltide.StateSuspect:
-		return []cherviltide.MemberEvent{{Type: cherviltide.EventCleared, Member: m}}
-	}
-	return nil
-}
-
-// Tick returns the events for members that have been silent too long.
-func (t *Tracker) Tick(now cherviltide.Millis) []cherviltide.MemberEvent {
-	var events []cherviltide.MemberEvent
-	for _, entry := range t.Entries() {
-		name := entry.Member.Name
-		if _, ok := t.heard[name]; !ok {
-			t.heard[name] = now
-		}
-		silent := now - t.heard[name]
-		switch {
-		case entry.State == cherviltide.StateDead:
-		case silent > Lease:
-			events = append(events, cherviltide.MemberEvent{Type: cherviltide.EventDied, Member: entry.Member})
-		case silent > SuspectAfter && entry.State == cherviltide.StateActive:
-			events = append(events, cherviltide.MemberEvent{Type: cherviltide.EventSuspected, Member: entry.Member})
-		}
-	}
-	return events
+// Position returns the position of the newest applied entry; it is 0 before the log is founded.
+func (t *Tracker) Position() uint64 {
+	return t.position
 }
 
-// Entries returns the members in the order of their names.
+// Entries returns the members that are not dead in the order of their names.
 func (t *Tracker) Entries() []Entry {
-	list := make([]Entry, 0, len(t.entries))
-	for _, e := range t.entries {
-		list = append(list, e)
-	}
+	list := slices.Collect(maps.Values(t.entries))
 	slices.SortFunc(list, func(a, b Entry) int { return strings.Compare(a.Member.Name, b.Member.Name) })
 	return list
 }
 
-// Events returns the log. The caller must not change it.
+// Events returns the newest events. The caller must not change them.
 func (t *Tracker) Events() []cherviltide.PlacedEvent {
 	return t.events
 }
 
-// Snapshot returns the state in a form that Restore reads.
-func (t *Tracker) Snapshot() ([]byte, error) {
-	return cbor.Marshal(t.events)
-}
-
-// Restore replaces the state by a snapshot.
-func (t *Tracker) Restore(_ uint64, snapshot []byte) error {
-	var events []cherviltide.PlacedEvent
-	if err := cbor.Unmarshal(snapshot, &events); err != nil {
-		return &Error{cherviltide.Fault{Op: "tracker.Restore", Kind: cherviltide.KindDamaged, Err: err}}
-	}
-	*t = *New()
-	for _, e := range events {
-		entry, err := Encode(e.Event)
-		if err != nil {
-			return &Error{cherviltide.Fault{Op: "tracker.Restore", Kind: cherviltide.KindDamaged, Err: err}}
-		}
-		t.Apply(e.Position, entry)
-	}
-	return nil
+// Tables returns the table of each defined service. The caller owns the map.
+func (t *Tracker) Tables() map[string]*picker.Table {
+	return maps.Clone(t.tables)
 }
