--- a/tracker/maintain.go
+++ b/tracker/maintain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/picker"
 )
 
 // Maintain returns the events that found the log and give each service of the rules its table. It returns none unless
@@ -19,7 +20,7 @@
 	var events []cherviltide.MemberEvent
 	for _, s := range services {
 		wanted[s.Name] = true
-		if table, ok := t.tables[s.Name]; !ok || table.Service().Buckets != s.Buckets {
+		if table, ok := t.tables[s.Name]; !ok || table.Service().Buckets != min(s.Buckets, picker.MaxBuckets) {
 			events = append(events, l.propose("Service "+s.Name, defined(s.Name, s.Buckets))...)
 		}
 	}
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -1,21 +1,44 @@
 package tracker
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/picker"
 )
 
+// deterministic encodes equal states to equal bytes; plain encoding follows the random order of maps.
+var deterministic, _ = cbor.CoreDetEncOptions().EncMode()
+
 // snapshot is the state at a position.
 type snapshot struct {
 	Base, Position uint64
 	Entries        []Entry
 	Graves         map[string]grave
+	Tables         []tableSnapshot
+}
+
+// tableSnapshot is the table of one service.
+type tableSnapshot struct {
+	Service string
+	Buckets int
+	Data    []byte
 }
 
 // Snapshot returns the state in a form that Restore reads.
 func (t *Tracker) Snapshot() ([]byte, error) {
-	return cbor.Marshal(snapshot{Base: t.base, Position: t.position, Entries: t.Entries(), Graves: t.graves})
+	s := snapshot{Base: t.base, Position: t.position, Entries: t.Entries(), Graves: t.graves}
+	for _, name := range slices.Sorted(maps.Keys(t.tables)) {
+		data, err := t.tables[name].Snapshot()
+		if err != nil {
+			return nil, err
+		}
+		s.Tables = append(s.Tables, tableSnapshot{Service: name, Buckets: t.tables[name].Service().Buckets, Data: data})
+	}
+	return deterministic.Marshal(s)
 }
 
 // Restore replaces the state by a snapshot. It keeps no events, so followers that lag receive snapshots.
@@ -29,6 +52,13 @@
 	for _, x := range s.Entries {
 		next.entries[x.Member.Name] = x
 	}
+	for _, x := range s.Tables {
+		table, err := picker.Restore(newService(x.Service, x.Buckets), x.Data)
+		if err != nil {
+			return err
+		}
+		next.tables[x.Service] = table
+	}
 	if s.Graves != nil {
 		next.graves = s.Graves
 	}
@@ -36,3 +66,7 @@
 	*t = *next
 	return nil
 }
+
+func newService(name string, buckets int) cherviltide.Service {
+	return cherviltide.Service{Name: name, ID: cherviltide.ServiceIDOf(name), Buckets: buckets}
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -154,10 +154,10 @@
 		delete(t.tables, name)
 		return
 	}
-	if old, ok := t.tables[name]; ok && old.Service().Buckets == e.Buckets {
+	if old, ok := t.tables[name]; ok && old.Service().Buckets == min(e.Buckets, picker.MaxBuckets) {
 		return
 	}
-	table := picker.New(cherviltide.Service{Name: name, ID: cherviltide.ServiceIDOf(name), Buckets: e.Buckets})
+	table := picker.New(newService(name, e.Buckets))
 	for _, x := range t.Entries() {
 		for _, event := range x.events() {
 			table = table.WithEvent(t.position, event)
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -253,7 +253,13 @@
 			replayed.Apply(uint64(i+1), entry)
 		}
 		require.Equal(t, g.t.Entries(), replayed.Entries(), "seed %d", seed)
-		require.Equal(t, g.t.Tables(), replayed.Tables(), "seed %d", seed)
+		snapshot, err := g.t.Snapshot()
+		require.NoError(t, err)
+		again, err := replayed.Snapshot()
+		require.NoError(t, err)
+		require.Equal(t, snapshot, again, "seed %d", seed)
+		require.NoError(t, replayed.Restore(g.index, snapshot))
+		require.Equal(t, g.table().Digest(), replayed.Tables()["desk"].Digest(), "seed %d", seed)
 		require.LessOrEqual(t, len(g.t.Events()), 8192)
 	}
 }
--- a/tracker/weight.go
+++ b/tracker/weight.go
@@ -60,9 +60,10 @@
 	if c.checked == sure && c.checkedIn == table.Generation() {
 		return nil
 	}
-	if !table.Releasable(entry.Member, sure) {
+	e := cherviltide.MemberEvent{Type: cherviltide.EventReleased, Member: brief(entry.Member), Generation: sure}
+	if table.WithEvent(t.position+1, e) == table {
 		c.checked, c.checkedIn = sure, table.Generation()
 		return nil
 	}
-	return []cherviltide.MemberEvent{{Type: cherviltide.EventReleased, Member: brief(entry.Member), Generation: sure}}
+	return []cherviltide.MemberEvent{e}
 }
