Check rules files completely and print them in one format

Cause: the parser reported wrong values at column 1 of their line, took the first mistake of a line only, and accepted duplicate names and addresses, out of range values and kinds that no request reaches.

Ruled out: a parser generator (the grammar is one line deep), and refusing an at-most-once kind without Method, which still demands a key of each request.

Change: statements keep the column of each word. Each problem names what was found and expected and suggests a close word. Checks between rules cover names, addresses, IDs on the wire, unknown services, shadowed kinds, certificates. Each rule keeps its line and requester. Format and Diff are new.

Before: 1 problem per line, no checks between rules.

Conclusion: a file that passes has one meaning, and its format is stable.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,4 @@
 
 fuzz:
 	$(GO) test ./framer -run '^$$' -fuzz FuzzDecode -fuzztime 3s
+	$(GO) test ./parser -run '^$$' -fuzz FuzzParse -fuzztime 3s
--- a/parser/error.go
+++ b/parser/error.go
@@ -13,20 +13,40 @@
 	Problems Problems
 }
 
-// Problem is one mistake in a rules file. Lines and columns start at 1.
+// Problem is one mistake in a rules file.
 type Problem struct {
+	// Line and Column start at 1; columns count characters.
 	Line, Column int
-	Text         string
+	// Text describes the mistake, including what was found and what was expected.
+	Text string
+	// Suggestion is the word that was probably meant, or empty.
+	Suggestion string
 }
 
-// Problems is a list of mistakes in the order of their lines.
+// Problems is a list of mistakes in the order of their lines and columns.
 type Problems []Problem
 
+// String returns the problem as LINE:COLUMN: TEXT.
+func (p Problem) String() string {
+	text := fmt.Sprintf("%d:%d: %s", p.Line, p.Column, p.Text)
+	if p.Suggestion != "" {
+		text += fmt.Sprintf("; did you mean %s?", p.Suggestion)
+	}
+	return text
+}
+
 // Error returns one line for each problem.
 func (p Problems) Error() string {
 	lines := make([]string, 0, len(p))
 	for _, x := range p {
-		lines = append(lines, fmt.Sprintf("%d:%d: %s", x.Line, x.Column, x.Text))
+		lines = append(lines, x.String())
 	}
 	return strings.Join(lines, "\n")
 }
+
+func (p Problems) compare(a, b Problem) int {
+	if a.Line != b.Line {
+		return a.Line - b.Line
+	}
+	return a.Column - b.Column
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -1,185 +1,104 @@
 // Package parser reads the rules file: plain text, one rule a line, each with a comment that says who asked for it.
+// It also prints files in the canonical format and lists the lines in which two files differ.
 package parser
 
 import (
-	"fmt"
 	"net/netip"
-	"strconv"
-	"strings"
-	"time"
+	"slices"
 
 	"cherviltide.example/cherviltide"
 )
 
-// Defaults of a service.
+// Defaults of the settings that a rule leaves out.
 const (
-	DefaultBuckets     = 1024
-	DefaultConnections = 2000
+	DefaultBuckets                        = 1024
+	DefaultConnections                    = 2000
+	DefaultPath                           = "/"
+	DefaultClass                          = cherviltide.ClassNormal
+	DefaultPriority                       = 5
+	DefaultDeadline    cherviltide.Millis = 10_000
+	DefaultObjective                      = 99.0
 )
 
-// parsing collects the rules and the problems of one file.
-type parsing struct {
-	rules    cherviltide.Rules
-	problems Problems
-}
-
-// Parse reads a rules file and returns its rules with revision 0. The error lists all problems.
+// Parse reads a rules file and returns its rules with revision 0. The error lists all problems of the file.
 func Parse(text string) (cherviltide.Rules, error) {
-	p := &parsing{}
-	for i, line := range strings.Split(text, "\n") {
-		p.line(i+1, line)
-	}
-	if len(p.problems) > 0 {
-		return cherviltide.Rules{}, &Error{
-			Fault:    cherviltide.Fault{Op: "parser.Parse", Kind: cherviltide.KindInvalid, Err: p.problems},
-			Problems: p.problems,
+	statements, problems := readAll(text)
+	var rules cherviltide.Rules
+	for _, s := range statements {
+		switch s.keyword.text {
+		case "Service":
+			rules.Services = append(rules.Services, newService(s))
+		case "Kind":
+			rules.Kinds = append(rules.Kinds, newKind(s))
+		case "Customer":
+			rules.Customers = append(rules.Customers, newCustomer(s))
 		}
 	}
-	return p.rules, nil
-}
-
-func (p *parsing) line(number int, line string) {
-	rule, comment, found := strings.Cut(line, "#")
-	words := strings.Fields(rule)
-	if len(words) == 0 {
-		return
+	problems = append(problems, check(statements)...)
+	if len(problems) > 0 {
+		return cherviltide.Rules{}, newError("parser.Parse", problems)
 	}
-	if !found || strings.TrimSpace(comment) == "" {
-		p.fail(number, len(line)+1, "the rule has no comment that says who asked for it")
-		return
-	}
-	switch words[0] {
-	case "Service":
-		p.service(number, words[1:])
-	case "Kind":
-		p.kind(number, words[1:])
-	case "Customer":
-		p.customer(number, words[1:])
-	default:
-		p.fail(number, strings.Index(line, words[0])+1, fmt.Sprintf("found %q, expected Service, Kind or Customer", words[0]))
-	}
-}
-
-func (p *parsing) fail(line, column int, text string) {
-	p.problems = append(p.problems, Problem{Line: line, Column: column, Text: text})
+	return rules, nil
 }
 
-func (p *parsing) service(line int, words []string) {
-	if len(words) == 0 {
-		p.fail(line, 1, "the service has no name")
-		return
-	}
-	s := cherviltide.Service{
-		Name:        words[0],
-		ID:          cherviltide.ServiceIDOf(words[0]),
-		Buckets:     DefaultBuckets,
-		Connections: DefaultConnections,
-	}
-	p.pairs(line, words[1:], func(name, value string) error {
-		var err error
-		switch name {
-		case "Address":
-			s.Addresses, err = addresses(value)
-		case "Buckets":
-			s.Buckets, err = positive(value)
-		case "Connections":
-			s.Connections, err = positive(value)
-		default:
-			err = fmt.Errorf("found %q, expected Address, Buckets or Connections", name)
+// readAll returns the statements of a file. Statements with problems are included as far as their names are known, so
+// that a mistake in one rule does not make others look wrong.
+func readAll(text string) ([]statement, Problems) {
+	r := &reader{}
+	var statements []statement
+	for i, line := range splitLines(text) {
+		s, ok := r.read(i+1, line)
+		if ok || len(s.names) > 0 && len(s.names) == len(forms[s.keyword.text].names) {
+			statements = append(statements, s)
 		}
-		return err
-	})
-	if len(s.Addresses) == 0 {
-		p.fail(line, 1, "the service has no Address")
 	}
-	p.rules.Services = append(p.rules.Services, s)
+	return statements, r.problems
 }
 
-func (p *parsing) kind(line int, words []string) {
-	if len(words) < 2 {
-		p.fail(line, 1, "expected Kind SERVICE NAME")
-		return
+func newError(op string, problems Problems) error {
+	slices.SortStableFunc(problems, problems.compare)
+	return &Error{
+		Fault:    cherviltide.Fault{Op: op, Kind: cherviltide.KindInvalid, Err: problems},
+		Problems: problems,
 	}
-	k := cherviltide.Kind{Service: words[0], Name: words[1], PathPrefix: "/", Class: cherviltide.ClassNormal, Priority: 5, Deadline: 10_000, Objective: 99}
-	p.pairs(line, words[2:], func(name, value string) error {
-		var err error
-		switch name {
-		case "Method":
-			k.Method = value
-		case "Path":
-			k.PathPrefix = value
-		case "Class":
-			k.Class = cherviltide.Class(value)
-		case "Priority":
-			k.Priority, err = positive(value)
-		case "Deadline":
-			var d time.Duration
-			d, err = time.ParseDuration(value)
-			k.Deadline = cherviltide.MillisOf(d)
-		case "AtMostOnce":
-			k.AtMostOnce, err = strconv.ParseBool(value)
-		case "Objective":
-			k.Objective, err = strconv.ParseFloat(value, 64)
-		default:
-			err = fmt.Errorf("found %q, expected Method, Path, Class, Priority, Deadline, AtMostOnce or Objective", name)
-		}
-		return err
-	})
-	if _, ok := p.rules.Service(k.Service); !ok {
-		p.fail(line, 1, fmt.Sprintf("service %q is not defined above", k.Service))
-	}
-	p.rules.Kinds = append(p.rules.Kinds, k)
 }
 
-func (p *parsing) customer(line int, words []string) {
-	if len(words) == 0 {
-		p.fail(line, 1, "the customer has no name")
-		return
-	}
-	c := cherviltide.Customer{Name: words[0], Certificate: words[0]}
-	p.pairs(line, words[1:], func(name, value string) error {
-		switch name {
-		case "Certificate":
-			c.Certificate = value
-		case "Services":
-			c.Services = strings.Split(value, ",")
-		default:
-			return fmt.Errorf("found %q, expected Certificate or Services", name)
-		}
-		return nil
-	})
-	p.rules.Customers = append(p.rules.Customers, c)
+func newSource(s statement) cherviltide.Source {
+	return cherviltide.Source{Line: s.line, Requester: s.requester}
 }
 
-// pairs passes each name with its value to set.
-func (p *parsing) pairs(line int, words []string, set func(name, value string) error) {
-	for i := 0; i < len(words); i += 2 {
-		if i+1 == len(words) {
-			p.fail(line, 1, fmt.Sprintf("%s has no value", words[i]))
-			return
-		}
-		if err := set(words[i], words[i+1]); err != nil {
-			p.fail(line, 1, err.Error())
-		}
+func newService(s statement) cherviltide.Service {
+	name := s.names[0].text
+	return cherviltide.Service{
+		Name:        name,
+		ID:          cherviltide.ServiceIDOf(name),
+		Addresses:   get[[]netip.AddrPort](s, "Address", nil),
+		Buckets:     get(s, "Buckets", DefaultBuckets),
+		Connections: get(s, "Connections", DefaultConnections),
+		Source:      newSource(s),
 	}
 }
 
-func addresses(value string) ([]netip.AddrPort, error) {
-	var list []netip.AddrPort
-	for _, part := range strings.Split(value, ",") {
-		a, err := netip.ParseAddrPort(part)
-		if err != nil {
-			return nil, err
-		}
-		list = append(list, a)
+func newKind(s statement) cherviltide.Kind {
+	return cherviltide.Kind{
+		Service:    s.names[0].text,
+		Name:       s.names[1].text,
+		Method:     get(s, "Method", ""),
+		PathPrefix: get(s, "Path", DefaultPath),
+		Class:      cherviltide.Class(get(s, "Class", string(DefaultClass))),
+		Priority:   get(s, "Priority", DefaultPriority),
+		Deadline:   get(s, "Deadline", DefaultDeadline),
+		AtMostOnce: get(s, "AtMostOnce", false),
+		Objective:  get(s, "Objective", DefaultObjective),
+		Source:     newSource(s),
 	}
-	return list, nil
 }
 
-func positive(value string) (int, error) {
-	n, err := strconv.Atoi(value)
-	if err != nil || n <= 0 {
-		return 0, fmt.Errorf("found %q, expected a whole number above 0", value)
+func newCustomer(s statement) cherviltide.Customer {
+	return cherviltide.Customer{
+		Name:        s.names[0].text,
+		Certificate: get(s, "Certificate", s.names[0].text),
+		Services:    get[[]string](s, "Services", nil),
+		Source:      newSource(s),
 	}
-	return n, nil
 }
--- a/rules.go
+++ b/rules.go
@@ -13,6 +13,14 @@
 	ClassPatient Class = "Patient" // Waits, but is never starved.
 )
 
+// Source tells where a rule stands in the rules file and who asked for it.
+type Source struct {
+	// Line is the rule's line in the file, from 1.
+	Line int
+	// Requester is the comment on the rule's line, without the number sign and surrounding blanks.
+	Requester string
+}
+
 // Service is a group of targets behind virtual addresses.
 type Service struct {
 	Name      string
@@ -22,6 +30,7 @@
 	Buckets int
 	// Connections is the highest number of flows that one agent holds.
 	Connections int
+	Source      Source
 }
 
 // Kind is a kind of traffic of a service.
@@ -37,8 +46,9 @@
 	Priority   int
 	Deadline   Millis
 	AtMostOnce bool
-	// Objective is the share of requests that must be timely, in percent, between 0 and 100.
+	// Objective is the share of requests that must be timely, in percent, above 0 and below 100.
 	Objective float64
+	Source    Source
 }
 
 // Customer is a customer and the services that it may reach.
@@ -47,6 +57,7 @@
 	// Certificate is the common name of the customer's client certificates.
 	Certificate string
 	Services    []string
+	Source      Source
 }
 
 // Rules is one accepted rules file. It is immutable.
