Keep notes at agents so that a flow has one holder

Cause: agents with tables of different generations could open one flow twice: two searches crossed, an offer was accepted after it had been declined once, or a returned datagram arrived after the candidate had opened. A full agent had no way to offer, and a candidate that died held up the first datagrams of its buckets until its lease ended.

Ruled out: a stand-in that opens without asking the lagging owner (both opened), and a second offer by an agent that is no longer the owner (the second accepted it after another search had ended).

Change: bounded notes of five seconds (held, offered, searched by another, declined), the offer to the second when the owner is busy or full, a counted refusal beyond the service's connections, silent candidates passed over for first datagrams, counters for hop limit and notices. A flow that a caller uses for two connections stays until both have closed.

--- a/holder/flow.go
+++ b/holder/flow.go
@@ -12,10 +12,12 @@
 type flow struct {
 	key  cherviltide.FlowKey
 	text string
-	// opened is the generation of the agent's table when it opened the flow.
+	// opened is the generation that the flow counts as opened at.
 	opened uint64
 	entry  atomic.Pointer[netip.AddrPort]
 	last   atomic.Int64
+	// connections is the number of open QUIC connections that came from the flow's caller address.
+	connections atomic.Int32
 }
 
 // Network returns the name of the transport.
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +49,8 @@
 	config   Config
 	conn     *net.UDPConn
 	flows    *flows
+	notes    *notes
+	silence  *silence
 	inForce  atomic.Uint64
 	buffers  sync.Pool
 	receive  []byte
@@ -62,7 +63,12 @@
 	Opened       atomic.Uint64
 	Passed       atomic.Uint64
 	Returned     atomic.Uint64
+	Offered      atomic.Uint64 // Flows' first datagrams that went to the second because this agent was busy or full.
+	Declined     atomic.Uint64 // Offers of other agents that this agent did not accept.
+	Behind       atomic.Uint64 // Datagrams returned because the sender's table is newer.
+	Notices      atomic.Uint64 // Notices of other agents that they hold a flow.
 	NoHolder     atomic.Uint64 // No candidate holds the flow and the datagram cannot open one.
+	HopLimit     atomic.Uint64 // Datagrams that agents have passed on too often.
 	WrongService atomic.Uint64
 	Full         atomic.Uint64 // The agent holds as many flows as the service allows.
 	Malformed    atomic.Uint64
@@ -79,7 +85,10 @@
 		_ = conn.Close()
 		return nil, fault("holder.Listen", err)
 	}
-	h := &Holder{config: config, conn: conn, flows: newFlows(), receive: make([]byte, framer.Size+maxDatagram)}
+	h := &Holder{
+		config: config, conn: conn, flows: newFlows(), notes: newNotes(), silence: newSilence(),
+		receive: make([]byte, framer.Size+maxDatagram),
+	}
 	h.buffers.New = func() any { b := make([]byte, framer.Size+maxDatagram); return &b }
 	return h, nil
 }
@@ -122,9 +131,17 @@
 	}
 }
 
-// Ended releases the flow with the given remote address, after its connection has closed.
-func (h *Holder) Ended(remote net.Addr) {
+// Started records that a connection uses the flow with the given remote address.
+func (h *Holder) Started(remote net.Addr) {
 	if f, ok := remote.(*flow); ok {
+		f.connections.Add(1)
+	}
+}
+
+// Ended records that a connection of the flow has closed. The last one releases the flow: a caller may open a second
+// connection from the same address, and its datagrams belong to the same flow.
+func (h *Holder) Ended(remote net.Addr) {
+	if f, ok := remote.(*flow); ok && f.connections.Add(-1) <= 0 {
 		h.flows.remove(f)
 	}
 }
@@ -148,68 +165,6 @@
 	}
 }
 
-// handle decides about one datagram and returns the flow and the payload when it is to be delivered here.
-func (h *Holder) handle(view *follower.View, datagram []byte, sender netip.AddrPort) (*flow, []byte) {
-	header, payload, err := h.config.Framer.Decode(datagram)
-	if err != nil || header.Type != framer.TypeForward {
-		h.Counters.Malformed.Add(1)
-		return nil, nil
-	}
-	table, ok := view.Tables[h.config.Self.Service]
-	if !ok || header.Service != table.Service().ID {
-		h.Counters.WrongService.Add(1)
-		return nil, nil
-	}
-	f := h.flows.get(header.Flow)
-	step := Decide(Situation{
-		Self:    h.config.Self,
-		Table:   table,
-		Header:  header,
-		Held:    f != nil,
-		Opening: opening(payload),
-		Full:    h.flows.len() >= table.Service().Connections,
-		Busy:    h.config.Busy(),
-	})
-	switch step.Action {
-	case ActionOpen:
-		if h.flows.len() >= table.Service().Connections {
-			h.Counters.Full.Add(1)
-			return nil, nil
-		}
-		f = h.flows.open(header.Flow, table.Generation())
-		h.Counters.Opened.Add(1)
-	case ActionDeliver:
-		h.Counters.Delivered.Add(1)
-	case ActionPass:
-		h.Counters.Passed.Add(1)
-		h.send(datagram, header, step, table.Generation(), step.Next.Address)
-		return nil, nil
-	case ActionReturn:
-		h.Counters.Returned.Add(1)
-		h.send(datagram, header, step, header.Generation, sender)
-		return nil, nil
-	default:
-		h.Counters.NoHolder.Add(1)
-		return nil, nil
-	}
-	f.seen(header.Entry, h.config.Clock.Now())
-	return f, payload
-}
-
-// send passes a datagram on with a changed header. The payload stays where it is.
-func (h *Holder) send(datagram []byte, header framer.Header, step Step, generation uint64, to netip.AddrPort) {
-	if header.Hops >= framer.MaxHops {
-		h.Counters.Malformed.Add(1)
-		return
-	}
-	header.Hops++
-	header.Flags = step.Flags
-	header.Position = step.Position
-	header.Generation = generation
-	h.config.Framer.Encode(datagram, header, len(datagram)-framer.Size)
-	_, _ = h.conn.WriteToUDPAddrPort(datagram, to)
-}
-
 // WriteTo sends a datagram to the caller of a flow through the entry that last delivered one.
 func (h *Holder) WriteTo(p []byte, addr net.Addr) (int, error) {
 	f, ok := addr.(*flow)
--- /dev/null
+++ b/holder/receive.go
@@ -0,0 +1,153 @@
+package holder
+
+import (
+	"errors"
+	"net/netip"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/follower"
+	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/picker"
+)
+
+// arrival is a datagram with what the holder needs to carry out the decision about it.
+type arrival struct {
+	datagram []byte
+	payload  []byte
+	header   framer.Header
+	sender   netip.AddrPort
+	table    *picker.Table
+	flow     *flow
+	now      cherviltide.Millis
+}
+
+// handle decides about one datagram and returns the flow and the payload when it is to be delivered here.
+func (h *Holder) handle(view *follower.View, datagram []byte, sender netip.AddrPort) (*flow, []byte) {
+	a := arrival{datagram: datagram, sender: sender, now: h.config.Clock.Now()}
+	var err error
+	a.header, a.payload, err = h.config.Framer.Decode(datagram)
+	if errors.Is(err, framer.ErrHops) {
+		h.Counters.HopLimit.Add(1)
+		return nil, nil
+	}
+	if err != nil || a.header.Type != framer.TypeForward {
+		h.Counters.Malformed.Add(1)
+		return nil, nil
+	}
+	var ok bool
+	a.table, ok = view.Tables[h.config.Self.Service]
+	if !ok || a.header.Service != a.table.Service().ID {
+		h.Counters.WrongService.Add(1)
+		return nil, nil
+	}
+	if a.header.Flags != 0 {
+		h.silence.heard(sender)
+	}
+	a.flow = h.flows.get(a.header.Flow)
+	return h.act(a, Decide(h.situation(a)))
+}
+
+// situation collects what the decision needs.
+func (h *Holder) situation(a arrival) Situation {
+	s := Situation{
+		Self:   h.config.Self,
+		Table:  a.table,
+		Header: a.header,
+		Sender: a.sender,
+		Held:   a.flow != nil,
+	}
+	if s.Held {
+		return s
+	}
+	s.Note = h.notes.get(a.header.Flow, a.now)
+	s.Opening = opening(a.payload)
+	s.Full = h.flows.len() >= a.table.Service().Connections
+	s.Busy = h.config.Busy()
+	s.Silent = func(to netip.AddrPort) bool { return h.silence.silent(to, a.now) }
+	return s
+}
+
+// act carries out a decision.
+func (h *Holder) act(a arrival, step Step) (*flow, []byte) {
+	if step.Forget {
+		h.notes.forget(a.header.Flow)
+	}
+	if step.Note.Kind != NoteNone {
+		h.notes.set(a.header.Flow, step.Note, a.now)
+	}
+	h.Counters.count(step)
+	switch step.Action {
+	case ActionOpen:
+		a.flow = h.flows.open(a.header.Flow, step.Opened)
+	case ActionPass:
+		if step.Flags == framer.FlagProbe && step.Position > 0 {
+			h.silence.probed(step.To, a.now)
+		}
+		h.send(a, step, a.table.Generation(), step.To)
+		return nil, nil
+	case ActionReturn:
+		h.send(a, step, a.header.Generation, a.sender)
+		return nil, nil
+	case ActionDeliver:
+	default:
+		return nil, nil
+	}
+	if step.Notify {
+		h.notify(a)
+	}
+	a.flow.seen(a.header.Entry, a.now)
+	return a.flow, a.payload
+}
+
+// send passes a datagram on with a changed header. The payload stays where it is.
+func (h *Holder) send(a arrival, step Step, generation uint64, to netip.AddrPort) {
+	if a.header.Hops >= framer.MaxHops {
+		h.Counters.HopLimit.Add(1)
+		return
+	}
+	header := a.header
+	header.Hops++
+	header.Flags = step.Flags
+	header.Position = step.Position
+	header.Generation = generation
+	h.config.Framer.Encode(a.datagram, header, len(a.payload))
+	_, _ = h.conn.WriteToUDPAddrPort(a.datagram, to)
+}
+
+// notify tells the sender of a probe that this agent holds the flow.
+func (h *Holder) notify(a arrival) {
+	header := a.header
+	header.Flags = framer.FlagHeld
+	header.Position = 0
+	var notice [framer.Size]byte
+	h.config.Framer.Encode(notice[:], header, 0)
+	_, _ = h.conn.WriteToUDPAddrPort(notice[:], a.sender)
+}
+
+// count counts a decision.
+func (c *Counters) count(step Step) {
+	switch step.Action {
+	case ActionDrop:
+		c.NoHolder.Add(1)
+	case ActionDeliver:
+		c.Delivered.Add(1)
+	case ActionOpen:
+		c.Opened.Add(1)
+	case ActionPass:
+		c.Passed.Add(1)
+	case ActionReturn:
+		c.Returned.Add(1)
+	case ActionAbsorb:
+		c.Notices.Add(1)
+	case ActionRefuse:
+		c.Full.Add(1)
+	}
+	switch step.Flags {
+	case framer.FlagOffered:
+		c.Offered.Add(1)
+	case framer.FlagDeclined:
+		c.Declined.Add(1)
+	case framer.FlagBehind:
+		c.Behind.Add(1)
+	}
+}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -46,6 +46,8 @@
 	net.PacketConn
 	// Ended releases the flow of a closed connection.
 	Ended(remote net.Addr)
+	// Started records a connection of a flow. Each one is followed by Ended.
+	Started(remote net.Addr)
 }
 
 // Slots limits the requests that run at the target.
@@ -94,6 +96,7 @@
 		return &Error{cherviltide.Fault{Op: "proxier.Run", Kind: cherviltide.KindInternal, Err: err}}
 	}
 	p.server.ConnContext = func(ctx context.Context, c *quic.Conn) context.Context {
+		conn.Started(c.RemoteAddr())
 		context.AfterFunc(c.Context(), func() { conn.Ended(c.RemoteAddr()) })
 		return ctx
 	}
