Admit by class, give each request one outcome, claim at-most-once keys

Cause: the agent ran requests in the order of arrival, cut every request at its kind's deadline, let the HTTP transport repeat requests that carry an idempotency key by itself, and ran at-most-once kinds without a claim.

Change: admitter is a decision core with a reserve for the urgent class, aging, deadlines, a slot limit that follows completions, and a retry budget. proxier records exactly one outcome, tells a request that did not run from one whose effect is unknown by counting the bytes on the target's connection, and passes deadline, request ID and cancellation on. claimer keeps claims at a key's home; agents call each other by Claim and Settle.

Conclusion: the lease of a home is taken from the follower when it offers LeaseUntil; until then every at-most-once request is refused as not run.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,31 +4,148 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"time"
 
 	"cherviltide.example/cherviltide"
 )
 
-// Error is a refusal to run a request.
-type Error struct{ cherviltide.Fault }
+// tickInterval is the longest time between two decisions about waiting requests.
+const tickInterval = 50 * time.Millisecond
 
-var errNoSlot = errors.New("no slot became free before the deadline")
+// Error is a refusal to run a request. The request has not run.
+type Error struct {
+	cherviltide.Fault
+	Reason Reason
+	// RetryAfter is the time after which a retry may find a slot.
+	RetryAfter cherviltide.Millis
+}
+
+var reasons = map[Reason]error{
+	ReasonQueueFull: errors.New("too many requests wait"),
+	ReasonDeadline:  errors.New("the deadline cannot be met"),
+	ReasonCancelled: errors.New("the caller gave up or the deadline passed while the request waited"),
+}
 
-// Admitter gives out the slots of one target.
+// Admitter gives out the slots of one target. It is safe for concurrent use.
 type Admitter struct {
-	slots chan struct{}
+	clock cherviltide.Clock
+
+	mu      sync.Mutex
+	core    *Core
+	budget  Budget
+	next    uint64
+	waiting map[uint64]chan Action
 }
 
-// New returns an admitter with the given number of slots.
-func New(slots int) *Admitter {
-	return &Admitter{slots: make(chan struct{}, slots)}
+// New returns an admitter with free slots.
+func New(config Config, clock cherviltide.Clock) *Admitter {
+	return &Admitter{clock: clock, core: NewCore(config), waiting: map[uint64]chan Action{}}
 }
 
-// Acquire waits for a slot until ctx ends.
-func (a *Admitter) Acquire(ctx context.Context, _ cherviltide.Kind) (func(), error) {
+// Acquire waits for a slot until ctx ends. The deadline is the instant by which the answer has to be complete. The caller
+// calls release once. The error is an *Error, and the request is not to run then.
+func (a *Admitter) Acquire(ctx context.Context, kind cherviltide.Kind, deadline cherviltide.Millis) (release func(Completion), err error) {
+	id, decided := a.arrive(kind, deadline)
 	select {
-	case a.slots <- struct{}{}:
-		return func() { <-a.slots }, nil
+	case action := <-decided:
+		return a.result(action)
 	case <-ctx.Done():
-		return nil, &Error{cherviltide.Fault{Op: "admitter.Acquire", Kind: cherviltide.KindUnavailable, Err: errNoSlot}}
+	}
+	a.mu.Lock()
+	waits := a.core.Cancel(id)
+	delete(a.waiting, id)
+	a.mu.Unlock()
+	if !waits {
+		// The decision was made at the same time; a slot that nobody uses is given back.
+		if release, err := a.result(<-decided); err == nil {
+			release(Completion{Failed: true})
+		}
+	}
+	return nil, refusal(Action{Reason: ReasonCancelled, RetryAfter: minRetryAfter})
+}
+
+// Run decides about waiting requests at regular times until ctx ends.
+func (a *Admitter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			a.mu.Lock()
+			a.publish(a.core.Tick(a.clock.Now()))
+			a.mu.Unlock()
+		}
+	}
+}
+
+// MayRetry takes one retry out of the budget and reports whether there was one.
+func (a *Admitter) MayRetry() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.budget.Spend()
+}
+
+// Hint takes the load that the target reports, where 1 means that it is full.
+func (a *Admitter) Hint(load float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.Hint(load)
+}
+
+// Wait predicts how long a new request of a kind would wait for a slot.
+func (a *Admitter) Wait(kind cherviltide.Kind) cherviltide.Millis {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Wait(a.clock.Now(), kind)
+}
+
+// Rate returns how many requests a second the target's slots complete; 0 before the first.
+func (a *Admitter) Rate() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Rate()
+}
+
+func (a *Admitter) arrive(kind cherviltide.Kind, deadline cherviltide.Millis) (uint64, <-chan Action) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.next++
+	decided := make(chan Action, 1)
+	a.waiting[a.next] = decided
+	a.budget.Earn()
+	now := a.clock.Now()
+	a.publish(a.core.Arrive(now, Request{ID: a.next, Kind: kind, Arrived: now, Deadline: deadline}))
+	return a.next, decided
+}
+
+// publish hands actions to the requests that wait for them. The caller holds the lock.
+func (a *Admitter) publish(actions []Action) {
+	for _, action := range actions {
+		if decided, ok := a.waiting[action.ID]; ok {
+			delete(a.waiting, action.ID)
+			decided <- action
+		}
+	}
+}
+
+func (a *Admitter) result(action Action) (func(Completion), error) {
+	if action.Reason != "" {
+		return nil, refusal(action)
+	}
+	return func(c Completion) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.publish(a.core.Done(a.clock.Now(), action.ID, c))
+	}, nil
+}
+
+func refusal(action Action) error {
+	return &Error{
+		Fault:      cherviltide.Fault{Op: "admitter.Acquire", Kind: cherviltide.KindUnavailable, Err: reasons[action.Reason]},
+		Reason:     action.Reason,
+		RetryAfter: action.RetryAfter,
 	}
 }
--- /dev/null
+++ b/admitter/core.go
@@ -0,0 +1,306 @@
+package admitter
+
+import (
+	"slices"
+
+	"cherviltide.example/cherviltide"
+)
+
+// Reason tells why a request is refused. A refused request has not run.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonQueueFull Reason = "QueueFull" // As many requests of the class wait as may wait.
+	ReasonDeadline  Reason = "Deadline"  // The request cannot be complete before its deadline.
+	ReasonCancelled Reason = "Cancelled" // The caller gave up while the request waited.
+)
+
+// Request asks for a slot.
+type Request struct {
+	// ID is different for each request of a core.
+	ID      uint64
+	Kind    cherviltide.Kind
+	Arrived cherviltide.Millis
+	// Deadline is the instant by which the answer has to be complete.
+	Deadline cherviltide.Millis
+}
+
+// Action decides about one request: it runs, or it is refused for a reason.
+type Action struct {
+	ID uint64
+	// Reason is empty when the request runs.
+	Reason Reason
+	// RetryAfter is set with a reason: the time after which a retry may find a slot.
+	RetryAfter cherviltide.Millis
+}
+
+// Completion tells how a request used its slot.
+type Completion struct {
+	// Shed is true when the target refused the request because of its load.
+	Shed bool
+	// Failed is true when the target gave no complete answer. Its time then says nothing about the target's speed.
+	Failed bool
+}
+
+// Core decides which request runs at one target. It has no clock, no goroutine and no lock: each call brings the time.
+type Core struct {
+	config Config
+	// waiting is in the order of arrival.
+	waiting []Request
+	running map[uint64]started
+	speeds  speeds
+	limit   limit
+	// urgentSeen is the time of the last urgent arrival.
+	urgentSeen cherviltide.Millis
+	// turns counts the starts since an aged request last went before its rank.
+	turns int
+}
+
+type started struct {
+	request Request
+	at      cherviltide.Millis
+}
+
+// NewCore returns a core with free slots.
+func NewCore(config Config) *Core {
+	config = config.withDefaults()
+	return &Core{
+		config:     config,
+		running:    map[uint64]started{},
+		speeds:     speeds{},
+		limit:      newLimit(config),
+		urgentSeen: -config.ReserveHold,
+	}
+}
+
+// Arrive takes a request and returns what is decided now. A request without an action waits.
+func (c *Core) Arrive(now cherviltide.Millis, r Request) []Action {
+	if r.Kind.Class == cherviltide.ClassUrgent {
+		c.urgentSeen = now
+	}
+	wait := c.Wait(now, r.Kind)
+	if now+wait+c.needed(now, r) > r.Deadline {
+		return []Action{{ID: r.ID, Reason: ReasonDeadline, RetryAfter: max(wait, minRetryAfter)}}
+	}
+	if c.count(r.Kind.Class) >= c.config.Queue {
+		return []Action{{ID: r.ID, Reason: ReasonQueueFull, RetryAfter: max(wait, minRetryAfter)}}
+	}
+	c.waiting = append(c.waiting, r)
+	return c.dispatch(now)
+}
+
+// Cancel removes a waiting request, which then never runs. It reports false when the request does not wait.
+func (c *Core) Cancel(id uint64) bool {
+	i := slices.IndexFunc(c.waiting, func(r Request) bool { return r.ID == id })
+	if i < 0 {
+		return false
+	}
+	c.waiting = slices.Delete(c.waiting, i, i+1)
+	return true
+}
+
+// Done frees the slot of a request and returns what is decided now.
+func (c *Core) Done(now cherviltide.Millis, id uint64, completion Completion) []Action {
+	s, ok := c.running[id]
+	if !ok {
+		return nil
+	}
+	delete(c.running, id)
+	slow := false
+	if !completion.Failed && !completion.Shed {
+		slow = c.speeds.observe(now, s.request.Kind, now-s.at)
+	}
+	c.limit.observe(now, completion, slow)
+	return c.dispatch(now)
+}
+
+// Tick decides again at a later time, for requests whose deadline has come out of reach and for reserves that have ended.
+func (c *Core) Tick(now cherviltide.Millis) []Action {
+	return c.dispatch(now)
+}
+
+// Hint takes the load that the target reports, where 1 means that it is full. It only slows the growth of the number of
+// slots in use: the target's own completions decide, since its report may lag or mislead.
+func (c *Core) Hint(load float64) {
+	c.limit.hinted = load >= 1
+}
+
+// Wait predicts how long a new request of a kind would wait for a slot.
+func (c *Core) Wait(now cherviltide.Millis, kind cherviltide.Kind) cherviltide.Millis {
+	ahead := cherviltide.Millis(0)
+	waits := false
+	for _, r := range c.waiting {
+		if rank(r) <= rank(Request{Kind: kind}) {
+			ahead += c.speeds.expected(now, r.Kind)
+			waits = true
+		}
+	}
+	if !waits && c.fits(now, kind.Class) {
+		return 0
+	}
+	return c.firstFree(now) + ahead/cherviltide.Millis(c.slotsFor(now, kind.Class))
+}
+
+// firstFree predicts the time until the next running request ends.
+func (c *Core) firstFree(now cherviltide.Millis) cherviltide.Millis {
+	first := cherviltide.Millis(-1)
+	for _, s := range c.running {
+		expected := c.speeds.expected(now, s.request.Kind)
+		left := max(expected-(now-s.at), expected/4)
+		if first < 0 || left < first {
+			first = left
+		}
+	}
+	return max(first, 0)
+}
+
+// Load returns the numbers of running and waiting requests and of the slots in use now.
+func (c *Core) Load() (running, waiting, slots int) {
+	return len(c.running), len(c.waiting), c.limit.now
+}
+
+// Rate returns how many requests a second the target's slots complete, by its own completions. It is 0 before the first.
+func (c *Core) Rate() float64 {
+	mean := c.speeds.mean()
+	if mean <= 0 {
+		return 0
+	}
+	return float64(c.config.Slots) * 1000 / mean
+}
+
+// needed is the time that a request has to have left when it starts. Bulky requests end late instead of not at all.
+func (c *Core) needed(now cherviltide.Millis, r Request) cherviltide.Millis {
+	if r.Kind.Class == cherviltide.ClassBulky {
+		return 0
+	}
+	return c.speeds.expected(now, r.Kind)
+}
+
+func (c *Core) count(class cherviltide.Class) int {
+	n := 0
+	for _, r := range c.waiting {
+		if r.Kind.Class == class {
+			n++
+		}
+	}
+	return n
+}
+
+// dispatch fills the free slots and refuses the waiting requests whose deadline is out of reach.
+func (c *Core) dispatch(now cherviltide.Millis) []Action {
+	actions := c.expire(now)
+	for {
+		i, aged := c.next(now)
+		if i < 0 {
+			return actions
+		}
+		r := c.waiting[i]
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+		c.running[r.ID] = started{request: r, at: now}
+		c.turns++
+		if aged {
+			c.turns = 0
+		}
+		actions = append(actions, Action{ID: r.ID})
+	}
+}
+
+func (c *Core) expire(now cherviltide.Millis) []Action {
+	var actions []Action
+	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool {
+		late := now+c.needed(now, r) > r.Deadline
+		if late {
+			actions = append(actions, Action{ID: r.ID, Reason: ReasonDeadline, RetryAfter: max(c.speeds.expected(now, r.Kind), minRetryAfter)})
+		}
+		return late
+	})
+	return actions
+}
+
+// next returns the index of the request that takes a free slot, or -1, and whether it goes before its rank by its age.
+func (c *Core) next(now cherviltide.Millis) (int, bool) {
+	best := -1
+	for i, r := range c.waiting {
+		if !c.fits(now, r.Kind.Class) {
+			continue
+		}
+		if c.turns >= agedTurns && now-r.Arrived >= c.config.Aging {
+			return i, true
+		}
+		if best < 0 || before(r, c.waiting[best]) {
+			best = i
+		}
+	}
+	return best, false
+}
+
+// fits reports whether a class may take one more slot now.
+func (c *Core) fits(now cherviltide.Millis, class cherviltide.Class) bool {
+	if len(c.running) >= c.limit.now {
+		return false
+	}
+	if class == cherviltide.ClassUrgent {
+		return true
+	}
+	bulky, others := 0, 0
+	for _, s := range c.running {
+		switch s.request.Kind.Class {
+		case cherviltide.ClassUrgent:
+		case cherviltide.ClassBulky:
+			bulky++
+			others++
+		default:
+			others++
+		}
+	}
+	if class == cherviltide.ClassBulky && bulky >= c.bulkySlots(now) {
+		return false
+	}
+	return others < c.slotsFor(now, class)
+}
+
+// slotsFor returns how many slots the requests that are not urgent may hold together, or all for the urgent class. The
+// reserve is kept while urgent requests arrive. A single slot is shared by rank, since a reserve would leave none.
+func (c *Core) slotsFor(now cherviltide.Millis, class cherviltide.Class) int {
+	if class == cherviltide.ClassUrgent || now-c.urgentSeen >= c.config.ReserveHold {
+		return c.limit.now
+	}
+	return max(c.limit.now-c.config.Reserve, 1)
+}
+
+// bulkySlots leaves one slot to other requests. With a single slot, bulky requests run only while no urgent ones arrive.
+func (c *Core) bulkySlots(now cherviltide.Millis) int {
+	if c.limit.now > 1 {
+		return c.limit.now - 1
+	}
+	if now-c.urgentSeen < c.config.ReserveHold {
+		return 0
+	}
+	return 1
+}
+
+// rank orders classes; the lowest goes first.
+func rank(r Request) int {
+	switch r.Kind.Class {
+	case cherviltide.ClassUrgent:
+		return 0
+	case cherviltide.ClassPatient:
+		return 2
+	}
+	return 1
+}
+
+// before orders two waiting requests: by class, priority, deadline and arrival.
+func before(a, b Request) bool {
+	if rank(a) != rank(b) {
+		return rank(a) < rank(b)
+	}
+	if a.Kind.Priority != b.Kind.Priority {
+		return a.Kind.Priority < b.Kind.Priority
+	}
+	if a.Deadline != b.Deadline {
+		return a.Deadline < b.Deadline
+	}
+	return a.ID < b.ID
+}
--- a/commands/agent.go
+++ b/commands/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 
 	"go.uber.org/zap"
@@ -17,6 +18,13 @@
 	"cherviltide.example/cherviltide/proxier"
 )
 
+const (
+	// nominalRate is the number of requests a second that one nominal slot completes.
+	nominalRate = 100
+	// maxRate bounds the reported rate.
+	maxRate = 1_000_000
+)
+
 type agentCommand struct {
 	Settings string `arg:"required" help:"settings file (JSON)"`
 }
@@ -34,18 +42,34 @@
 	if err != nil {
 		return err
 	}
+	return runAgent(ctx, s, key, callers, log)
+}
+
+// runAgent serves until ctx ends, and then finishes the requests in progress.
+func runAgent(ctx context.Context, s loader.Agent, key [16]byte, callers *tls.Config, log *zap.Logger) error {
 	member := newMember(s.Process, cherviltide.RoleAgent, s.Service, s.Data, s.Peer)
+	system := clock.NewSystem()
+	slots := admitter.New(admitter.Config{Slots: s.Slots}, system)
 	var data *holder.Holder
 	f, err := newFollower(s.Process, member, s.Service, log, func(r *messenger.AnnounceRequest) {
 		r.RevisionInForce = data.InForce()
 		r.Generation, r.OldestGeneration = data.Generations()
+		r.Rate = rate(slots)
 	})
 	if err != nil {
 		return err
 	}
-	system := clock.NewSystem()
+	claims, err := newClaimer(s, member, f, system)
+	if err != nil {
+		return err
+	}
+	peers, err := servePeers(s, claims)
+	if err != nil {
+		return err
+	}
 	data, err = holder.Listen(holder.Config{
-		Self: member, Framer: framer.New(key), Clock: system, View: f.View, Busy: func() bool { return false },
+		Self: member, Framer: framer.New(key), Clock: system, View: f.View,
+		Busy: func() bool { return ctx.Err() != nil || busy(f.View().Rules, s.Service, slots) },
 	})
 	if err != nil {
 		return err
@@ -53,8 +77,24 @@
 	server := proxier.New(proxier.Config{
 		Service: s.Service, Target: s.Target, TLS: callers, Clock: system, Log: log,
 		Rules: func() cherviltide.Rules { return f.View().Rules },
-		Slots: admitter.New(s.Slots),
+		Slots: slots, Claims: claims,
 	})
 	log.Info("AgentStarted", zap.String("Name", s.Name))
-	return runGracefully(ctx, f, log, data.Run, func(ctx context.Context) error { return server.Run(ctx, data) })
+	serve := func(ctx context.Context) error { return server.Run(ctx, data) }
+	return runGracefully(ctx, f, log, data.Run, slots.Run, claims.Run, peers, serve)
+}
+
+// rate is the target's measured service rate in thousandths of a nominal slot; 0 when it is not known.
+func rate(slots *admitter.Admitter) uint32 {
+	return uint32(min(slots.Rate()*1000/nominalRate, maxRate))
+}
+
+// busy reports whether the target's queue would break the deadline of a kind.
+func busy(rules cherviltide.Rules, service string, slots *admitter.Admitter) bool {
+	for _, k := range rules.Kinds {
+		if k.Service == service && slots.Wait(k) > k.Deadline {
+			return true
+		}
+	}
+	return false
 }
--- /dev/null
+++ b/commands/claims.go
@@ -0,0 +1,94 @@
+package commands
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/claimer"
+	"cherviltide.example/cherviltide/clock"
+	"cherviltide.example/cherviltide/follower"
+	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/messenger"
+)
+
+// homeLease is the longest time that an agent acts as a home after its last contact with control.
+const homeLease cherviltide.Millis = 5_000
+
+// newClaimer returns the claims of an agent, which calls the other agents of its service.
+func newClaimer(s loader.Agent, self cherviltide.Member, f *follower.Follower, system clock.System) (*claimer.Claimer, error) {
+	tls, err := clientTLS(s.Process)
+	if err != nil {
+		return nil, err
+	}
+	client, scheme := messenger.NewClient(tls), messenger.Scheme(tls)
+	return claimer.New(claimer.Config{
+		Self: self, Clock: system, MaxLease: homeLease,
+		Members: func() []cherviltide.Member {
+			if table, ok := f.View().Tables[s.Service]; ok {
+				return table.Active()
+			}
+			return nil
+		},
+		Lease: func() cherviltide.Millis { return min(leaseLeft(f, system), homeLease) },
+		Claim: func(ctx context.Context, home cherviltide.Member, c claimer.Claim) (claimer.Verdict, error) {
+			res, err := messenger.Claim.Call(ctx, client, scheme+home.Peer.String(), &messenger.ClaimRequest{Claim: c})
+			if err != nil {
+				return claimer.Verdict{}, err
+			}
+			return res.Verdict, nil
+		},
+		Settle: func(ctx context.Context, home cherviltide.Member, st claimer.Settlement) error {
+			_, err := messenger.Settle.Call(ctx, client, scheme+home.Peer.String(), &messenger.SettleRequest{Settlement: st})
+			return err
+		},
+	}), nil
+}
+
+// leaseholder tells until when the process's lease holds.
+type leaseholder interface {
+	LeaseUntil() cherviltide.Millis
+}
+
+// leaseLeft returns for how long the agent may act as a home. Without a known lease it refuses all claims.
+func leaseLeft(f any, clock cherviltide.Clock) cherviltide.Millis {
+	if l, ok := f.(leaseholder); ok {
+		return max(l.LeaseUntil()-clock.Now(), 0)
+	}
+	return 0
+}
+
+// servePeers answers other agents on the peer address until ctx ends.
+func servePeers(s loader.Agent, c *claimer.Claimer) (func(context.Context) error, error) {
+	tls, err := serverTLS(s.Process)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	messenger.Claim.Handle(mux, func(_ context.Context, r *messenger.ClaimRequest) (*messenger.ClaimResponse, error) {
+		return &messenger.ClaimResponse{Verdict: c.ServeClaim(r.Claim)}, nil
+	})
+	messenger.Settle.Handle(mux, func(_ context.Context, r *messenger.SettleRequest) (*messenger.SettleResponse, error) {
+		return &messenger.SettleResponse{Accepted: c.ServeSettle(r.Settlement)}, nil
+	})
+	server := messenger.NewServer(mux, tls)
+	return func(ctx context.Context) error {
+		listener, err := net.Listen("tcp", s.Peer.String())
+		if err != nil {
+			return err
+		}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if tls == nil {
+			err = server.Serve(listener)
+		} else {
+			err = server.ServeTLS(listener, "", "")
+		}
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, nil
+}
--- a/proxier/drain.go
+++ b/proxier/drain.go
@@ -1,7 +1,6 @@
 package proxier
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -57,23 +56,3 @@
 		close(g.empty)
 	}
 }
-
-// stop sends GOAWAY on all connections, waits for the requests in progress and closes the connections. Callers keep idle
-// connections open, so waiting for them to close would delay the end until QUIC's idle timeout.
-func (p *Proxier) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	shutdown := make(chan error, 1)
-	go func() { shutdown <- p.server.Shutdown(ctx) }()
-	select {
-	case <-p.gate.close():
-	case <-ctx.Done():
-	}
-	linger := time.NewTimer(lingerTimeout)
-	defer linger.Stop()
-	select {
-	case <-shutdown:
-	case <-linger.C:
-		_ = p.server.Close()
-	}
-}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -16,26 +15,28 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/admitter"
+	"cherviltide.example/cherviltide/claimer"
+	"cherviltide.example/cherviltide/runner"
 )
 
-// Header names between callers, agents and targets.
-const (
-	// HeaderCustomer names the caller's customer to the target. A caller's own value is removed.
-	HeaderCustomer = "Cherviltide-Customer"
-	// HeaderDeadline tells the target how many milliseconds are left.
-	HeaderDeadline = "Cherviltide-Deadline-Ms"
-	// HeaderOutcome tells a caller why it got an answer that is not the target's.
-	HeaderOutcome = "Cherviltide-Outcome"
-	// headerPrefix marks the headers that only cherviltide sets.
-	headerPrefix = "Cherviltide-"
-)
-
-// Limits of connections.
+// Limits of connections and requests.
 const (
 	idleTimeout = 30 * time.Second
 	dialTimeout = 2 * time.Second
-	// drainTimeout bounds how long a graceful stop waits for requests in progress.
-	drainTimeout = 10 * time.Minute
+	// targetIdle is how long an unused connection to the target is kept. It is shorter than the usual idle timeout of
+	// targets, since a request on a connection that the target has just closed ends as unknown.
+	targetIdle = 3 * time.Second
+	// stallTimeout is how long an answer may make no progress before it counts as cut.
+	stallTimeout = 30 * time.Second
+	// maxHeader is the largest size of a request's header, in bytes.
+	maxHeader = 64 << 10
+	// maxBody is the largest body of a request, in bytes; bulky kinds have maxBulkyBody and at-most-once kinds maxClaimBody.
+	maxBody      = 64 << 20
+	maxBulkyBody = 16 << 30
+	maxClaimBody = 1 << 20
+	// maxAnswerBody is the largest body that is kept for a repeated at-most-once request, in bytes.
+	maxAnswerBody = 64 << 10
 )
 
 // Error is a failure to serve callers.
@@ -44,16 +45,24 @@
 // PacketConn is the agent's data path.
 type PacketConn interface {
 	net.PacketConn
-	// Ended releases the flow of a closed connection.
-	Ended(remote net.Addr)
 	// Started records a connection of a flow. Each one is followed by Ended.
 	Started(remote net.Addr)
+	// Ended releases the flow of a closed connection.
+	Ended(remote net.Addr)
 }
 
 // Slots limits the requests that run at the target.
 type Slots interface {
 	// Acquire waits for a slot. It returns an error when the request is not to run.
-	Acquire(ctx context.Context, kind cherviltide.Kind) (release func(), err error)
+	Acquire(ctx context.Context, kind cherviltide.Kind, deadline cherviltide.Millis) (release func(admitter.Completion), err error)
+	// MayRetry takes one retry out of the budget and reports whether there was one.
+	MayRetry() bool
+}
+
+// Claims grants the right to run at-most-once requests.
+type Claims interface {
+	Claim(ctx context.Context, claim claimer.Claim) claimer.Verdict
+	Settled(ctx context.Context, settlement claimer.Settlement)
 }
 
 // Config describes the serving side of an agent.
@@ -64,8 +73,12 @@
 	TLS    *tls.Config
 	Rules  func() cherviltide.Rules
 	Slots  Slots
-	Clock  cherviltide.Clock
-	Log    *zap.Logger
+	// Claims may be nil; requests of at-most-once kinds are then refused.
+	Claims Claims
+	// Recorder may be nil.
+	Recorder cherviltide.Recorder
+	Clock    cherviltide.Clock
+	Log      *zap.Logger
 }
 
 // Proxier serves the requests of one agent.
@@ -79,14 +92,17 @@
 // New returns a proxier that has not started.
 func New(config Config) *Proxier {
 	p := &Proxier{config: config, gate: newGate(), client: &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression: true,
+		DialContext:            dialTarget,
+		DisableCompression:     true,
+		IdleConnTimeout:        targetIdle,
+		MaxResponseHeaderBytes: maxHeader,
 	}}
-	p.server = &http3.Server{Handler: http.HandlerFunc(p.serve)}
+	p.server = &http3.Server{Handler: http.HandlerFunc(p.serve), MaxHeaderBytes: maxHeader}
 	return p
 }
 
-// Run serves callers on conn until ctx ends, then lets the requests in progress finish.
+// Run serves callers on conn until ctx ends. Then it accepts nothing new and returns after the requests in progress have
+// finished, however long they take.
 func (p *Proxier) Run(ctx context.Context, conn PacketConn) error {
 	transport := &quic.Transport{Conn: conn}
 	listener, err := transport.ListenEarly(p.config.TLS, &quic.Config{
@@ -101,42 +117,35 @@
 		context.AfterFunc(c.Context(), func() { conn.Ended(c.RemoteAddr()) })
 		return ctx
 	}
-	stopped := make(chan struct{})
-	notStarted := context.AfterFunc(ctx, func() {
-		defer close(stopped)
-		p.stop()
-	})
-	err = p.server.ServeListener(listener)
-	// ServeListener returns as soon as the shutdown starts; closing the transport then would cut the requests in progress.
-	if !notStarted() {
-		<-stopped
+	ends := make(chan runner.End, 1)
+	runner.Start(ctx, "serve", ends, func(context.Context) error { return p.server.ServeListener(listener) })
+	select {
+	case <-ctx.Done():
+		err = p.drain(ctx)
+		<-ends
+	case end := <-ends:
+		err = end.Err
 	}
 	if errors.Is(err, http.ErrServerClosed) {
 		err = nil
 	}
-	return errors.Join(err, transport.Close())
-}
-
-// customer returns the customer of a request, by the caller's verified certificate.
-func (p *Proxier) customer(r *http.Request, rules cherviltide.Rules) (cherviltide.Customer, bool) {
-	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
-		return cherviltide.Customer{}, false
-	}
-	c, ok := rules.CustomerOf(r.TLS.PeerCertificates[0].Subject.CommonName)
-	return c, ok && c.MayReach(p.config.Service)
+	return errors.Join(err, listener.Close(), transport.Close())
 }
 
-// kindOf returns the kind of a request: the longest matching path prefix of the service wins.
-func (p *Proxier) kindOf(r *http.Request, rules cherviltide.Rules) (cherviltide.Kind, bool) {
-	var best cherviltide.Kind
-	found := false
-	for _, k := range rules.Kinds {
-		if k.Service != p.config.Service || (k.Method != "" && k.Method != r.Method) {
-			continue
-		}
-		if strings.HasPrefix(r.URL.Path, k.PathPrefix) && len(k.PathPrefix) > len(best.PathPrefix) {
-			best, found = k, true
-		}
+// drain sends GOAWAY on all connections, which rejects new requests, waits for those in progress and closes the
+// connections. Callers keep idle connections open, so waiting for them to close would delay the end.
+func (p *Proxier) drain(ctx context.Context) error {
+	ends := make(chan runner.End, 1)
+	runner.Start(context.WithoutCancel(ctx), "shutdown", ends, p.server.Shutdown)
+	<-p.gate.close()
+	linger := time.NewTimer(lingerTimeout)
+	defer linger.Stop()
+	select {
+	case end := <-ends:
+		return end.Err
+	case <-linger.C:
 	}
-	return best, found
+	err := p.server.Close()
+	<-ends
+	return err
 }
