Show operators rules, history, report and drain

Ruled out: a drain mark in the memory of one control instance, because announcements may go to another one. The event Leaving in the membership log is the mark.

The service-level report merges cumulative counters by member and incarnation.

Before and after: apply after a lost answer read a new base; now each attempt sends the same edit (TestApplyRetries). Agents do not record outcomes yet.

Conclusion: each rule in force can be traced to a person and an edit.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -6,29 +6,46 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime/debug"
 
 	"github.com/alexflint/go-arg"
 	"go.uber.org/zap"
 )
 
-// Exit codes.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
-// command is a subcommand.
+// command is a subcommand that runs a daemon.
 type command interface {
 	run(ctx context.Context, out io.Writer, log *zap.Logger) error
 }
 
+// operatorCommand is a subcommand that does one thing and ends.
+type operatorCommand interface {
+	operate(ctx context.Context, console console) error
+	// examples returns command lines that the help shows.
+	examples() string
+}
+
 type arguments struct {
-	Entry   *entryCommand   `arg:"subcommand:entry" help:"forward callers' datagrams to agents"`
-	Agent   *agentCommand   `arg:"subcommand:agent" help:"serve callers beside a target"`
-	Control *controlCommand `arg:"subcommand:control" help:"keep configuration and membership"`
-	Apply   *applyCommand   `arg:"subcommand:apply" help:"put a rules file in force"`
-	Status  *statusCommand  `arg:"subcommand:status" help:"show members and the revision each has in force"`
+	Entry    *entryCommand    `arg:"subcommand:entry" help:"forward callers' datagrams to agents"`
+	Agent    *agentCommand    `arg:"subcommand:agent" help:"serve callers beside a target"`
+	Control  *controlCommand  `arg:"subcommand:control" help:"keep configuration and membership"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"list all problems of a rules file"`
+	Format   *formatCommand   `arg:"subcommand:format" help:"print a rules file in the canonical format"`
+	Diff     *diffCommand     `arg:"subcommand:diff" help:"compare the accepted rules with a file"`
+	Apply    *applyCommand    `arg:"subcommand:apply" help:"put a rules file in force"`
+	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"make a new revision with the content of an old one"`
+	Rules    *rulesCommand    `arg:"subcommand:rules" help:"show each accepted rule and who asked for it"`
+	History  *historyCommand  `arg:"subcommand:history" help:"show accepted revisions, newest first"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show members and the revision each has in force"`
+	Drain    *drainCommand    `arg:"subcommand:drain" help:"make a member finish its work and end"`
+	Report   *reportCommand   `arg:"subcommand:report" help:"show the service-level report"`
+	Settings *settingsCommand `arg:"subcommand:settings" help:"check a settings file and print it in full"`
+	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
+}
+
+// Epilogue documents the exit codes in the help.
+func (arguments) Epilogue() string {
+	return `Exit codes: 0 done; 1 failed or wrong input; 2 wrong command line; 3 conflict, nothing changed; 4 refused as not run;
+5 answer lost, the change may have happened; 6 done, but not in force everywhere within the bound of --wait.`
 }
 
 // Run runs the command line and returns the exit code.
@@ -41,25 +58,62 @@
 	}
 	err = parser.Parse(args)
 	if errors.Is(err, arg.ErrHelp) {
-		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
-		return ExitDone
+		return help(parser, out)
 	}
-	c, ok := parser.Subcommand().(command)
-	if err != nil || !ok {
-		if err == nil {
-			err = errors.New("missing subcommand")
-		}
-		parser.WriteUsage(errOut)
-		_, _ = fmt.Fprintln(errOut, "error:", err)
-		return ExitUsage
+	if err == nil && parser.Subcommand() == nil {
+		err = errors.New("missing subcommand")
 	}
-	log, err := zap.NewProduction()
 	if err == nil {
-		err = c.run(ctx, out, log)
+		err = execute(ctx, parser.Subcommand(), console{Out: out, Err: errOut})
+	} else {
+		err = &usageError{err}
+	}
+	var usage *usageError
+	if errors.As(err, &usage) {
+		_ = parser.WriteUsageForSubcommand(errOut, parser.SubcommandNames()...)
+		_, _ = fmt.Fprintln(errOut, "error:", err)
+		return ExitUsage
 	}
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "error:", err)
-		return ExitFailed
+	}
+	return exitCode(err)
+}
+
+func execute(ctx context.Context, subcommand any, console console) error {
+	if c, ok := subcommand.(operatorCommand); ok {
+		return c.operate(ctx, console)
+	}
+	log, err := newLog()
+	if err != nil {
+		return err
+	}
+	return subcommand.(command).run(ctx, console.Out, log)
+}
+
+func help(parser *arg.Parser, out io.Writer) int {
+	_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+	if c, ok := parser.Subcommand().(operatorCommand); ok {
+		_, _ = fmt.Fprintf(out, "\nExample:\n  %s\n", c.examples())
 	}
 	return ExitDone
 }
+
+type versionCommand struct{}
+
+func (c *versionCommand) examples() string { return "cherviltide version" }
+
+func (c *versionCommand) operate(_ context.Context, console console) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("the binary has no build information")
+	}
+	revision := ""
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = ", commit " + s.Value
+		}
+	}
+	_, err := fmt.Fprintf(console.Out, "cherviltide %s%s, %s\n", info.Main.Version, revision, info.GoVersion)
+	return err
+}
--- /dev/null
+++ b/commands/commands_test.go
@@ -0,0 +1,181 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/messenger"
+)
+
+const first = "Service desk Address 203.0.113.7:443 # asked by Rita\n"
+
+// control is a control instance with a fixed answer to edits.
+func control(t *testing.T, apply func(*messenger.ApplyRequest) (*messenger.ApplyResponse, error)) string {
+	mux := http.NewServeMux()
+	messenger.Current.Handle(mux, func(context.Context, *messenger.CurrentRequest) (*messenger.CurrentResponse, error) {
+		return &messenger.CurrentResponse{Revision: 4, Text: first, Confirmed: false}, nil
+	})
+	messenger.Apply.Handle(mux, func(_ context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+		return apply(req)
+	})
+	messenger.Status.Handle(mux, func(context.Context, *messenger.StatusRequest) (*messenger.StatusResponse, error) {
+		members := []messenger.MemberStatus{
+			{Member: cherviltide.Member{Name: "slow"}, State: cherviltide.StateActive, RevisionSeen: 5, RevisionInForce: 4},
+			{Member: cherviltide.Member{Name: "gone"}, State: cherviltide.StateDead},
+		}
+		return &messenger.StatusResponse{Revision: 5, Confirmed: true, Members: members}, nil
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := messenger.NewServer(mux, nil)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close(); <-done })
+	return listener.Addr().String()
+}
+
+func run(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = Run(context.Background(), args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func rulesFile(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "rules")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o640))
+	return path
+}
+
+// closedAddress returns a loopback address at which nobody listens.
+func closedAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+// TestExitCodes guards against a script that takes a refused or unknown edit for a failed or accepted one.
+func TestExitCodes(t *testing.T) {
+	fault := func(kind cherviltide.ErrorKind) error {
+		return &Error{cherviltide.Fault{Op: "test", Kind: kind, Err: errors.New("because")}}
+	}
+	cases := map[string]struct {
+		err  error
+		args []string
+		want int
+		text string
+	}{
+		"accepted":     {nil, nil, ExitDone, ""},
+		"conflict":     {fault(cherviltide.KindConflict), nil, ExitConflict, "because"},
+		"invalid":      {fault(cherviltide.KindInvalid), nil, ExitFailed, "because"},
+		"not run":      {fault(cherviltide.KindUnavailable), nil, ExitRefused, "because"},
+		"unknown":      {fault(cherviltide.KindInternal), []string{"--edit-id", "x"}, ExitUnknown, "--edit-id x --base 4"},
+		"lagging":      {nil, []string{"--wait", "300ms"}, ExitLagging, "lagging: slow (4)"},
+		"half of TLS":  {nil, []string{"--key", "k"}, ExitUsage, "given together"},
+		"wrong option": {nil, []string{"--bse", "3"}, ExitUsage, "Usage: cherviltide apply"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := control(t, func(*messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+				return &messenger.ApplyResponse{Revision: 5}, c.err
+			})
+			args := append([]string{"apply", rulesFile(t, first), "--operator", "rita", "--timeout", "300ms", "--control", address}, c.args...)
+			code, _, errOut := run(args...)
+			require.Equal(t, c.want, code, errOut)
+			require.Contains(t, errOut, c.text)
+		})
+	}
+}
+
+// TestApplyRetries guards against an edit that changes its base or ID when it is sent to another instance.
+func TestApplyRetries(t *testing.T) {
+	var seen []messenger.ApplyRequest
+	address := control(t, func(req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+		seen = append(seen, *req)
+		if len(seen) < 3 {
+			return nil, &Error{cherviltide.Fault{Op: "test", Kind: cherviltide.KindUnavailable, Err: errors.New("no leader")}}
+		}
+		return &messenger.ApplyResponse{Revision: 5}, nil
+	})
+	code, out, errOut := run("apply", rulesFile(t, first), "--operator", "rita", "--control", closedAddress(t), address)
+	require.Equal(t, ExitDone, code, errOut)
+	require.Contains(t, out, "accepted as revision 5")
+	require.Len(t, seen, 3)
+	require.Equal(t, seen[0], seen[2])
+	require.EqualValues(t, 4, seen[0].Base)
+}
+
+// TestNoControl guards against a lost connection that looks like an unknown result.
+func TestNoControl(t *testing.T) {
+	for _, args := range [][]string{{"apply", rulesFile(t, first), "--operator", "r"}, {"status"}, {"drain", "x"}, {"history"}, {"rules"}, {"report"}, {"rollback", "1"}} {
+		code, _, errOut := run(append(args, "--timeout", "100ms", "--control", closedAddress(t))...)
+		require.Equal(t, ExitRefused, code, "%v: %s", args, errOut)
+	}
+	code, _, _ := run("status")
+	require.Equal(t, ExitUsage, code)
+}
+
+// TestFileCommands guards against a format that loses the file, and against problems without their place.
+func TestFileCommands(t *testing.T) {
+	path := rulesFile(t, "Service   desk Address 203.0.113.7:443# asked by Rita")
+	link := filepath.Join(t.TempDir(), "link")
+	require.NoError(t, os.Symlink(path, link))
+	code, out, _ := run("format", link)
+	require.Equal(t, first, out)
+	require.Zero(t, code)
+	code, _, errOut := run("format", "-w", link)
+	require.Zero(t, code, errOut)
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, first, string(data))
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	require.Equal(t, os.FileMode(0o640), info.Mode())
+	left, err := os.ReadDir(filepath.Dir(path))
+	require.NoError(t, err)
+	require.Len(t, left, 1, "no temporary file stays")
+	code, out, _ = run("check", path)
+	require.Zero(t, code)
+	require.Contains(t, out, "1 services, 0 kinds, 0 customers")
+	bad := rulesFile(t, "Servise x # R")
+	code, _, errOut = run("check", bad)
+	require.Equal(t, ExitFailed, code)
+	require.Contains(t, errOut, bad+":1:1: found")
+	code, _, _ = run("check", filepath.Join(t.TempDir(), "none"))
+	require.Equal(t, ExitFailed, code)
+}
+
+// TestDiffAndStatus guards against answers of an instance without a majority that look current.
+func TestDiffAndStatus(t *testing.T) {
+	address := control(t, nil)
+	code, out, errOut := run("diff", rulesFile(t, first+"# note\n"), "--control", address)
+	require.Zero(t, code)
+	require.Equal(t, "+2: # note\n", out)
+	require.Contains(t, errOut, "could not reach a majority")
+	code, out, _ = run("status", "--json", "--control", address)
+	require.Zero(t, code)
+	require.Contains(t, out, `"RevisionInForce": 4`)
+}
+
+// TestHelp guards against commands without help or example.
+func TestHelp(t *testing.T) {
+	for _, name := range []string{"check", "format", "diff", "apply", "rollback", "rules", "history", "status", "drain", "report", "settings", "version"} {
+		code, out, _ := run(name, "--help")
+		require.Zero(t, code)
+		require.Contains(t, out, "Example:\n  cherviltide "+name)
+	}
+	code, out, _ := run("version")
+	require.Zero(t, code)
+	require.Contains(t, out, "cherviltide ")
+	_, out, _ = run("--help")
+	require.Contains(t, out, "Exit codes:")
+}
--- a/commands/control.go
+++ b/commands/control.go
@@ -12,12 +12,13 @@
 )
 
 type controlCommand struct {
-	Settings string `arg:"required" help:"settings file (JSON)"`
+	Settings string   `arg:"required" help:"settings file (JSON)"`
+	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
 func (c *controlCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
 	var s loader.Control
-	if err := loader.Read(c.Settings, &s); err != nil {
+	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
 	}
 	server, err := serverTLS(s.Process)
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -15,12 +15,13 @@
 )
 
 type entryCommand struct {
-	Settings string `arg:"required" help:"settings file (JSON)"`
+	Settings string   `arg:"required" help:"settings file (JSON)"`
+	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
 func (c *entryCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
 	var s loader.Entry
-	if err := loader.Read(c.Settings, &s); err != nil {
+	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
 	}
 	key, err := s.Key()
--- a/commands/process.go
+++ b/commands/process.go
@@ -29,12 +29,22 @@
 // runGracefully runs the data path and the follower. When ctx ends it announces that the process leaves, lets the data
 // path finish, and only then stops the follower.
 func runGracefully(ctx context.Context, f *follower.Follower, log *zap.Logger, data ...func(context.Context) error) error {
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
 	followCtx, stopFollower := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollower()
 	ends := make(chan runner.End, 1)
 	runner.Start(followCtx, "follower", ends, f.Run)
 	dataCtx, stopData := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopData()
+	runner.Start(ctx, "drain", make(chan runner.End, 1), func(ctx context.Context) error {
+		select {
+		case <-f.Drained():
+			leave()
+		case <-ctx.Done():
+		}
+		return nil
+	})
 	stop := context.AfterFunc(ctx, func() {
 		log.Info("Leaving")
 		f.Leave()
--- /dev/null
+++ b/commands/settings.go
@@ -0,0 +1,45 @@
+package commands
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/speller"
+)
+
+type settingsCommand struct {
+	Role string   `arg:"required" help:"entry, agent or control"`
+	File string   `arg:"positional,required" help:"settings file (JSON)"`
+	Set  []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
+	JSON bool     `arg:"--json" help:"print JSON instead of a table"`
+}
+
+func (c *settingsCommand) examples() string {
+	return "cherviltide settings --role agent agent.json --set Slots=3"
+}
+
+func (c *settingsCommand) operate(_ context.Context, console console) error {
+	roles := map[string]any{"entry": &loader.Entry{}, "agent": &loader.Agent{}, "control": &loader.Control{}}
+	settings, ok := roles[c.Role]
+	if !ok {
+		return &usageError{fmt.Errorf("found role %q, expected %s", c.Role, speller.List([]string{"entry", "agent", "control"}))}
+	}
+	values, err := loader.Explain(c.File, settings, c.Set...)
+	var e *loader.Error
+	if errors.As(err, &e) {
+		return fmt.Errorf("%s is not usable:\n%w", c.File, e.Err)
+	}
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return console.json(values)
+	}
+	t := newTable("Name", "Value", "Unit", "Source")
+	for _, v := range values {
+		t.add(v.Name, v.Text, v.Unit, v.Source)
+	}
+	return t.write(console.Out)
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -17,6 +17,7 @@
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/registrar"
+	"cherviltide.example/cherviltide/reporter"
 	"cherviltide.example/cherviltide/runner"
 	"cherviltide.example/cherviltide/tracker"
 )
@@ -45,6 +46,7 @@
 	// position is the newest position of the membership log.
 	position uint64
 	reports  map[string]messenger.AnnounceRequest
+	burn     *reporter.Merger
 	calls    chan func()
 }
 
@@ -56,6 +58,7 @@
 		tracker:     tracker.New(),
 		distributor: distributor.New(),
 		reports:     map[string]messenger.AnnounceRequest{},
+		burn:        reporter.NewMerger(config.Clock.Now()),
 		calls:       make(chan func()),
 	}
 }
@@ -96,6 +99,7 @@
 	messenger.Current.Handle(mux, c.current)
 	messenger.Status.Handle(mux, c.status)
 	messenger.Follow.Handle(mux, c.distributor.Serve)
+	c.handleOperators(mux)
 	return mux
 }
 
--- a/controller/members.go
+++ b/controller/members.go
@@ -40,8 +40,10 @@
 }
 
 func (c *Controller) announce(ctx context.Context, req *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
+	res := &messenger.AnnounceResponse{Lease: tracker.Lease}
 	err := c.do(ctx, func() {
 		c.reports[req.Member.Name] = *req
+		c.merge(req)
 		c.record(c.tracker.Announce(c.config.Clock.Now(), tracker.Announcement{
 			Member:           req.Member,
 			Leaving:          req.Leaving,
@@ -49,8 +51,9 @@
 			Generation:       req.Generation,
 			OldestGeneration: req.OldestGeneration,
 		}))
+		res.Leave = c.mustLeave(req)
 	})
-	return &messenger.AnnounceResponse{Lease: tracker.Lease}, err
+	return res, err
 }
 
 func (c *Controller) status(ctx context.Context, _ *messenger.StatusRequest) (*messenger.StatusResponse, error) {
--- /dev/null
+++ b/controller/operators_test.go
@@ -0,0 +1,109 @@
+package controller
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/clock"
+	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/runner"
+)
+
+const (
+	desk  = "Service desk Address 203.0.113.7:443 # asked by Rita\n"
+	fetch = "Kind desk fetch Path /a Objective 99 # asked by Amir\n"
+)
+
+func started(t *testing.T) (*Controller, context.Context) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := New(Config{Clock: clock.NewManual(1_800_000_000_000), Log: zap.NewNop()})
+	ends := make(chan runner.End, 1)
+	runner.Start(ctx, "loop", ends, c.loop)
+	t.Cleanup(func() { cancel(); <-ends })
+	return c, ctx
+}
+
+func accept(ctx context.Context, t *testing.T, c *Controller, operator, text string, base uint64) {
+	_, err := c.apply(ctx, &messenger.ApplyRequest{EditID: operator, Operator: operator, Text: text, Base: base})
+	require.NoError(t, err)
+}
+
+// TestOrigins guards against a rule that is attributed to an edit that only moved, formatted or kept it.
+func TestOrigins(t *testing.T) {
+	c, ctx := started(t)
+	res, err := c.rules(ctx, &messenger.RulesRequest{})
+	require.NoError(t, err)
+	require.Empty(t, res.Rules)
+	accept(ctx, t, c, "one", desk, 0)
+	accept(ctx, t, c, "two", "# head\n"+fetch+"Service  desk Address 203.0.113.7:443   # asked by Rita\n", 1)
+	accept(ctx, t, c, "three", desk, 2)
+	accept(ctx, t, c, "four", desk+"\n"+fetch, 3)
+	res, err = c.rules(ctx, &messenger.RulesRequest{})
+	require.NoError(t, err)
+	require.Len(t, res.Rules, 2)
+	require.Equal(t, "one", res.Rules[0].Operator)
+	require.Equal(t, messenger.RuleOrigin{
+		Line: 3, Text: "Kind desk fetch Path /a Objective 99", Requester: "asked by Amir", Revision: 4, EditID: "four",
+		Operator: "four", Time: 1_800_000_000_000,
+	}, res.Rules[1])
+	history, err := c.history(ctx, &messenger.HistoryRequest{Newest: 3, Limit: 2, WithText: true})
+	require.NoError(t, err)
+	require.Len(t, history.Revisions, 2)
+	require.Equal(t, desk, history.Revisions[0].Text)
+	require.Equal(t, []int{1, 3}, []int{history.Revisions[0].Added, history.Revisions[0].Removed})
+	require.EqualValues(t, 2, history.Revisions[1].Revision)
+}
+
+// TestDrain guards against a drain that another run of the member inherits, or that the member never hears of.
+func TestDrain(t *testing.T) {
+	c, ctx := started(t)
+	req := messenger.AnnounceRequest{Member: cherviltide.Member{Name: "a", Role: cherviltide.RoleAgent, Service: "desk", Incarnation: 1}}
+	announce := func(change func(*messenger.AnnounceRequest)) bool {
+		change(&req)
+		r := req
+		res, err := c.announce(ctx, &r)
+		require.NoError(t, err)
+		return res.Leave
+	}
+	_, err := c.drain(ctx, &messenger.DrainRequest{Member: "a"})
+	require.ErrorContains(t, err, "no member has this name")
+	require.False(t, announce(func(*messenger.AnnounceRequest) {}))
+	for range 2 {
+		res, err := c.drain(ctx, &messenger.DrainRequest{Member: "a"})
+		require.NoError(t, err)
+		require.Equal(t, cherviltide.StateLeaving, res.State)
+	}
+	require.EqualValues(t, 2, c.position, "a repeated drain adds no event")
+	require.True(t, announce(func(*messenger.AnnounceRequest) {}), "the member is told")
+	require.False(t, announce(func(r *messenger.AnnounceRequest) { r.Leaving = true }), "it knows")
+	require.False(t, announce(func(r *messenger.AnnounceRequest) { r.Ended = true }))
+	_, err = c.drain(ctx, &messenger.DrainRequest{Member: "a"})
+	require.ErrorContains(t, err, "dead already")
+	require.False(t, announce(func(r *messenger.AnnounceRequest) { r.Member.Incarnation, r.Leaving, r.Ended = 2, false, false }))
+}
+
+// TestReport guards against a member that counts requests for a service that it does not serve.
+func TestReport(t *testing.T) {
+	c, ctx := started(t)
+	accept(ctx, t, c, "one", desk+fetch, 0)
+	for range 2 {
+		_, err := c.announce(ctx, &messenger.AnnounceRequest{
+			Member: cherviltide.Member{Name: "a", Service: "desk", Incarnation: 1}, Started: 1_800_000_000_000,
+			Counters: []cherviltide.KindCounts{
+				{Service: "desk", Kind: "fetch", Counts: cherviltide.Counts{Timely: 3, Late: 1}},
+				{Service: "other", Kind: "fetch", Counts: cherviltide.Counts{Timely: 9}},
+			},
+		})
+		require.NoError(t, err)
+	}
+	res, err := c.report(ctx, &messenger.ReportRequest{})
+	require.NoError(t, err)
+	require.Len(t, res.Report.Kinds, 1)
+	require.EqualValues(t, 1, res.Report.Revision)
+	require.Equal(t, cherviltide.Counts{Timely: 3, Late: 1}, res.Report.Kinds[0].Total)
+	require.InDelta(t, 25, res.Report.Kinds[0].Windows[0].BurnRate, 1e-9)
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,13 +50,17 @@
 	view    atomic.Pointer[View]
 	leaving atomic.Bool
 	ended   atomic.Bool
+	started cherviltide.Millis
 	wake    chan struct{}
 	leaseMs atomic.Int64
+	// drained is closed once, when control tells the process to leave.
+	drained   chan struct{}
+	drainOnce sync.Once
 }
 
 // New returns a follower that has not started.
 func New(config Config) *Follower {
-	f := &Follower{config: config, wake: make(chan struct{}, 1)}
+	f := &Follower{config: config, started: cherviltide.Millis(time.Now().UnixMilli()), wake: make(chan struct{}, 1), drained: make(chan struct{})}
 	f.view.Store(NewView())
 	return f
 }
@@ -71,6 +76,11 @@
 	f.signal()
 }
 
+// Drained returns a channel that is closed when an operator has asked control to make the process leave.
+func (f *Follower) Drained() <-chan struct{} {
+	return f.drained
+}
+
 // End tells control that the process has finished. It returns after control has answered or ctx has ended.
 func (f *Follower) End(ctx context.Context) error {
 	f.ended.Store(true)
@@ -198,6 +208,7 @@
 		Leaving:      f.leaving.Load(),
 		Ended:        f.ended.Load(),
 		RevisionSeen: f.View().Rules.Revision,
+		Started:      f.started,
 	}
 	f.config.Report(req)
 	res, err := messenger.Announce.Call(ctx, client, base, req)
@@ -205,6 +216,9 @@
 		return err
 	}
 	f.leaseMs.Store(int64(res.Lease))
+	if res.Leave {
+		f.drainOnce.Do(func() { close(f.drained) })
+	}
 	return nil
 }
 
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -27,12 +27,18 @@
 	// OldestGeneration is the lowest generation at which the agent opened a flow that it still holds.
 	// It equals Generation when the agent holds no flow.
 	OldestGeneration uint64
+	// Started is when the process started, by its own clock.
+	Started cherviltide.Millis
+	// Counters are the process's requests since its start; they never shrink within an incarnation.
+	Counters []cherviltide.KindCounts
 }
 
 // AnnounceResponse grants a lease.
 type AnnounceResponse struct {
 	// Lease is counted from the moment at which the request was sent.
 	Lease cherviltide.Millis
+	// Leave tells the member to finish what it has and to end, because an operator drains it.
+	Leave bool
 }
 
 // ApplyRequest asks control to accept a rules file.
