--- a/commands/apply.go
+++ b/commands/apply.go
@@ -124,6 +124,9 @@
 				behind = append(behind, fmt.Sprintf("%s (%d)", m.Member.Name, m.RevisionInForce))
 			}
 		}
+		if !res.Confirmed {
+			return false, "control has no leader"
+		}
 		if len(behind) == 0 {
 			return true, fmt.Sprintf("revision %d is in force at %d members", revision, living)
 		}
--- a/commands/drain.go
+++ b/commands/drain.go
@@ -34,11 +34,14 @@
 		return nil
 	}
 	return await(ctx, console, s, c.Wait, func(res *messenger.StatusResponse) (bool, string) {
+		if !res.Confirmed {
+			return false, "control has no leader"
+		}
 		for _, m := range res.Members {
 			if m.Member.Name == c.Name {
 				return m.State == cherviltide.StateDead, fmt.Sprintf("%s is %s", c.Name, m.State)
 			}
 		}
-		return true, fmt.Sprintf("control no longer lists %s", c.Name)
+		return true, fmt.Sprintf("%s has ended", c.Name)
 	})
 }
--- a/controller/drain.go
+++ b/controller/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -10,35 +11,75 @@
 	"cherviltide.example/cherviltide/messenger"
 )
 
+// Times of a drain.
+const (
+	// drainTimeout bounds the wait for the majority's agreement.
+	drainTimeout = 3 * time.Second
+	drainPoll    = 50 * time.Millisecond
+)
+
 var (
-	errNoMember = errors.New("no member has this name")
-	errDead     = errors.New("the member is dead already")
+	errNoMember     = errors.New("no living member has this name")
+	errNotCommitted = errors.New("the membership log did not accept the drain in time; it may still do so")
 )
 
 // drain puts the event Leaving of a member into the membership log, so the member receives nothing new. The answer to
 // the member's next announcement tells it to finish and end. The log carries the mark, so it survives a control instance.
+// It returns after a majority has the event; a drain may be repeated.
 func (c *Controller) drain(ctx context.Context, req *messenger.DrainRequest) (*messenger.DrainResponse, error) {
-	res := &messenger.DrainResponse{}
-	var refused error
-	err := c.do(ctx, func() {
-		entry, ok := c.tracker.Entry(req.Member)
-		switch {
-		case !ok:
-			refused = &Error{cherviltide.Fault{Op: "controller.drain", Kind: cherviltide.KindInvalid, Err: errNoMember}}
-			return
-		case entry.State == cherviltide.StateDead:
-			refused = &Error{cherviltide.Fault{Op: "controller.drain", Kind: cherviltide.KindConflict, Err: errDead}}
-			return
-		case entry.State != cherviltide.StateLeaving:
-			c.config.Log.Info("DrainAsked", zap.String("Member", req.Member), zap.String("Operator", req.Operator))
-			c.record([]cherviltide.MemberEvent{{Type: cherviltide.EventLeaving, Member: entry.Member}})
+	leads := false
+	var state cherviltide.MemberState
+	if err := c.do(ctx, func() { leads, state = c.tracker.Leads(), c.markLeaving(req) }); err != nil {
+		return nil, err
+	}
+	if !leads {
+		return c.forwardDrain(ctx, req)
+	}
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	for state != cherviltide.StateLeaving {
+		if state == "" {
+			return nil, &Error{cherviltide.Fault{Op: "controller.drain", Kind: cherviltide.KindInvalid, Err: errNoMember}}
 		}
-		res.State = cherviltide.StateLeaving
-	})
-	if err == nil {
-		err = refused
+		select {
+		case <-ctx.Done():
+			return nil, &Error{cherviltide.Fault{Op: "controller.drain", Kind: cherviltide.KindInternal, Err: errNotCommitted}}
+		case <-time.After(drainPoll):
+		}
+		if err := c.do(ctx, func() { state = c.memberState(req.Member) }); err != nil {
+			return nil, &Error{cherviltide.Fault{Op: "controller.drain", Kind: cherviltide.KindInternal, Err: errNotCommitted}}
+		}
+	}
+	return &messenger.DrainResponse{State: state}, nil
+}
+
+// markLeaving proposes the event on the leader and returns the member's state, which is empty for an unknown member.
+func (c *Controller) markLeaving(req *messenger.DrainRequest) cherviltide.MemberState {
+	entry, ok := c.tracker.Entry(req.Member)
+	if ok && c.tracker.Leads() && entry.State != cherviltide.StateLeaving {
+		c.config.Log.Info("DrainAsked", zap.String("Member", req.Member), zap.String("Operator", req.Operator))
+		c.record([]cherviltide.MemberEvent{{Type: cherviltide.EventLeaving, Member: entry.Member}})
+	}
+	return c.memberState(req.Member)
+}
+
+func (c *Controller) memberState(name string) cherviltide.MemberState {
+	entry, _ := c.tracker.Entry(name)
+	return entry.State
+}
+
+// forwardDrain passes a drain on to the leader.
+func (c *Controller) forwardDrain(ctx context.Context, req *messenger.DrainRequest) (*messenger.DrainResponse, error) {
+	if req.Forwarded {
+		return nil, unavailable("controller.drain", errNoLeader)
+	}
+	base, client, err := c.leader(ctx)
+	if err != nil {
+		return nil, err
 	}
-	return res, err
+	forwarded := *req
+	forwarded.Forwarded = true
+	return messenger.Drain.Call(ctx, client, base, &forwarded)
 }
 
 // mustLeave reports whether a member that doesn't know it yet is to leave.
--- a/controller/operators_test.go
+++ b/controller/operators_test.go
@@ -24,6 +24,7 @@
 	ends := make(chan runner.End, 1)
 	runner.Start(ctx, "loop", ends, c.loop)
 	t.Cleanup(func() { cancel(); <-ends })
+	require.NoError(t, c.do(ctx, c.tickMembers))
 	return c, ctx
 }
 
@@ -70,19 +71,21 @@
 		return res.Leave
 	}
 	_, err := c.drain(ctx, &messenger.DrainRequest{Member: "a"})
-	require.ErrorContains(t, err, "no member has this name")
+	require.ErrorContains(t, err, "no living member has this name")
 	require.False(t, announce(func(*messenger.AnnounceRequest) {}))
-	for range 2 {
+	var positions [2]uint64
+	for i := range positions {
 		res, err := c.drain(ctx, &messenger.DrainRequest{Member: "a"})
 		require.NoError(t, err)
 		require.Equal(t, cherviltide.StateLeaving, res.State)
+		require.NoError(t, c.do(ctx, func() { positions[i] = c.tracker.Position() }))
 	}
-	require.EqualValues(t, 2, c.position, "a repeated drain adds no event")
+	require.Equal(t, positions[0], positions[1], "a repeated drain adds no event")
 	require.True(t, announce(func(*messenger.AnnounceRequest) {}), "the member is told")
 	require.False(t, announce(func(r *messenger.AnnounceRequest) { r.Leaving = true }), "it knows")
 	require.False(t, announce(func(r *messenger.AnnounceRequest) { r.Ended = true }))
 	_, err = c.drain(ctx, &messenger.DrainRequest{Member: "a"})
-	require.ErrorContains(t, err, "dead already")
+	require.ErrorContains(t, err, "no living member has this name")
 	require.False(t, announce(func(r *messenger.AnnounceRequest) { r.Member.Incarnation, r.Leaving, r.Ended = 2, false, false }))
 }
 
--- a/controller/report.go
+++ b/controller/report.go
@@ -4,11 +4,8 @@
 	"context"
 	"slices"
 
-	"go.uber.org/zap"
-
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
-	"cherviltide.example/cherviltide/parser"
 	"cherviltide.example/cherviltide/reporter"
 )
 
@@ -22,15 +19,23 @@
 	})
 }
 
-func (c *Controller) report(ctx context.Context, _ *messenger.ReportRequest) (*messenger.ReportResponse, error) {
-	res := &messenger.ReportResponse{Confirmed: true}
+// report returns the report of the leader, which hears all announcements. Without a leader it returns what this instance
+// has heard and marks it as not confirmed.
+func (c *Controller) report(ctx context.Context, req *messenger.ReportRequest) (*messenger.ReportResponse, error) {
+	res := &messenger.ReportResponse{}
 	err := c.do(ctx, func() {
-		current := c.registrar.Current()
-		rules, err := parser.Parse(current.Edit.Text)
-		if err != nil {
-			c.config.Log.Error("RulesNotParsed", zap.Uint64("Revision", current.Number), zap.Error(err))
-		}
-		res.Report = c.burn.Build(c.config.Clock.Now(), rules.WithRevision(current.Number))
+		res.Confirmed = c.tracker.Leads()
+		res.Report = c.burn.Build(c.config.Clock.Now(), c.members.rules)
 	})
-	return res, err
+	if err != nil || res.Confirmed || req.Forwarded {
+		return res, err
+	}
+	base, client, err := c.leader(ctx)
+	if err != nil {
+		return res, nil
+	}
+	if led, err := messenger.Report.Call(ctx, client, base, &messenger.ReportRequest{Forwarded: true}); err == nil {
+		return led, nil
+	}
+	return res, nil
 }
--- a/messenger/operators.go
+++ b/messenger/operators.go
@@ -71,6 +71,8 @@
 type DrainRequest struct {
 	Member   string
 	Operator string
+	// Forwarded is set when another control instance passes the request on. It is not passed on again.
+	Forwarded bool
 }
 
 // DrainResponse tells what control believes about the member now.
@@ -79,7 +81,10 @@
 }
 
 // ReportRequest asks for the service-level report.
-type ReportRequest struct{}
+type ReportRequest struct {
+	// Forwarded is set when another control instance passes the request on. It is not passed on again.
+	Forwarded bool
+}
 
 // ReportResponse is the service-level report as the instance knows it.
 type ReportResponse struct {
