Serve health, readiness and metrics on a local address

Cause: nothing told a supervisor whether a process takes packets.

Ruled out: readiness by the revision received, which is the intent and not the running state; expvar's own handler, because it shows the command line.

Change: the setting Probe opens /health, /ready and /debug/vars. An entry or agent is ready while its sockets are open, it is not leaving, and a revision is in force that lags the received one by at most 2 s. A control instance is ready while its goroutine answers and a leader of the membership group is known.

Before: no endpoint.

Conclusion: a supervisor can act on the data path's own state.

--- a/commands/agent.go
+++ b/commands/agent.go
@@ -15,6 +15,7 @@
 	"cherviltide.example/cherviltide/loader"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/proxier"
+	"cherviltide.example/cherviltide/reporter"
 )
 
 type agentCommand struct {
@@ -37,9 +38,11 @@
 	}
 	member := newMember(s.Process, cherviltide.RoleAgent, s.Service, s.Data, s.Peer)
 	var data *holder.Holder
+	counter := reporter.NewCounter()
 	f, err := newFollower(s.Process, member, s.Service, log, func(r *messenger.AnnounceRequest) {
 		r.RevisionInForce = data.InForce()
 		r.Generation, r.OldestGeneration = data.Generations()
+		r.Counters = counter.Snapshot()
 	})
 	if err != nil {
 		return err
@@ -57,5 +60,10 @@
 		Slots: admitter.New(s.Slots),
 	})
 	log.Info("AgentStarted", zap.String("Name", s.Name))
-	return runGracefully(ctx, f, log, data.Run, func(ctx context.Context) error { return server.Run(ctx, data) })
+	path, probe := newProbe(s.Process, f, data.InForce)
+	probe.Counters("Holder", &data.Counters)
+	probe.Metric("Holder.Flows", func() any { return data.Flows() })
+	probe.Metric("Requests", func() any { return counter.Snapshot() })
+	serve := path.Watch(func(ctx context.Context) error { return server.Run(ctx, data) })
+	return runGracefully(ctx, f, log, path.Watch(data.Run), serve, probe.Run)
 }
--- a/commands/control.go
+++ b/commands/control.go
@@ -9,6 +9,8 @@
 	"cherviltide.example/cherviltide/clock"
 	"cherviltide.example/cherviltide/controller"
 	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/prober"
+	"cherviltide.example/cherviltide/runner"
 )
 
 type controlCommand struct {
@@ -26,7 +28,13 @@
 		return err
 	}
 	log.Info("ControlStarted", zap.String("Name", s.Name))
-	return controller.New(controller.Config{
+	control := controller.New(controller.Config{
 		Name: s.Name, Listen: s.Listen, TLS: server, Clock: clock.NewSystem(), Log: log,
-	}).Run(ctx)
+	})
+	probe := prober.New(prober.Config{Listen: s.Probe, Ready: control.Ready})
+	control.Measure(probe)
+	group := runner.NewGroup(ctx, 2)
+	group.Go("control", control.Run)
+	group.Go("probe", probe.Run)
+	return group.Wait()
 }
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -41,7 +41,9 @@
 		return err
 	}
 	log.Info("EntryStarted", zap.String("Name", s.Name))
-	return runGracefully(ctx, f, log, data.Run)
+	path, probe := newProbe(s.Process, f, data.InForce)
+	probe.Counters("Forwarder", &data.Counters)
+	return runGracefully(ctx, f, log, path.Watch(data.Run), probe.Run)
 }
 
 func ports(list []loader.Port) []forwarder.Port {
--- /dev/null
+++ b/controller/ready.go
@@ -0,0 +1,52 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/prober"
+)
+
+// readyTimeout bounds the wait for the control goroutine, which answers at once unless it hangs.
+const readyTimeout = time.Second
+
+// Ready returns nil while the control goroutine answers and a leader of the membership group is known.
+func (c *Controller) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	known := false
+	err := c.do(ctx, func() {
+		base, _ := c.members.log.Leader()
+		known = base != "" || c.members.log.Leads()
+	})
+	if err == nil && !known {
+		err = unavailable("controller.Ready", errNoLeader)
+	}
+	return err
+}
+
+// Measure adds the controller's metrics to a prober.
+func (c *Controller) Measure(p *prober.Prober) {
+	p.Metric("Rules.Revision", c.measure(func() any { return c.registrar.Current().Number }))
+	p.Metric("Membership.Position", c.measure(func() any { return c.tracker.Position() }))
+	p.Metric("Membership.Leads", c.measure(func() any { return c.tracker.Leads() }))
+	p.Metric("Membership.Members", c.measure(func() any {
+		states := map[cherviltide.MemberState]int{}
+		for _, e := range c.tracker.Entries() {
+			states[e.State]++
+		}
+		return states
+	}))
+}
+
+// measure reads a value on the control goroutine; the metric is null when that goroutine does not answer.
+func (c *Controller) measure(read func() any) func() any {
+	return func() any {
+		ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+		defer cancel()
+		var value any
+		_ = c.do(ctx, func() { value = read() })
+		return value
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -76,6 +76,11 @@
 	f.signal()
 }
 
+// Leaving reports whether the process has asked to receive nothing new.
+func (f *Follower) Leaving() bool {
+	return f.leaving.Load()
+}
+
 // Drained returns a channel that is closed when an operator has asked control to make the process leave.
 func (f *Follower) Drained() <-chan struct{} {
 	return f.drained
--- /dev/null
+++ b/prober/prober_test.go
@@ -0,0 +1,97 @@
+package prober
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide/clock"
+)
+
+// TestPath guards against a process that says it is ready while its data path takes no packets or decides with old rules.
+func TestPath(t *testing.T) {
+	var seen, inForce uint64
+	var leaving bool
+	time := clock.NewManual(1000)
+	p := &Path{
+		Seen: func() uint64 { return seen }, InForce: func() uint64 { return inForce }, Leaving: func() bool { return leaving }, Clock: time,
+	}
+	ready := func() error { return p.Ready(context.Background()) }
+	require.ErrorIs(t, ready(), errClosed, "before the start")
+	running, end := make(chan struct{}), make(chan struct{})
+	ended := make(chan error, 1)
+	run := p.Watch(func(context.Context) error { close(running); <-end; return nil })
+	go func() { ended <- run(context.Background()) }()
+	<-running
+	seen = 1
+	require.ErrorIs(t, ready(), errNone, "received, but not in force")
+	inForce = 1
+	require.NoError(t, ready())
+	seen = 2
+	require.NoError(t, ready(), "a new revision may take a moment")
+	time.Advance(lagLimit + 1)
+	require.ErrorContains(t, ready(), "revision 1 is in force in the data path, revision 2 was received")
+	inForce, seen = 2, 3
+	require.NoError(t, ready(), "another revision starts anew")
+	inForce = 3
+	leaving = true
+	require.ErrorIs(t, ready(), errLeaving)
+	leaving = false
+	close(end)
+	require.NoError(t, <-ended)
+	require.ErrorIs(t, ready(), errClosed, "after the end")
+}
+
+// TestHandler guards against a wrong status and against a command line in the metrics.
+func TestHandler(t *testing.T) {
+	var reason error
+	var counters struct{ Forwarded, Dropped atomic.Uint64 }
+	counters.Dropped.Add(7)
+	p := New(Config{Ready: func(context.Context) error { return reason }})
+	p.Counters("Forwarder", &counters)
+	get := func(path string) (int, string) {
+		w := httptest.NewRecorder()
+		p.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		return w.Code, w.Body.String()
+	}
+	cases := map[string]struct {
+		reason error
+		path   string
+		code   int
+		text   string
+	}{
+		"health when not ready": {errNone, "/health", 200, "ok"},
+		"ready":                 {nil, "/ready", 200, "ready"},
+		"not ready":             {errors.New("because"), "/ready", 503, "because"},
+		"metrics":               {nil, "/debug/vars", 200, `"Forwarder.Dropped": 7`},
+		"unknown":               {nil, "/debug/pprof", 404, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			reason = c.reason
+			code, body := get(c.path)
+			require.Equal(t, c.code, code)
+			require.Contains(t, body, c.text)
+			require.NotContains(t, body, "cmdline")
+		})
+	}
+}
+
+// TestRun guards against a configured address that is silently not served.
+func TestRun(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	taken := server.Listener.Addr().String()
+	var e *Error
+	require.ErrorAs(t, New(Config{Listen: netip.MustParseAddrPort(taken)}).Run(context.Background()), &e)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, New(Config{}).Run(ctx))
+	require.NoError(t, New(Config{Listen: netip.MustParseAddrPort("127.0.0.1:0")}).Run(ctx))
+}
