--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -61,6 +61,8 @@
 	Port      uint16
 	Control   []netip.AddrPort
 	Processes map[string]*Process
+	// Probes has the address of health, readiness and metrics of each process.
+	Probes    map[string]netip.AddrPort
 	issuer    *issuer.Issuer
 	client    *http.Client
 	entryPort []uint16
@@ -70,7 +72,7 @@
 
 // Start starts all processes of a plan, applies the rules and waits until every process has them in force.
 func Start(ctx context.Context, plan Plan) (*System, error) {
-	s := &System{Plan: plan, Processes: map[string]*Process{}, callers: map[string]loader.TLS{}, client: messenger.NewClient(nil)}
+	s := &System{Plan: plan, Processes: map[string]*Process{}, Probes: map[string]netip.AddrPort{}, callers: map[string]loader.TLS{}, client: messenger.NewClient(nil)}
 	var err error
 	if s.issuer, err = issuer.New(plan.Folder); err != nil {
 		return nil, errors.Trace(err)
@@ -164,12 +166,14 @@
 
 func (s *System) process(name string, number int) loader.Process {
 	domains := s.Plan.FailureDomains
+	s.Probes[name] = loopback(freePort())
 	return loader.Process{
 		Name:          name,
 		FailureDomain: domains[number%len(domains)],
 		Region:        "local",
 		Control:       s.Control,
 		PacketKey:     packetKey,
+		Probe:         s.Probes[name],
 	}
 }
 
--- a/controller/drain.go
+++ b/controller/drain.go
@@ -19,13 +19,13 @@
 )
 
 var (
-	errNoMember     = errors.New("no living member has this name")
+	errNoMember     = errors.New("no member has this name")
 	errNotCommitted = errors.New("the membership log did not accept the drain in time; it may still do so")
 )
 
 // drain puts the event Leaving of a member into the membership log, so the member receives nothing new. The answer to
 // the member's next announcement tells it to finish and end. The log carries the mark, so it survives a control instance.
-// It returns after a majority has the event; a drain may be repeated.
+// It returns after a majority has the event, or at once when the member is dead. A drain may be repeated.
 func (c *Controller) drain(ctx context.Context, req *messenger.DrainRequest) (*messenger.DrainResponse, error) {
 	leads := false
 	var state cherviltide.MemberState
@@ -37,7 +37,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	for state != cherviltide.StateLeaving {
+	for state != cherviltide.StateLeaving && state != cherviltide.StateDead {
 		if state == "" {
 			return nil, &Error{cherviltide.Fault{Op: "controller.drain", Kind: cherviltide.KindInvalid, Err: errNoMember}}
 		}
@@ -63,9 +63,15 @@
 	return c.memberState(req.Member)
 }
 
+// memberState returns the state of a member; it is empty for a name that the membership log does not remember.
 func (c *Controller) memberState(name string) cherviltide.MemberState {
-	entry, _ := c.tracker.Entry(name)
-	return entry.State
+	if entry, ok := c.tracker.Entry(name); ok {
+		return entry.State
+	}
+	if incarnation, _ := c.tracker.Known(cherviltide.Member{Name: name}); incarnation > 0 {
+		return cherviltide.StateDead
+	}
+	return ""
 }
 
 // forwardDrain passes a drain on to the leader.
