--- a/commands/entry.go
+++ b/commands/entry.go
@@ -15,12 +15,13 @@
 )
 
 type entryCommand struct {
-	Settings string `arg:"required" help:"settings file (JSON)"`
+	Settings string   `arg:"required" help:"settings file (JSON)"`
+	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
 func (c *entryCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
 	var s loader.Entry
-	if err := loader.Read(c.Settings, &s); err != nil {
+	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
 	}
 	key, err := s.Key()
@@ -40,7 +41,9 @@
 		return err
 	}
 	log.Info("EntryStarted", zap.String("Name", s.Name))
-	return runGracefully(ctx, f, log, data.Run)
+	path, probe := newProbe(s.Process, f, data.InForce)
+	probe.Counters("Forwarder", &data.Counters)
+	return runGracefully(ctx, f, log, path.Watch(data.Run), probe.Run)
 }
 
 func ports(list []loader.Port) []forwarder.Port {
--- a/controller/members.go
+++ b/controller/members.go
@@ -158,6 +158,7 @@
 		return &messenger.AnnounceResponse{Expelled: !req.Ended, Incarnation: known}
 	}
 	c.members.reports[req.Member.Name] = *req
+	c.merge(req)
 	c.record(c.tracker.Announce(c.config.Clock.Now(), tracker.Announcement{
 		Member:           req.Member,
 		Leaving:          req.Leaving,
@@ -169,7 +170,7 @@
 	if !c.tracker.Alive(req.Member) {
 		return &messenger.AnnounceResponse{}
 	}
-	return &messenger.AnnounceResponse{Lease: tracker.Lease}
+	return &messenger.AnnounceResponse{Lease: tracker.Lease, Leave: c.mustLeave(req)}
 }
 
 // leader returns how to reach the leader of the membership group.
