--- a/controller/members.go
+++ b/controller/members.go
@@ -24,6 +24,9 @@
 	Record(entry []byte)
 	// Leads reports whether this instance leads the group.
 	Leads() bool
+	// Current reports whether this instance has heard lately from a leader that a majority confirms. Followers of an
+	// instance that is not current are sent away.
+	Current() bool
 	// Leader returns the leader's base URL and a client for it. The URL is empty when no leader is known.
 	Leader() (base string, client *http.Client)
 }
@@ -41,6 +44,8 @@
 
 func (a *alone) Leads() bool { return true }
 
+func (a *alone) Current() bool { return true }
+
 func (a *alone) Leader() (string, *http.Client) { return "", nil }
 
 // members is the controller's part of membership beside the tracker. It belongs to the control goroutine.
@@ -51,6 +56,7 @@
 	// rules are those of the registrar's current revision.
 	rules cherviltide.Rules
 	held  string
+	stale bool
 }
 
 func newMembers(log membershipLog) members {
@@ -91,6 +97,11 @@
 	c.record(c.tracker.Tick(now))
 	c.record(c.tracker.Maintain(now, c.members.rules.Services))
 	c.reportHeld()
+	if stale := !c.members.log.Current(); stale != c.members.stale {
+		c.members.stale = stale
+		c.config.Log.Warn("ControlCurrent", zap.Bool("Current", !stale))
+		c.publish()
+	}
 	for name, report := range c.members.reports {
 		if !c.tracker.Alive(report.Member) {
 			delete(c.members.reports, name)
@@ -119,12 +130,16 @@
 		c.members.rules = rules.WithRevision(current.Number)
 		c.record(c.tracker.Maintain(c.config.Clock.Now(), c.members.rules.Services))
 	}
+	events, oldest := c.tracker.Events()
 	c.distributor.Publish(distributor.State{
 		Revision: current.Number,
 		Text:     current.Edit.Text,
+		Base:     c.tracker.Base(),
 		Position: c.tracker.Position(),
-		Events:   c.tracker.Events(),
+		Oldest:   oldest,
+		Events:   events,
 		Tables:   c.tracker.Tables(),
+		Stale:    !c.members.log.Current(),
 	})
 }
 
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -11,79 +12,151 @@
 	"cherviltide.example/cherviltide/picker"
 )
 
-// Heartbeat is the longest time between two messages of a stream. Followers close a stream that is silent for longer.
-const Heartbeat = 500 * time.Millisecond
+// Timing of streams.
+const (
+	// Heartbeat is the longest time between two messages of a stream. Followers close a stream that is silent for longer.
+	Heartbeat = 500 * time.Millisecond
+	// pace is the shortest time between two messages of a stream, so that a burst of events is one message.
+	pace = 20 * time.Millisecond
+	// settleTime is how long a new log is kept from followers of another one. Members announce themselves to it in this
+	// time; without it the followers would exchange their tables for empty ones.
+	settleTime cherviltide.Millis = 5_000
+)
+
+var (
+	errUnsettled = errors.New("this control instance has a new membership log that members have yet to join")
+	errStale     = errors.New("this control instance has lost its majority")
+	errBehind    = errors.New("this control instance is behind the follower")
+)
 
 // State is what followers are to know. It is immutable.
 type State struct {
 	Revision uint64
 	Text     string
+	// Base and Position are of the membership log; both are 0 before the log is founded.
+	Base     uint64
 	Position uint64
+	// Oldest is a position after which no event is missing in Events.
+	Oldest uint64
 	// Events are the newest events in the order of their positions.
 	Events []cherviltide.PlacedEvent
 	// Tables has the table of each defined service at Position.
 	Tables map[string]*picker.Table
+	// Stale is set when the instance cannot know whether the state is the newest.
+	Stale bool
+}
+
+// published is a state with what is derived from it once for all streams.
+type published struct {
+	State
+	history *history
+	// digest is over all tables.
+	digest func() uint64
+	// since is when this instance first published the log's base.
+	since cherviltide.Millis
 }
 
 // Distributor publishes states to streams. It is safe for concurrent use.
 type Distributor struct {
-	mu      sync.Mutex
-	state   State
-	changed chan struct{}
+	mu        sync.Mutex
+	state     *published
+	changed   chan struct{}
+	admission *admission
+	now       func() cherviltide.Millis
 }
 
-// New returns a distributor with an empty state.
+// New returns a distributor with an empty state and the default limits.
 func New() *Distributor {
-	return &Distributor{changed: make(chan struct{})}
+	return WithLimits(DefaultLimits)
+}
+
+// WithLimits returns a distributor with an empty state.
+func WithLimits(limits Limits) *Distributor {
+	started := time.Now()
+	return &Distributor{
+		changed:   make(chan struct{}),
+		admission: newAdmission(limits),
+		state:     &published{history: &history{}, digest: func() uint64 { return 0 }},
+		now:       func() cherviltide.Millis { return cherviltide.MillisOf(time.Since(started)) },
+	}
 }
 
 // Publish replaces the state and wakes the streams.
 func (d *Distributor) Publish(state State) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.state = state
+	since := d.state.since
+	if state.Base != d.state.Base {
+		since = d.now()
+	}
+	d.state = &published{
+		State:   state,
+		since:   since,
+		history: d.state.history.with(d.state.Text, state.Revision, state.Text),
+		digest:  sync.OnceValue(func() uint64 { return Digest(state.Tables) }),
+	}
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
-func (d *Distributor) current() (State, <-chan struct{}) {
+func (d *Distributor) current() (*published, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.state, d.changed
 }
 
-// Serve sends updates to one follower until ctx ends or sending fails.
+// Serve sends updates to one follower until ctx ends, sending fails or the instance becomes stale. An error of kind
+// Unavailable means that the follower is to try another instance, after the time that the error names.
 func (d *Distributor) Serve(ctx context.Context, req *messenger.FollowRequest, send func(*messenger.FollowUpdate) error) error {
-	held := *req
+	state, _ := d.current()
+	leave, err := d.admission.enter(d.now(), !state.covers(req))
+	if err != nil {
+		return err
+	}
+	defer leave()
+	return d.stream(ctx, *req, send)
+}
+
+func (d *Distributor) stream(ctx context.Context, held messenger.FollowRequest, send func(*messenger.FollowUpdate) error) error {
 	ticker := time.NewTicker(Heartbeat)
 	defer ticker.Stop()
-	for {
+	for heartbeat := true; ; {
 		state, changed := d.current()
-		if err := send(update(state, &held)); err != nil {
+		if err := state.refuses(d.now(), &held); err != nil {
+			return err
+		}
+		u, err := state.update(&held, heartbeat)
+		if err != nil {
 			return err
 		}
+		if err := send(u); err != nil {
+			return err
+		}
+		heartbeat = false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pace):
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
 		case <-ticker.C:
+			heartbeat = true
 		}
 	}
 }
 
-// update returns what a follower lacks and advances what it holds.
-func update(state State, held *messenger.FollowRequest) *messenger.FollowUpdate {
-	u := &messenger.FollowUpdate{Position: state.Position}
-	if state.Revision > held.Revision {
-		u.Rules = &messenger.RulesUpdate{Revision: state.Revision, Text: state.Text}
-		held.Revision = state.Revision
-	}
-	for _, e := range state.Events {
-		if e.Position <= held.Position || (held.Service != "" && e.Event.Member.Service != held.Service) {
-			continue
-		}
-		u.Events = append(u.Events, e)
+// refuses returns why a follower is better served by another instance.
+func (p *published) refuses(now cherviltide.Millis, held *messenger.FollowRequest) error {
+	switch {
+	case held.Base != 0 && p.Base == 0, held.Base != 0 && p.Base != held.Base && now-p.since < settleTime:
+		return refusal("distributor.Serve", errUnsettled, staleRetry)
+	case p.Stale:
+		return refusal("distributor.Serve", errStale, staleRetry)
+	case p.Base == held.Base && p.Position < held.Position:
+		return refusal("distributor.Serve", errBehind, staleRetry)
 	}
-	held.Position = max(held.Position, state.Position)
-	return u
+	return nil
 }
--- /dev/null
+++ b/follower/accept.go
@@ -0,0 +1,102 @@
+package follower
+
+import (
+	"errors"
+
+	"go.uber.org/zap"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/distributor"
+	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/parser"
+)
+
+var (
+	errDiverged = errors.New("tables differ from those of the control instance")
+	errRules    = errors.New("rules text differs from that of the control instance")
+	errSilent   = errors.New("control stream is silent")
+)
+
+// accept publishes the view after an update. After an error the stream is to be closed; the next request then asks for a
+// snapshot.
+func (f *Follower) accept(u *messenger.FollowUpdate) error {
+	view, err := f.acceptRules(f.View(), u.Rules)
+	if err != nil {
+		return err
+	}
+	if view, err = acceptMembers(view, u); err != nil {
+		f.resync.Store(true)
+		f.view.Store(view)
+		return err
+	}
+	f.view.Store(view)
+	if u.Digest != 0 && u.Digest != distributor.Digest(view.defined) {
+		f.resync.Store(true)
+		f.config.Log.Warn("StateDiverged", zap.Uint64("Position", view.Position))
+		return conflict("follower.accept", errDiverged)
+	}
+	f.resync.Store(false)
+	return nil
+}
+
+// acceptMembers returns the view after the tables and events of an update; after an error it is the view before them.
+func acceptMembers(view *View, u *messenger.FollowUpdate) (*View, error) {
+	if !u.Reset && u.Base == view.Base && u.Position < view.Position {
+		return view, conflict("follower.accept", errDiverged)
+	}
+	next := view
+	var events []cherviltide.PlacedEvent
+	after := view.Position
+	for _, d := range u.Events {
+		e, ok := d.Event(after)
+		if !ok {
+			return view, conflict("follower.accept", errDiverged)
+		}
+		after = e.Position
+		events = append(events, e)
+	}
+	if len(events) > 0 {
+		next = next.WithEvents(events)
+	}
+	if u.Reset || len(u.Tables) > 0 {
+		var err error
+		if next, err = next.withTables(u.Tables, u.Reset); err != nil {
+			return view, err
+		}
+	}
+	return next.withPosition(u.Base, u.Position), nil
+}
+
+// acceptRules returns the view after a rules update. A text that this process cannot parse leaves its rules in force.
+func (f *Follower) acceptRules(view *View, u *messenger.RulesUpdate) (*View, error) {
+	if u == nil || u.Revision <= view.received {
+		return view, nil
+	}
+	text := u.Text
+	if len(u.Deltas) > 0 {
+		text = view.text
+	}
+	for _, d := range u.Deltas {
+		var err error
+		if text, err = d.Apply(text); err != nil {
+			f.wholeText.Store(true)
+			return nil, err
+		}
+	}
+	if messenger.TextDigest(text) != u.Digest {
+		f.wholeText.Store(true)
+		return nil, conflict("follower.accept", errRules)
+	}
+	f.wholeText.Store(false)
+	view = view.withText(u.Revision, text)
+	rules, err := parser.Parse(text)
+	if err != nil {
+		f.config.Log.Error("RulesNotParsed", zap.Uint64("Revision", u.Revision), zap.Error(err))
+		return view, nil
+	}
+	return view.WithRules(rules.WithRevision(u.Revision)), nil
+}
+
+func conflict(op string, err error) error {
+	return &Error{cherviltide.Fault{Op: op, Kind: cherviltide.KindConflict, Err: err}}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -12,22 +12,11 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
-	"cherviltide.example/cherviltide/parser"
 	"cherviltide.example/cherviltide/runner"
 )
 
-// Timing of subscriptions.
-const (
-	// silence is how long a stream may bring nothing, heartbeats included, before it counts as broken.
-	silence cherviltide.Millis = 3_000
-	// retryBase and retryMax bound the wait before the next attempt at another control instance.
-	retryBase cherviltide.Millis = 100
-	retryMax  cherviltide.Millis = 5_000
-	// announceInterval is the time between two announcements.
-	announceInterval cherviltide.Millis = 1_000
-)
-
-var errSilent = errors.New("control stream is silent")
+// silence is how long a stream may bring nothing, heartbeats included, before it counts as broken.
+const silence cherviltide.Millis = 3_000
 
 // Config describes the process that follows.
 type Config struct {
@@ -46,16 +35,22 @@
 // Follower keeps a View current.
 type Follower struct {
 	config  Config
+	member  atomic.Pointer[cherviltide.Member]
 	view    atomic.Pointer[View]
 	leaving atomic.Bool
 	ended   atomic.Bool
-	wake    chan struct{}
-	leaseMs atomic.Int64
+	// wake interrupts the wait between two announcements.
+	wake  chan struct{}
+	lease lease
+	// resync asks for a snapshot of the tables, wholeText for the whole rules text.
+	resync    atomic.Bool
+	wholeText atomic.Bool
 }
 
 // New returns a follower that has not started.
 func New(config Config) *Follower {
 	f := &Follower{config: config, wake: make(chan struct{}, 1)}
+	f.member.Store(&config.Member)
 	f.view.Store(NewView())
 	return f
 }
@@ -65,16 +60,9 @@
 	return f.view.Load()
 }
 
-// Leave asks control to send the process nothing new.
-func (f *Follower) Leave() {
-	f.leaving.Store(true)
-	f.signal()
-}
-
-// End tells control that the process has finished. It returns after control has answered or ctx has ended.
-func (f *Follower) End(ctx context.Context) error {
-	f.ended.Store(true)
-	return f.announce(ctx, f.config.NewClient(), f.pick(0))
+// Member returns the process as it announces itself. Its incarnation grows when control has expelled the process.
+func (f *Follower) Member() cherviltide.Member {
+	return *f.member.Load()
 }
 
 // Run follows and announces until ctx ends.
@@ -85,13 +73,7 @@
 	return group.Wait()
 }
 
-func (f *Follower) signal() {
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
-}
-
+// pick returns the control instance of an attempt.
 func (f *Follower) pick(attempt int) string {
 	return f.config.Control[attempt%len(f.config.Control)]
 }
@@ -99,24 +81,34 @@
 // followLoop holds one subscription at a time and moves to another instance when it breaks.
 func (f *Follower) followLoop(ctx context.Context) error {
 	attempt := rand.IntN(len(f.config.Control))
-	wait := retryBase
+	waits := backoff{random: rand.Int64N}
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := f.follow(ctx, f.pick(attempt))
 		if ctx.Err() != nil {
 			return nil
 		}
-		if time.Since(started) > silence.Duration() {
-			wait = retryBase
+		if time.Since(started) > 2*silence.Duration() {
+			waits.reset()
 		}
-		f.config.Log.Info("ControlStreamEnded", zap.String("Control", f.pick(attempt)), zap.Error(err))
+		wait := waits.next(retryAfter(err))
+		f.config.Log.Info("ControlStreamEnded", zap.String("Control", f.pick(attempt)), zap.Error(err),
+			zap.Int64("WaitMs", int64(wait)))
 		attempt++
-		sleep(ctx, cherviltide.Millis(rand.Int64N(int64(wait))+1))
-		wait = min(wait*2, retryMax)
+		sleep(ctx, wait)
 	}
 	return nil
 }
 
+// retryAfter returns the wait that a refusal asks for, or 0.
+func retryAfter(err error) cherviltide.Millis {
+	var remote *messenger.Error
+	if errors.As(err, &remote) {
+		return remote.Retry
+	}
+	return 0
+}
+
 // follow runs one subscription on a connection of its own.
 func (f *Follower) follow(ctx context.Context, base string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -125,89 +117,36 @@
 	defer client.CloseIdleConnections()
 	watchdog := time.AfterFunc(silence.Duration(), func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	view := f.View()
-	req := &messenger.FollowRequest{
-		Name:     f.config.Member.Name,
-		Revision: view.Rules.Revision,
-		Position: view.Position,
-		Service:  f.config.Service,
-	}
-	err := messenger.Follow.Call(ctx, client, base, req, func(u *messenger.FollowUpdate) error {
+	err := messenger.Follow.Call(ctx, client, base, f.request(), func(u *messenger.FollowUpdate) error {
 		watchdog.Reset(silence.Duration())
 		return f.accept(u)
 	})
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
-		err = cause
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return &Error{cherviltide.Fault{Op: "follower.follow", Kind: cherviltide.KindUnavailable, Err: errSilent}}
 	}
 	return err
 }
 
-// accept publishes the view after an update.
-func (f *Follower) accept(u *messenger.FollowUpdate) error {
+// request tells what the process holds, so that control sends the rest.
+func (f *Follower) request() *messenger.FollowRequest {
 	view := f.View()
-	if u.Rules != nil {
-		rules, err := parser.Parse(u.Rules.Text)
-		if err != nil {
-			return &Error{cherviltide.Fault{Op: "follower.accept", Kind: cherviltide.KindDamaged, Err: err}}
-		}
-		view = view.WithRules(rules.WithRevision(u.Rules.Revision))
-	}
-	if len(u.Events) > 0 {
-		view = view.WithEvents(u.Events)
-	}
-	if u.Position > view.Position {
-		next := *view
-		next.Position = u.Position
-		view = &next
-	}
-	f.view.Store(view)
-	return nil
-}
-
-// announceLoop renews the lease and tries another control instance after each failure.
-func (f *Follower) announceLoop(ctx context.Context) error {
-	client := f.config.NewClient()
-	attempt := rand.IntN(len(f.config.Control))
-	for ctx.Err() == nil {
-		if err := f.announce(ctx, client, f.pick(attempt)); err != nil && ctx.Err() == nil {
-			f.config.Log.Info("AnnounceFailed", zap.String("Control", f.pick(attempt)), zap.Error(err))
-			attempt++
-			client.CloseIdleConnections()
-			client = f.config.NewClient()
-		}
-		f.pause(ctx)
-	}
-	return nil
-}
-
-func (f *Follower) pause(ctx context.Context) {
-	timer := time.NewTimer(announceInterval.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-f.wake:
-	case <-timer.C:
+	req := &messenger.FollowRequest{
+		Name:     f.config.Member.Name,
+		Revision: view.received,
+		Base:     view.Base,
+		Position: view.Position,
+		Service:  f.config.Service,
 	}
-}
-
-func (f *Follower) announce(ctx context.Context, client *http.Client, base string) error {
-	ctx, cancel := context.WithTimeout(ctx, silence.Duration())
-	defer cancel()
-	req := &messenger.AnnounceRequest{
-		Member:       f.config.Member,
-		Leaving:      f.leaving.Load(),
-		Ended:        f.ended.Load(),
-		RevisionSeen: f.View().Rules.Revision,
+	if f.resync.Load() {
+		req.Position = 0
 	}
-	f.config.Report(req)
-	res, err := messenger.Announce.Call(ctx, client, base, req)
-	if err != nil {
-		return err
+	if !f.wholeText.Load() {
+		req.RulesDigest = messenger.TextDigest(view.text)
 	}
-	f.leaseMs.Store(int64(res.Lease))
-	return nil
+	return req
 }
 
+// sleep waits for the span or until ctx ends.
 func sleep(ctx context.Context, span cherviltide.Millis) {
 	timer := time.NewTimer(span.Duration())
 	defer timer.Stop()
--- a/messenger/error.go
+++ b/messenger/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 
 	"connectrpc.com/connect"
 
@@ -9,11 +10,21 @@
 )
 
 // Error is a failed remote call.
-type Error struct{ cherviltide.Fault }
+type Error struct {
+	cherviltide.Fault
+	// Retry is how long the peer asks to wait before the call is repeated; 0 when it does not say.
+	Retry cherviltide.Millis
+}
 
 // kinded is implemented by the error types of all packages.
 type kinded interface{ FaultKind() cherviltide.ErrorKind }
 
+// delayed is implemented by errors that say when to try again.
+type delayed interface{ RetryAfter() cherviltide.Millis }
+
+// retryHeader carries the time of delayed errors in milliseconds.
+const retryHeader = "Cherviltide-Retry-Ms"
+
 var codes = map[cherviltide.ErrorKind]connect.Code{
 	cherviltide.KindInvalid:     connect.CodeInvalidArgument,
 	cherviltide.KindUnavailable: connect.CodeUnavailable,
@@ -29,7 +40,12 @@
 	if !errors.As(err, &k) {
 		return connect.NewError(connect.CodeInternal, err)
 	}
-	return connect.NewError(codes[k.FaultKind()], err)
+	encoded := connect.NewError(codes[k.FaultKind()], err)
+	var d delayed
+	if errors.As(err, &d) {
+		encoded.Meta().Set(retryHeader, strconv.FormatInt(int64(d.RetryAfter()), 10))
+	}
+	return encoded
 }
 
 // decodeError converts an error that came from a peer.
@@ -44,5 +60,11 @@
 			kind = k
 		}
 	}
-	return &Error{cherviltide.Fault{Op: op, Kind: kind, Err: err}}
+	decoded := &Error{Fault: cherviltide.Fault{Op: op, Kind: kind, Err: err}}
+	var remote *connect.Error
+	if errors.As(err, &remote) {
+		retry, _ := strconv.ParseInt(remote.Meta().Get(retryHeader), 10, 64)
+		decoded.Retry = cherviltide.Millis(max(retry, 0))
+	}
+	return decoded
 }
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -96,29 +96,3 @@
 	// Lags is set when the member does not run the accepted revision.
 	Lags bool
 }
-
-// FollowRequest subscribes to configuration and membership.
-type FollowRequest struct {
-	Name string
-	// Revision and Position are what the follower holds already.
-	Revision uint64
-	Position uint64
-	// Service limits membership events to one service; empty means all.
-	Service string
-}
-
-// FollowUpdate is one message of a subscription. An empty update is a heartbeat.
-type FollowUpdate struct {
-	// Position is the newest membership position that this update brings the follower to.
-	Position uint64
-	// Events are in the order of their positions.
-	Events []cherviltide.PlacedEvent
-	// Rules is nil when the follower's revision is current.
-	Rules *RulesUpdate
-}
-
-// RulesUpdate carries an accepted rules file.
-type RulesUpdate struct {
-	Revision uint64
-	Text     string
-}
--- a/messenger/procedure.go
+++ b/messenger/procedure.go
@@ -7,6 +7,9 @@
 	"connectrpc.com/connect"
 )
 
+// compressMinimum is the size in bytes from which responses are compressed. Heartbeats grow under compression.
+const compressMinimum = 512
+
 // Procedure is a unary remote call with a request and a response type.
 type Procedure[Req, Res any] struct {
 	path string
@@ -20,7 +23,7 @@
 			return nil, encodeError(err)
 		}
 		return connect.NewResponse(res), nil
-	}, connect.WithCodec(codec{}))
+	}, connect.WithCodec(codec{}), connect.WithCompressMinBytes(compressMinimum))
 	mux.Handle(p.path, handler)
 }
 
@@ -47,7 +50,7 @@
 			return encodeError(err)
 		}
 		return nil
-	}, connect.WithCodec(codec{}))
+	}, connect.WithCodec(codec{}), connect.WithCompressMinBytes(compressMinimum))
 	mux.Handle(s.path, handler)
 }
 
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -7,8 +7,15 @@
 	"time"
 )
 
-// dialTimeout bounds the time until a connection to a peer is open.
-const dialTimeout = 2 * time.Second
+// Timeouts of connections.
+const (
+	// dialTimeout bounds the time until a connection to a peer is open.
+	dialTimeout = 2 * time.Second
+	// writeTimeout ends a connection whose peer takes no bytes, so that a silent peer holds no memory of a server.
+	writeTimeout = 5 * time.Second
+	// pingInterval is how long a server's connection may bring no frame before it is probed.
+	pingInterval = 10 * time.Second
+)
 
 // NewClient returns an HTTP/2 client with connections of its own. A nil tlsConfig means cleartext.
 func NewClient(tlsConfig *tls.Config) *http.Client {
@@ -19,6 +26,8 @@
 		Protocols:       protocols,
 		TLSClientConfig: tlsConfig,
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		// A response that was cancelled on a silent connection would otherwise keep the connection open.
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: writeTimeout, WriteByteTimeout: writeTimeout},
 	}}
 }
 
@@ -33,6 +42,11 @@
 		Protocols:         protocols,
 		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: dialTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  pingInterval,
+			PingTimeout:      writeTimeout,
+			WriteByteTimeout: writeTimeout,
+		},
 	}
 }
 
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -48,7 +48,7 @@
 		return &Error{cherviltide.Fault{Op: "tracker.Restore", Kind: cherviltide.KindDamaged, Err: err}}
 	}
 	next := New()
-	next.base, next.position = s.Base, s.Position
+	next.base, next.position, next.oldest = s.Base, s.Position, s.Position
 	for _, x := range s.Entries {
 		next.entries[x.Member.Name] = x
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -40,6 +40,8 @@
 	// base is 0 until the log is founded.
 	base     uint64
 	position uint64
+	// oldest is a position after which all events are in events.
+	oldest uint64
 	// entries has no dead members.
 	entries map[string]Entry
 	graves  map[string]grave
@@ -74,7 +76,7 @@
 		return
 	}
 	if e.Type == cherviltide.EventFounded && t.base == 0 {
-		t.base = e.Generation
+		t.base, t.oldest = e.Generation, e.Generation
 	}
 	if t.base == 0 {
 		return
@@ -98,8 +100,7 @@
 	case cherviltide.EventFounded:
 		return false
 	case cherviltide.EventDefined:
-		t.define(e)
-		return false
+		return t.define(e)
 	case cherviltide.EventJoined:
 		return t.join(e.Member)
 	}
@@ -147,15 +148,16 @@
 	delete(t.graves, oldest)
 }
 
-// define starts the table of a service from its present members, so every instance derives the same table.
-func (t *Tracker) define(e cherviltide.MemberEvent) {
+// define starts the table of a service from its present members, so every instance derives the same table. It reports
+// whether the table is new.
+func (t *Tracker) define(e cherviltide.MemberEvent) bool {
 	name := e.Member.Service
 	if e.Buckets <= 0 {
 		delete(t.tables, name)
-		return
+		return true
 	}
 	if old, ok := t.tables[name]; ok && old.Service().Buckets == min(e.Buckets, picker.MaxBuckets) {
-		return
+		return false
 	}
 	table := picker.New(newService(name, e.Buckets))
 	for _, x := range t.Entries() {
@@ -164,6 +166,7 @@
 		}
 	}
 	t.tables[name] = table
+	return true
 }
 
 // events returns the events that lead a new table to the entry's state.
@@ -207,6 +210,7 @@
 // retain appends an event and drops the older half when there are too many. Published slices stay as they are.
 func (t *Tracker) retain(e cherviltide.PlacedEvent) {
 	if len(t.events) >= 2*eventLimit {
+		t.oldest = t.events[eventLimit-1].Position
 		t.events = slices.Clone(t.events[eventLimit:])
 	}
 	t.events = append(t.events, e)
@@ -224,9 +228,14 @@
 	return list
 }
 
-// Events returns the newest events. The caller must not change them.
-func (t *Tracker) Events() []cherviltide.PlacedEvent {
-	return t.events
+// Base returns the base of the log; it is 0 before the log is founded.
+func (t *Tracker) Base() uint64 {
+	return t.base
+}
+
+// Events returns the newest events and a position after which none is missing. The caller must not change them.
+func (t *Tracker) Events() (events []cherviltide.PlacedEvent, oldest uint64) {
+	return t.events, t.oldest
 }
 
 // Tables returns the table of each defined service. The caller owns the map.
