Test distribution over loopback connections and virtual time

Cause: silence, missed changes, divergence, a lost log and a storm of returning followers had no test. Change: bench/swallower forwards TCP and makes open connections silent; tests use it, a reduced control instance and virtual time for admission. The divergence test has a run without digests, in which the state stays wrong.

--- a/distributor/admission.go
+++ b/distributor/admission.go
@@ -15,7 +15,7 @@
 	Opens, Snapshots int
 }
 
-// DefaultLimits let an instance take back 3,400 entries in 9 s and 22,000 agents over 10 instances in 5.5 s.
+// DefaultLimits spread the return of 3,400 entries to one instance over at least 8 s.
 var DefaultLimits = Limits{Streams: 10_000, Opens: 400, Snapshots: 400}
 
 // staleRetry is the wait that a stale or late instance asks for.
--- /dev/null
+++ b/distributor/distributor_test.go
@@ -0,0 +1,148 @@
+package distributor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/messenger"
+)
+
+// TestStorm guards against an instance that is overloaded when 3,400 entries return at once, and against followers that
+// never get in.
+func TestStorm(t *testing.T) {
+	limits := Limits{Streams: 4_000, Opens: 400, Snapshots: 200}
+	a, r := newAdmission(limits), rand.New(rand.NewPCG(1, 0))
+	next := make([]cherviltide.Millis, 3_400)
+	admitted := map[int]int{}
+	attempts, in := 0, 0
+	for now := cherviltide.Millis(0); now < 60_000; now++ {
+		for i, at := range next {
+			if at < 0 || at > now {
+				continue
+			}
+			attempts++
+			_, err := a.enter(now, true)
+			var refused *Error
+			if !errors.As(err, &refused) {
+				next[i] = -1
+				admitted[int(now/1_000)]++
+				in++
+				continue
+			}
+			require.Equal(t, cherviltide.KindUnavailable, refused.FaultKind())
+			next[i] = now + refused.Retry + cherviltide.Millis(r.Int64N(int64(refused.Retry)+1))
+		}
+	}
+	require.Equal(t, len(next), in, "followers that never got in")
+	for second, n := range admitted {
+		require.LessOrEqual(t, n, 2*limits.Snapshots, "second %d", second)
+	}
+	t.Logf("%d attempts for %d followers", attempts, in)
+	require.Less(t, attempts, 10*len(next))
+	_, err := newAdmission(Limits{Streams: 0, Opens: 1, Snapshots: 1}).enter(0, false)
+	require.Error(t, err)
+}
+
+// TestSlowFollower guards against a follower that takes no bytes and thereby stops publishing or other followers.
+func TestSlowFollower(t *testing.T) {
+	d := New()
+	ctx, cancel := context.WithCancel(context.Background())
+	stuck, ended := make(chan struct{}), make(chan error, 2)
+	go func() {
+		ended <- d.Serve(ctx, &messenger.FollowRequest{}, func(*messenger.FollowUpdate) error {
+			close(stuck)
+			<-ctx.Done()
+			return ctx.Err()
+		})
+	}()
+	<-stuck
+	received := make(chan uint64, 1_000)
+	go func() {
+		ended <- d.Serve(ctx, &messenger.FollowRequest{}, func(u *messenger.FollowUpdate) error {
+			received <- u.Position
+			return nil
+		})
+	}()
+	for i := range uint64(1_000) {
+		d.Publish(State{Base: 1, Position: i + 1})
+	}
+	for position := uint64(0); position < 1_000; {
+		position = <-received
+	}
+	cancel()
+	<-ended
+	<-ended
+	leave, err := d.admission.enter(0, false)
+	require.NoError(t, err)
+	leave()
+	require.Zero(t, d.admission.streams, "streams that ended are still counted")
+}
+
+// TestRulesDelta guards against a rules change that is sent as the whole file, and against a delta for a text that the
+// follower does not hold.
+func TestRulesDelta(t *testing.T) {
+	lines := strings.Split(strings.Repeat("Service a Address 127.0.0.1:1 # requested by test\n", 500), "\n")
+	d, texts := New(), []string{""}
+	for revision := range uint64(20) {
+		lines[revision*7] = fmt.Sprintf("Service a Address 127.0.0.1:%d # requested by test", revision+2)
+		texts = append(texts, strings.Join(lines, "\n"))
+		d.Publish(State{Revision: revision + 1, Text: texts[revision+1]})
+	}
+	state, _ := d.current()
+	for name, test := range map[string]struct {
+		held, digest uint64
+		deltas       int
+	}{
+		"one behind":          {19, messenger.TextDigest(texts[19]), 1},
+		"ten behind":          {10, messenger.TextDigest(texts[10]), 10},
+		"another text":        {19, 1, 0},
+		"text asked for":      {19, 0, 0},
+		"revision of another": {19, messenger.TextDigest(texts[18]), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u, err := state.update(&messenger.FollowRequest{Revision: test.held, RulesDigest: test.digest}, false)
+			require.NoError(t, err)
+			require.Len(t, u.Rules.Deltas, test.deltas)
+			text := u.Rules.Text
+			if test.deltas > 0 {
+				require.Empty(t, text)
+				text = texts[test.held]
+			}
+			for _, x := range u.Rules.Deltas {
+				text, err = x.Apply(text)
+				require.NoError(t, err)
+			}
+			require.Equal(t, state.Text, text)
+		})
+	}
+}
+
+// TestRefusals guards against a follower that stays with an instance which cannot serve it, or loses its tables to an
+// empty log.
+func TestRefusals(t *testing.T) {
+	held := messenger.FollowRequest{Base: 10, Position: 20}
+	for name, test := range map[string]struct {
+		state   State
+		now     cherviltide.Millis
+		refused bool
+	}{
+		"same log":              {State{Base: 10, Position: 20}, 0, false},
+		"instance is behind":    {State{Base: 10, Position: 19}, 0, true},
+		"instance is stale":     {State{Base: 10, Position: 20, Stale: true}, 0, true},
+		"instance has no log":   {State{}, 60_000, true},
+		"log is new":            {State{Base: 40, Position: 41}, 0, true},
+		"log is new and joined": {State{Base: 40, Position: 41}, settleTime, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := (&published{State: test.state}).refuses(test.now, &held)
+			require.Equal(t, test.refused, err != nil)
+		})
+	}
+}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,264 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/bench/swallower"
+	"cherviltide.example/cherviltide/distributor"
+	"cherviltide.example/cherviltide/follower"
+	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/tracker"
+)
+
+// patience bounds the wait for something that must happen; no verdict depends on how soon it happens.
+const patience = 40 * time.Second
+
+// instance is a control instance reduced to distribution. It is safe for concurrent use.
+type instance struct {
+	mu          sync.Mutex
+	tracker     *tracker.Tracker
+	distributor *distributor.Distributor
+	index       uint64
+	revision    uint64
+	text        string
+	url         string
+	mux         *http.ServeMux
+	close       func()
+	// edit changes each update on its way to followers.
+	edit func(*messenger.FollowUpdate)
+}
+
+func newInstance(t *testing.T, founded cherviltide.Millis) *instance {
+	x := &instance{tracker: tracker.New(), distributor: distributor.New()}
+	mux := http.NewServeMux()
+	messenger.Follow.Handle(mux, func(ctx context.Context, req *messenger.FollowRequest, send func(*messenger.FollowUpdate) error) error {
+		return x.distributor.Serve(ctx, req, func(u *messenger.FollowUpdate) error {
+			x.mu.Lock()
+			if x.edit != nil {
+				x.edit(u)
+			}
+			x.mu.Unlock()
+			return send(u)
+		})
+	})
+	messenger.Announce.Handle(mux, func(context.Context, *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
+		return &messenger.AnnounceResponse{Lease: tracker.Lease}, nil
+	})
+	x.mux, x.url = mux, "127.0.0.1:0"
+	x.serve(t)
+	x.commit(tracker.Founded(founded), cherviltide.MemberEvent{
+		Type: cherviltide.EventDefined, Member: cherviltide.Member{Service: "desk"}, Buckets: 64,
+	})
+	return x
+}
+
+// serve listens at the instance's address until close.
+func (x *instance) serve(t *testing.T) {
+	listener, err := net.Listen("tcp", x.url)
+	require.NoError(t, err)
+	server := messenger.NewServer(x.mux, nil)
+	go func() { _ = server.Serve(listener) }()
+	x.url, x.close = listener.Addr().String(), func() { _ = server.Close() }
+	t.Cleanup(x.close)
+}
+
+// commit appends events to the membership log and publishes the state.
+func (x *instance) commit(events ...cherviltide.MemberEvent) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, e := range events {
+		entry, err := tracker.Encode(e)
+		if err != nil {
+			panic(err)
+		}
+		x.index++
+		x.tracker.Apply(x.index, entry)
+	}
+	x.publish()
+}
+
+// apply accepts revisions up to the given one; each appends a customer.
+func (x *instance) apply(revision uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for x.revision < revision {
+		x.revision++
+		if x.text == "" {
+			x.text = "Service desk Address 127.9.0.1:443 Buckets 64 # requested by test\n"
+		}
+		x.text += fmt.Sprintf("Customer c%d Services desk # requested by test\n", x.revision)
+		x.publish()
+	}
+}
+
+func (x *instance) publish() {
+	events, oldest := x.tracker.Events()
+	x.distributor.Publish(distributor.State{
+		Revision: x.revision, Text: x.text, Base: x.tracker.Base(), Position: x.tracker.Position(),
+		Oldest: oldest, Events: events, Tables: x.tracker.Tables(),
+	})
+}
+
+// has reports whether a view is equal to the instance's state.
+func (x *instance) has(view *follower.View) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	table, ok := view.Tables["desk"]
+	return ok && view.Rules.Revision == x.revision && view.Position == x.tracker.Position() &&
+		len(view.Rules.Customers) == int(x.revision) && table.Digest() == x.tracker.Tables()["desk"].Digest()
+}
+
+func joined(i int, incarnation uint64) cherviltide.MemberEvent {
+	return cherviltide.MemberEvent{Type: cherviltide.EventJoined, Member: cherviltide.Member{
+		Name: fmt.Sprintf("desk-%d", i), Role: cherviltide.RoleAgent, Service: "desk", Weight: 1000,
+		Incarnation: incarnation, Address: netip.MustParseAddrPort("127.0.0.1:1000"),
+	}}
+}
+
+func newFollower(addresses ...string) *follower.Follower {
+	var urls []string
+	for _, a := range addresses {
+		urls = append(urls, "http://"+a)
+	}
+	return follower.New(follower.Config{
+		Member: cherviltide.Member{Name: "entry-1", Role: cherviltide.RoleEntry}, Control: urls,
+		NewClient: func() *http.Client { return messenger.NewClient(nil) },
+		Report:    func(*messenger.AnnounceRequest) {}, Log: zap.NewNop(),
+	})
+}
+
+// start runs a follower and returns what stops it.
+func start(t *testing.T, f *follower.Follower) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	stop = sync.OnceFunc(func() { cancel(); require.NoError(t, <-done) })
+	t.Cleanup(stop)
+	return stop
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, patience, 10*time.Millisecond, what)
+}
+
+// TestSilentStream guards against a follower that waits for a stream that is open but dead.
+func TestSilentStream(t *testing.T) {
+	x := newInstance(t, 1_000)
+	x.apply(1)
+	device, err := swallower.Listen(x.url)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- device.Run(ctx) }()
+	f := newFollower(device.Address())
+	stop := start(t, f)
+	eventually(t, "first state", func() bool { return x.has(f.View()) })
+	require.Positive(t, device.Silence())
+	x.commit(joined(1, 1))
+	x.apply(2)
+	require.False(t, x.has(f.View()), "the silent stream still delivers")
+	eventually(t, "state after the silence", func() bool { return x.has(f.View()) })
+	stop()
+	cancel()
+	require.NoError(t, <-ended)
+}
+
+// TestMissedChanges guards against a follower that is wrong after it was away, or after control lost its log.
+func TestMissedChanges(t *testing.T) {
+	tests := map[string]struct{ events, revisions int }{
+		"hundreds of events":        {500, 1},
+		"more events than are kept": {9_000, 1},
+		"hundreds of revisions":     {1, 300},
+		"more revisions than kept":  {1, 700},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newInstance(t, 1_000)
+			x.apply(1)
+			x.commit(joined(1, 1), joined(2, 1), joined(3, 1))
+			f := newFollower(x.url)
+			stop := start(t, f)
+			eventually(t, "first state", func() bool { return x.has(f.View()) })
+			stop()
+			var missed []cherviltide.MemberEvent
+			for i := range test.events {
+				missed = append(missed, joined(i%5, uint64(2+i)))
+			}
+			x.commit(missed...)
+			x.apply(uint64(1 + test.revisions))
+			require.False(t, x.has(f.View()))
+			start(t, f)
+			eventually(t, "state after the return", func() bool { return x.has(f.View()) })
+		})
+	}
+}
+
+// TestDivergence guards against a follower whose tables differ for good. Without digests they do.
+func TestDivergence(t *testing.T) {
+	for name, digests := range map[string]bool{"digests": true, "mechanism off": false} {
+		t.Run(name, func(t *testing.T) {
+			x := newInstance(t, 1_000)
+			x.apply(1)
+			heartbeats := make(chan struct{}, 100)
+			x.edit = func(u *messenger.FollowUpdate) {
+				if u.Digest != 0 && len(heartbeats) < cap(heartbeats) {
+					heartbeats <- struct{}{}
+				}
+				u.Events = nil
+				if !digests {
+					u.Digest = 0
+				}
+			}
+			f := newFollower(x.url)
+			start(t, f)
+			eventually(t, "first state", func() bool { return x.has(f.View()) })
+			x.commit(joined(1, 1))
+			if digests {
+				eventually(t, "mended state", func() bool { return x.has(f.View()) })
+				return
+			}
+			for range 4 {
+				<-heartbeats
+			}
+			require.False(t, x.has(f.View()), "the state was mended without digests")
+		})
+	}
+}
+
+// TestRevisionNeverLower guards against a follower that goes back to an older configuration, and against one that drops
+// its view when control is gone or has lost its logs.
+func TestRevisionNeverLower(t *testing.T) {
+	newer := newInstance(t, 1_000)
+	newer.apply(5)
+	newer.commit(joined(1, 1))
+	lost := newInstance(t, 2_000)
+	lost.close()
+	f := newFollower(newer.url, lost.url)
+	start(t, f)
+	eventually(t, "newer state", func() bool { return newer.has(f.View()) })
+	newer.close()
+	held := f.View()
+	lost.apply(3)
+	lost.commit(joined(2, 1))
+	lost.serve(t)
+	eventually(t, "tables of the new log", func() bool { return f.View().Base != held.Base })
+	require.Equal(t, uint64(5), f.View().Rules.Revision)
+	require.Equal(t, lost.tracker.Tables()["desk"].Digest(), f.View().Tables["desk"].Digest())
+	lost.apply(6)
+	eventually(t, "revision above the held one", func() bool { return lost.has(f.View()) })
+	last := f.View()
+	lost.close()
+	require.Same(t, last, f.View(), "the view outlives control")
+}
