Keep support running while work finishes, and list dead members

Cause: when an agent stopped, the expiry of its flows and the probe of its receiver ended after 2 s although requests were still running.

Change: a process consists of what serves and what supports it; support and the follower end after serving has ended. An entry goes on until it has forwarded nothing for 1 s, at most 8 s after the signal. The tracker keeps the last 4,096 dead members, and status lists the newest 100 of them.

Without a signal to the fabric, an entry under constant traffic ends only at its 8 s limit.

--- a/commands/agent.go
+++ b/commands/agent.go
@@ -56,5 +56,8 @@
 		Slots: admitter.New(s.Slots),
 	})
 	log.Info("AgentStarted", zap.String("Name", s.Name))
-	return runGracefully(ctx, f, log, data.Run, func(ctx context.Context) error { return server.Run(ctx, data) })
+	return work{
+		Serve:   func(ctx context.Context) error { return server.Run(ctx, data) },
+		Support: []func(context.Context) error{data.Run},
+	}.run(ctx, f, log)
 }
--- /dev/null
+++ b/commands/drain_test.go
@@ -0,0 +1,36 @@
+package commands
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide"
+)
+
+// TestDrain guards against an entry that ends while others still send to it, and against one that never ends.
+func TestDrain(t *testing.T) {
+	for name, test := range map[string]struct {
+		// busy is until when datagrams arrive, in milliseconds after the signal.
+		busy, want cherviltide.Millis
+	}{
+		"no traffic":            {0, leaveGrace},
+		"traffic ends at once":  {500, leaveGrace},
+		"traffic for 4 s":       {4_000, 4_000 + quietTime},
+		"traffic without end":   {60_000, drainLimit},
+		"traffic until the end": {drainLimit - 500, drainLimit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const start = 1_000_000
+			d, activity := newDrain(start, 7), uint64(7)
+			now := cherviltide.Millis(start)
+			for !d.done(now, activity) {
+				now += 100
+				if now-start <= test.busy {
+					activity++
+				}
+			}
+			require.Equal(t, test.want, now-start)
+		})
+	}
+}
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -40,7 +40,10 @@
 		return err
 	}
 	log.Info("EntryStarted", zap.String("Name", s.Name))
-	return runGracefully(ctx, f, log, data.Run)
+	return work{
+		Serve:    data.Run,
+		Activity: func() uint64 { return data.Counters.Forwarded.Load() + data.Counters.Replied.Load() },
+	}.run(ctx, f, log)
 }
 
 func ports(list []loader.Port) []forwarder.Port {
--- a/controller/members.go
+++ b/controller/members.go
@@ -15,6 +15,9 @@
 	"cherviltide.example/cherviltide/tracker"
 )
 
+// listedDead is how many dead members a status lists.
+const listedDead = 100
+
 var errNoLeader = errors.New("no leader of the membership group is known")
 
 // membershipLog is the log of the membership group as the control goroutine sees it. Its committed entries come back in
@@ -220,7 +223,7 @@
 func (c *Controller) describe(res *messenger.StatusResponse) {
 	res.Revision, res.Position = c.registrar.Current().Number, c.tracker.Position()
 	res.Confirmed, res.Held = c.tracker.Leads(), c.tracker.Held()
-	for _, entry := range c.tracker.Entries() {
+	for _, entry := range append(c.tracker.Entries(), c.tracker.Dead(listedDead)...) {
 		report := c.members.reports[entry.Member.Name]
 		res.Members = append(res.Members, messenger.MemberStatus{
 			Member:          entry.Member,
@@ -228,7 +231,7 @@
 			RevisionSeen:    report.RevisionSeen,
 			RevisionInForce: report.RevisionInForce,
 			Generation:      report.Generation,
-			Lags:            report.RevisionInForce < res.Revision,
+			Lags:            entry.State != cherviltide.StateDead && report.RevisionInForce < res.Revision,
 		})
 	}
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -2,6 +2,7 @@
 package tracker
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -17,7 +18,7 @@
 	// eventLimit is how many events are kept for followers that lag; those further behind need a snapshot.
 	eventLimit = 4096
 	// graveLimit is how many dead members are remembered, so that late announcements of theirs change nothing.
-	graveLimit = 8192
+	graveLimit = 4096
 )
 
 // Error is damaged membership state.
@@ -31,8 +32,8 @@
 
 // grave remembers a dead member.
 type grave struct {
-	Incarnation uint64
-	Position    uint64
+	Member   cherviltide.Member
+	Position uint64
 }
 
 // Tracker holds the members, the tables of the services and the newest events. One goroutine uses it.
@@ -129,13 +130,13 @@
 
 // incarnation returns the newest known incarnation of a member, dead or alive, or 0.
 func (t *Tracker) incarnation(name string) uint64 {
-	return max(t.entries[name].Member.Incarnation, t.graves[name].Incarnation)
+	return max(t.entries[name].Member.Incarnation, t.graves[name].Member.Incarnation)
 }
 
 // bury moves a member to the dead and forgets the member that died first when there are too many.
 func (t *Tracker) bury(m cherviltide.Member) {
+	t.graves[m.Name] = grave{Member: t.entries[m.Name].Member, Position: t.position}
 	delete(t.entries, m.Name)
-	t.graves[m.Name] = grave{Incarnation: m.Incarnation, Position: t.position}
 	if len(t.graves) <= graveLimit {
 		return
 	}
@@ -228,6 +229,17 @@
 	return list
 }
 
+// Dead returns at most limit dead members, those that died last first.
+func (t *Tracker) Dead(limit int) []Entry {
+	list := slices.Collect(maps.Values(t.graves))
+	slices.SortFunc(list, func(a, b grave) int { return cmp.Compare(b.Position, a.Position) })
+	var dead []Entry
+	for _, g := range list[:min(limit, len(list))] {
+		dead = append(dead, Entry{Member: g.Member, State: cherviltide.StateDead})
+	}
+	return dead
+}
+
 // Base returns the base of the log; it is 0 before the log is founded.
 func (t *Tracker) Base() uint64 {
 	return t.base
