--- a/commands/agent.go
+++ b/commands/agent.go
@@ -73,7 +73,7 @@
 	}
 	data, err = holder.Listen(holder.Config{
 		Self: member, Framer: framer.New(key), Clock: system, View: f.View,
-		Busy: func() bool { return ctx.Err() != nil || busy(f.View().Rules, s.Service, slots) },
+		Busy: func() bool { return f.Leaving() || busy(f.View().Rules, s.Service, slots) },
 	})
 	if err != nil {
 		return err
@@ -88,8 +88,10 @@
 	probe.Counters("Holder", &data.Counters)
 	probe.Metric("Holder.Flows", func() any { return data.Flows() })
 	probe.Metric("Requests", func() any { return counter.Snapshot() })
-	serve := path.Watch(func(ctx context.Context) error { return server.Run(ctx, data) })
-	return runGracefully(ctx, f, log, path.Watch(data.Run), slots.Run, claims.Run, peers, serve, probe.Run)
+	return work{
+		Serve:   path.Watch(func(ctx context.Context) error { return server.Run(ctx, data) }),
+		Support: []func(context.Context) error{path.Watch(data.Run), slots.Run, claims.Run, peers, probe.Run},
+	}.run(ctx, f, log)
 }
 
 // rate is the target's measured service rate in thousandths of a nominal slot; 0 when it is not known.
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -43,7 +43,11 @@
 	log.Info("EntryStarted", zap.String("Name", s.Name))
 	path, probe := newProbe(s.Process, f, data.InForce)
 	probe.Counters("Forwarder", &data.Counters)
-	return runGracefully(ctx, f, log, path.Watch(data.Run), probe.Run)
+	return work{
+		Serve:    path.Watch(data.Run),
+		Support:  []func(context.Context) error{probe.Run},
+		Activity: func() uint64 { return data.Counters.Forwarded.Load() + data.Counters.Replied.Load() },
+	}.run(ctx, f, log)
 }
 
 func ports(list []loader.Port) []forwarder.Port {
