Forward in batches and count drops by reason

Cause: the entry made two system calls for each datagram, stopped at the end of its context, logged nothing about drops, sent replies of one service from the address of another when an agent asked for it, and panicked on a reply header with an IPv6 caller.

Ruled out: golang.org/x/net/ipv4, which allocates four times for each datagram.

--- a/commands/entry.go
+++ b/commands/entry.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	data, err = forwarder.Listen(forwarder.Config{
-		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View,
+		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View, Log: log,
 	})
 	if err != nil {
 		return err
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -7,26 +7,81 @@
 	"cherviltide.example/cherviltide/framer"
 )
 
-// Counters count datagrams since the start of the process.
+// Reason tells why a datagram was dropped.
+type Reason int
+
+// The reasons for drops.
+const (
+	NoDestination Reason = iota // The operating system did not tell the virtual address.
+	NoService                   // No service has the virtual address.
+	NoTarget                    // The service has no live agent.
+	Empty                       // A datagram without payload.
+	TooLong                     // The datagram and its header exceed the largest UDP payload.
+	Looped                      // The caller's address is the entry's or a virtual one, or the hop limit is exceeded.
+	Short                       // An agent's datagram is shorter than the header.
+	Version                     // The header version is not supported.
+	Tag                         // The authentication tag does not match: the sender has another key or none.
+	Type                        // The datagram is not a reply, or its flags are invalid.
+	Length                      // The payload length does not match.
+	WrongService                // The reply's service is not the one behind its virtual address.
+	Address                     // An address of the datagram is not IPv4.
+	SendFailed                  // The operating system refused to send the datagram.
+	reasons
+)
+
+var reasonNames = [reasons]string{
+	"NoDestination", "NoService", "NoTarget", "Empty", "TooLong", "Looped", "Short", "Version", "Tag", "Type", "Length",
+	"WrongService", "Address", "SendFailed",
+}
+
+// String returns the name of the reason.
+func (r Reason) String() string {
+	if r < 0 || r >= reasons {
+		return "Unknown"
+	}
+	return reasonNames[r]
+}
+
+// Counters count datagrams since the start of the process. They are safe for concurrent use.
 type Counters struct {
-	Forwarded     atomic.Uint64
-	Replied       atomic.Uint64
-	NoDestination atomic.Uint64 // The operating system did not tell the virtual address.
-	NoService     atomic.Uint64 // No service has the virtual address.
-	NoTarget      atomic.Uint64 // The service has no agent that takes new flows.
-	SendFailed    atomic.Uint64
-	BadTag        atomic.Uint64
-	BadType       atomic.Uint64
-	Malformed     atomic.Uint64 // Wrong length, version or hop count.
+	// Forwarded datagrams went to agents, Replied ones to callers.
+	Forwarded, Replied atomic.Uint64
+	dropped            [reasons]atomic.Uint64
+	// sendError is the last error number of a failed send.
+	sendError atomic.Int64
+}
+
+// Dropped returns the number of datagrams dropped for a reason.
+func (c *Counters) Dropped(r Reason) uint64 {
+	return c.dropped[r].Load()
+}
+
+func (c *Counters) drop(r Reason) {
+	c.dropped[r].Add(1)
+}
+
+// sent counts the result of a batch of sends in one direction.
+func (c *Counters) sent(good *atomic.Uint64, s *sender) {
+	good.Add(uint64(s.good))
+	if s.failed > 0 {
+		c.dropped[SendFailed].Add(uint64(s.failed))
+		c.sendError.Store(int64(s.lastError))
+	}
 }
 
-func (c *Counters) drop(err error) {
+// reasonOf returns the reason for a datagram that the framer refuses.
+func reasonOf(err error) Reason {
 	switch {
 	case errors.Is(err, framer.ErrTag):
-		c.BadTag.Add(1)
-	case errors.Is(err, framer.ErrType):
-		c.BadType.Add(1)
-	default:
-		c.Malformed.Add(1)
+		return Tag
+	case errors.Is(err, framer.ErrShort):
+		return Short
+	case errors.Is(err, framer.ErrVersion):
+		return Version
+	case errors.Is(err, framer.ErrLength):
+		return Length
+	case errors.Is(err, framer.ErrHops):
+		return Looped
 	}
+	return Type
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -1,5 +1,5 @@
 // Package forwarder is the data path of an entry: it takes datagrams of callers on any virtual address, sends each to the
-// agent that its table names, and sends the agents' replies back to the callers.
+// agent that its table names, and sends the agents' replies back to the callers. It keeps no state for each flow.
 package forwarder
 
 import (
@@ -7,11 +7,12 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/follower"
@@ -21,14 +22,18 @@
 
 // Sizes and times of the data path.
 const (
-	// maxDatagram is the largest UDP payload, in bytes.
-	maxDatagram = 65535
 	// socketBuffer is the receive buffer of each socket, in bytes.
 	socketBuffer = 4 << 20
 	// idleRefresh is how often an idle receiver looks at the current view.
 	idleRefresh = 200 * time.Millisecond
+	// logInterval is the time between two log lines about drops.
+	logInterval = 5 * time.Second
+	// errorPause keeps a receiver whose socket fails repeatedly from using a whole core.
+	errorPause = 10 * time.Millisecond
 )
 
+var errAddress = errors.New("only IPv4 addresses are supported")
+
 // Error is a failure of the forwarder's sockets.
 type Error struct{ cherviltide.Fault }
 
@@ -40,13 +45,19 @@
 
 // Config describes an entry's data path.
 type Config struct {
-	// Listen is the wildcard address of the public sockets.
+	// Listen is the wildcard address of the public sockets (IPv4).
 	Listen netip.Addr
 	Ports  []Port
-	// Internal is the address of the socket towards the agents.
+	// Internal is the address of the socket towards the agents (IPv4); port 0 means any free port.
 	Internal netip.AddrPort
 	Framer   framer.Framer
 	View     func() *follower.View
+	// Receivers is the number of goroutines that read each socket; 0 means 1. Each uses 2 MiB for its batch.
+	Receivers int
+	// Grace is how long Run goes on after its context has ended.
+	Grace time.Duration
+	// Log may be nil.
+	Log *zap.Logger
 }
 
 // Forwarder is an entry's data path.
@@ -54,185 +65,262 @@
 	config   Config
 	public   []*net.UDPConn
 	internal *net.UDPConn
-	inForce  atomic.Uint64
+	// inForce has the revision that each receiver of a public socket decided with last.
+	inForce  []atomic.Uint64
+	closed   chan struct{}
+	once     sync.Once
 	Counters Counters
 }
 
-// Listen opens the sockets.
+// Listen opens the sockets. An error of kind Invalid means that an address is not IPv4.
 func Listen(config Config) (*Forwarder, error) {
-	f := &Forwarder{config: config}
+	if !config.Listen.Is4() || !config.Internal.Addr().Is4() {
+		return nil, fault(cherviltide.KindInvalid, errAddress)
+	}
+	config.Receivers = max(config.Receivers, 1)
+	if config.Log == nil {
+		config.Log = zap.NewNop()
+	}
+	f := &Forwarder{config: config, closed: make(chan struct{})}
+	f.inForce = make([]atomic.Uint64, config.Receivers*len(config.Ports))
 	internal, err := listenUDP(config.Internal)
 	if err != nil {
-		return nil, fault("forwarder.Listen", err)
+		return nil, fault(cherviltide.KindInternal, err)
 	}
 	f.internal = internal
+	f.config.Internal = internal.LocalAddr().(*net.UDPAddr).AddrPort()
 	for _, p := range config.Ports {
 		conn, err := listenUDP(netip.AddrPortFrom(config.Listen, p.Listen))
 		if err != nil {
 			f.close()
-			return nil, fault("forwarder.Listen", err)
+			return nil, fault(cherviltide.KindInternal, err)
 		}
 		f.public = append(f.public, conn)
 		if err := setPacketInfo(conn); err != nil {
 			f.close()
-			return nil, fault("forwarder.Listen", err)
+			return nil, fault(cherviltide.KindInternal, err)
 		}
 	}
 	return f, nil
 }
 
-// InForce returns the configuration revision that decided the last datagram.
+// InForce returns the configuration revision that decided the last datagram, of the receiver with the oldest one.
 func (f *Forwarder) InForce() uint64 {
-	return f.inForce.Load()
+	if len(f.inForce) == 0 {
+		return 0
+	}
+	lowest := f.inForce[0].Load()
+	for i := range f.inForce {
+		lowest = min(lowest, f.inForce[i].Load())
+	}
+	return lowest
 }
 
-// Run forwards until ctx ends, then closes the sockets.
+// Run forwards until the grace after the end of ctx is over, then closes the sockets.
 func (f *Forwarder) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, f.close)
+	stop := context.AfterFunc(ctx, func() { time.AfterFunc(f.config.Grace, f.close) })
 	defer stop()
-	group := runner.NewGroup(ctx, len(f.public)+1)
-	for i := range f.public {
-		group.Go("receive", func(ctx context.Context) error { return f.receive(ctx, i) })
+	defer f.close()
+	group := runner.NewGroup(ctx, f.config.Receivers*(len(f.public)+1)+1)
+	for i := range f.config.Receivers {
+		for port := range f.public {
+			group.Go("receive", func(context.Context) error { return f.receive(port, &f.inForce[port*f.config.Receivers+i]) })
+		}
+		group.Go("reply", func(context.Context) error { return f.reply() })
 	}
-	group.Go("reply", f.reply)
+	group.Go("log", func(context.Context) error { f.logDrops(); return nil })
 	return group.Wait()
 }
 
 func (f *Forwarder) close() {
+	f.once.Do(func() { close(f.closed) })
 	_ = f.internal.Close()
 	for _, c := range f.public {
 		_ = c.Close()
 	}
 }
 
-// receive takes the callers' datagrams of one port.
-func (f *Forwarder) receive(ctx context.Context, port int) error {
-	conn := f.public[port]
-	buffer := make([]byte, framer.Size+maxDatagram)
-	oob := make([]byte, 128)
-	for ctx.Err() == nil {
-		_ = conn.SetReadDeadline(time.Now().Add(idleRefresh))
-		n, nOOB, _, caller, err := conn.ReadMsgUDPAddrPort(buffer[framer.Size:], oob)
+// receive takes the callers' datagrams of one port until its socket is closed.
+func (f *Forwarder) receive(port int, inForce *atomic.Uint64) error {
+	in, err := newReceiver(f.public[port], framer.Size)
+	if err != nil {
+		return fault(cherviltide.KindInternal, err)
+	}
+	out, err := newSender(f.internal)
+	if err != nil {
+		return fault(cherviltide.KindInternal, err)
+	}
+	deadline := newDeadline(f.public[port])
+	for {
+		deadline.renew()
+		n, err := in.read()
 		view := f.config.View()
-		f.inForce.Store(view.Rules.Revision)
+		inForce.Store(view.Rules.Revision)
 		if err != nil {
-			if ended := endOfSocket(err); ended {
+			if f.ended(err) {
 				return nil
 			}
 			continue
 		}
-		virtual, ok := destination(oob[:nOOB], f.config.Ports[port].Virtual)
+		f.forward(view, in, out, n, f.config.Ports[port].Virtual)
+	}
+}
+
+// forward sends a batch of callers' datagrams to the owners of their flows. The header goes into the room before each.
+func (f *Forwarder) forward(view *follower.View, in *receiver, out *sender, n int, port uint16) {
+	for i := range n {
+		virtual, ok := destination(in.control(i), port)
+		if !ok {
+			f.Counters.drop(NoDestination)
+			continue
+		}
+		length := in.length(i)
+		key := cherviltide.FlowKey{Caller: in.source(i), Virtual: virtual}
+		to, reason, ok := decide(view, f.config.Internal, key, length)
 		if !ok {
-			f.Counters.NoDestination.Add(1)
+			f.Counters.drop(reason)
 			continue
 		}
-		f.forward(view, buffer, n, cherviltide.FlowKey{Caller: unmap(caller), Virtual: virtual})
+		datagram := in.slot(i)[:framer.Size+length]
+		f.config.Framer.Encode(datagram, to.header, length)
+		out.add(datagram, to.agent, netip.Addr{})
 	}
-	return nil
+	_ = out.flush()
+	f.Counters.sent(&f.Counters.Forwarded, out)
 }
 
-// forward sends one datagram, which stands behind room for the header, to the flow's owner.
-func (f *Forwarder) forward(view *follower.View, buffer []byte, n int, key cherviltide.FlowKey) {
-	table, ok := view.ByAddress[key.Virtual]
-	if !ok {
-		f.Counters.NoService.Add(1)
-		return
-	}
-	agent, ok := table.Pick(key)
-	if !ok {
-		f.Counters.NoTarget.Add(1)
-		return
-	}
-	h := framer.Header{
-		Type:       framer.TypeForward,
-		Service:    table.Service().ID,
-		Generation: table.Generation(),
-		Flow:       key,
-		Entry:      f.config.Internal,
+// reply takes the agents' datagrams and sends them to the callers until the internal socket is closed.
+func (f *Forwarder) reply() error {
+	in, err := newReceiver(f.internal, 0)
+	if err != nil {
+		return fault(cherviltide.KindInternal, err)
 	}
-	f.config.Framer.Encode(buffer, h, n)
-	if _, err := f.internal.WriteToUDPAddrPort(buffer[:framer.Size+n], agent.Address); err != nil {
-		f.Counters.SendFailed.Add(1)
-		return
+	out := make([]*sender, len(f.public))
+	for i := range f.public {
+		if out[i], err = newSender(f.public[i]); err != nil {
+			return fault(cherviltide.KindInternal, err)
+		}
 	}
-	f.Counters.Forwarded.Add(1)
-}
-
-// reply takes the agents' datagrams and sends them to the callers.
-func (f *Forwarder) reply(ctx context.Context) error {
-	buffer := make([]byte, framer.Size+maxDatagram)
-	for ctx.Err() == nil {
-		n, _, err := f.internal.ReadFromUDPAddrPort(buffer)
+	for {
+		n, err := in.read()
 		if err != nil {
-			if ended := endOfSocket(err); ended {
+			if f.ended(err) {
 				return nil
 			}
 			continue
 		}
-		h, payload, err := f.config.Framer.Decode(buffer[:n])
-		if err != nil {
-			f.Counters.drop(err)
+		f.answer(f.config.View(), in, out, n)
+	}
+}
+
+// answer sends a batch of replies to the callers, each through the socket of its virtual port.
+func (f *Forwarder) answer(view *follower.View, in *receiver, out []*sender, n int) {
+	for i := range n {
+		h, payload, reason, ok := accept(view, f.config.Framer, in.slot(i)[:in.length(i)])
+		if !ok {
+			f.Counters.drop(reason)
+			continue
+		}
+		port := f.portOf(h.Flow.Virtual.Port())
+		if port < 0 {
+			f.Counters.drop(NoService)
 			continue
 		}
-		f.answer(h, payload)
+		out[port].add(payload, h.Flow.Caller, h.Flow.Virtual.Addr())
+	}
+	for _, s := range out {
+		_ = s.flush()
+		f.Counters.sent(&f.Counters.Replied, s)
 	}
-	return nil
 }
 
-func (f *Forwarder) answer(h framer.Header, payload []byte) {
-	if h.Type != framer.TypeReply {
-		f.Counters.BadType.Add(1)
-		return
-	}
+// portOf returns the index of the public socket for a virtual port, or -1.
+func (f *Forwarder) portOf(virtual uint16) int {
 	for i, p := range f.config.Ports {
-		if p.Virtual != h.Flow.Virtual.Port() {
-			continue
+		if p.Virtual == virtual {
+			return i
 		}
-		var oob [unix.SizeofCmsghdr + unix.SizeofInet4Pktinfo + 8]byte
-		control := sourceControl(oob[:], h.Flow.Virtual.Addr())
-		if _, _, err := f.public[i].WriteMsgUDPAddrPort(payload, control, h.Flow.Caller); err != nil {
-			f.Counters.SendFailed.Add(1)
+	}
+	return -1
+}
+
+// ended reports whether a receive error ends the receiver. After an error that is not a timeout it pauses.
+func (f *Forwarder) ended(err error) bool {
+	if errors.Is(err, net.ErrClosed) {
+		return true
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return false
+	}
+	timer := time.NewTimer(errorPause)
+	defer timer.Stop()
+	select {
+	case <-f.closed:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// logDrops writes one line per interval and reason for which datagrams were dropped, until the sockets are closed.
+func (f *Forwarder) logDrops() {
+	ticker := time.NewTicker(logInterval)
+	defer ticker.Stop()
+	var logged [reasons]uint64
+	for {
+		select {
+		case <-f.closed:
 			return
+		case <-ticker.C:
+		}
+		for r := range reasons {
+			n := f.Counters.Dropped(r)
+			if n == logged[r] {
+				continue
+			}
+			fields := []zap.Field{zap.Stringer("Reason", r), zap.Uint64("Count", n-logged[r])}
+			if r == SendFailed {
+				fields = append(fields, zap.Error(syscall.Errno(f.Counters.sendError.Load())))
+			}
+			f.config.Log.Warn("DatagramsDropped", fields...)
+			logged[r] = n
 		}
-		f.Counters.Replied.Add(1)
-		return
 	}
-	f.Counters.NoService.Add(1)
 }
 
-func fault(op string, err error) error {
-	return &Error{cherviltide.Fault{Op: op, Kind: cherviltide.KindInternal, Err: err}}
+// deadline is the read deadline of an idle receiver's socket.
+type deadline struct {
+	conn *net.UDPConn
+	at   time.Time
+}
+
+func newDeadline(conn *net.UDPConn) *deadline {
+	return &deadline{conn: conn}
 }
 
-// endOfSocket reports whether a receive error means that the socket was closed.
-func endOfSocket(err error) bool {
-	return errors.Is(err, net.ErrClosed)
+// renew moves the deadline when half of the refresh interval has passed, so that a busy receiver seldom pays for it.
+func (d *deadline) renew() {
+	now := time.Now()
+	if d.at.Sub(now) > idleRefresh/2 {
+		return
+	}
+	d.at = now.Add(idleRefresh)
+	_ = d.conn.SetReadDeadline(d.at)
 }
 
-func unmap(a netip.AddrPort) netip.AddrPort {
-	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+func fault(kind cherviltide.ErrorKind, err error) error {
+	return &Error{cherviltide.Fault{Op: "forwarder.Listen", Kind: kind, Err: err}}
 }
 
 func listenUDP(address netip.AddrPort) (*net.UDPConn, error) {
-	network := "udp4"
-	if address.Addr().Is6() {
-		network = "udp6"
-	}
-	conn, err := net.ListenUDP(network, net.UDPAddrFromAddrPort(address))
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, err
 	}
-	return conn, conn.SetReadBuffer(socketBuffer)
-}
-
-func setPacketInfo(conn *net.UDPConn) error {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return err
+	if err := errors.Join(conn.SetReadBuffer(socketBuffer), conn.SetWriteBuffer(socketBuffer)); err != nil {
+		_ = conn.Close()
+		return nil, err
 	}
-	var optionErr error
-	err = raw.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, syscall.IP_PKTINFO, 1)
-	})
-	return errors.Join(err, optionErr)
+	return conn, nil
 }
--- a/forwarder/packetinfo.go
+++ b/forwarder/packetinfo.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
+	"net"
 	"net/netip"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -30,10 +33,25 @@
 
 // sourceControl writes a control message into b that sets the source address of a datagram.
 func sourceControl(b []byte, source netip.Addr) []byte {
+	b = b[:unix.CmsgSpace(unix.SizeofInet4Pktinfo)]
+	clear(b)
 	binary.NativeEndian.PutUint64(b, unix.SizeofCmsghdr+unix.SizeofInet4Pktinfo)
 	binary.NativeEndian.PutUint32(b[8:], unix.IPPROTO_IP)
 	binary.NativeEndian.PutUint32(b[12:], unix.IP_PKTINFO)
 	ip := source.As4()
 	copy(b[infoSource:], ip[:])
-	return b[:unix.CmsgSpace(unix.SizeofInet4Pktinfo)]
+	return b
+}
+
+// setPacketInfo lets a socket tell the destination address of each datagram.
+func setPacketInfo(conn *net.UDPConn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, syscall.IP_PKTINFO, 1)
+	})
+	return errors.Join(err, optionErr)
 }
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -52,6 +52,7 @@
 	ErrVersion = errors.New("header version is not supported")
 	ErrType    = errors.New("datagram type is not known")
 	ErrLength  = errors.New("payload length does not match the datagram")
+	ErrFlags   = errors.New("more than one flag or an unknown flag is set")
 	ErrHops    = errors.New("hop limit exceeded")
 	ErrTag     = errors.New("authentication tag does not match")
 )
@@ -123,6 +124,9 @@
 	if h.Type != TypeForward && h.Type != TypeReply {
 		return Header{}, nil, ErrType
 	}
+	if h.Flags&(h.Flags-1) != 0 || h.Flags > FlagHeld {
+		return Header{}, nil, ErrFlags
+	}
 	if h.Hops > MaxHops {
 		return Header{}, nil, ErrHops
 	}
--- a/framer/framer_test.go
+++ b/framer/framer_test.go
@@ -62,6 +62,29 @@
 	}
 }
 
+// Guards against datagrams of a process with the key whose fields no process writes, and against endless ones.
+func TestDecodeRefusesInvalidFields(t *testing.T) {
+	f := framer.New([16]byte{1, 2, 3})
+	cases := map[string]struct {
+		change func(h *framer.Header)
+		want   error
+	}{
+		"unknown type": {func(h *framer.Header) { h.Type = 3 }, framer.ErrType},
+		"two flags":    {func(h *framer.Header) { h.Flags = framer.FlagProbe | framer.FlagHeld }, framer.ErrFlags},
+		"unknown flag": {func(h *framer.Header) { h.Flags = 0x40 }, framer.ErrFlags},
+		"hops":         {func(h *framer.Header) { h.Hops = framer.MaxHops + 1 }, framer.ErrHops},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h, b := testHeader, make([]byte, framer.Size)
+			c.change(&h)
+			f.Encode(b, h, 0)
+			_, _, err := f.Decode(b)
+			require.ErrorIs(t, err, c.want)
+		})
+	}
+}
+
 // Guards against datagrams from a process with another key.
 func TestDecodeRefusesOtherKey(t *testing.T) {
 	_, _, err := framer.New([16]byte{9}).Decode(encoded(framer.New([16]byte{8}), "datagram"))
