Drive the notes of agents in the placement properties

Cause: Table.Second used fields that the table no longer has, and the model followed the search for a holder without notes.

Change: Second reads the shared rows; the model keeps notes, tells the sender of a probe about the holder, and sends opening datagrams for open flows too.

Conclusion: an agent must not stand in below a generation that it declared.

--- a/bench/measurer/cluster.go
+++ b/bench/measurer/cluster.go
@@ -26,7 +26,7 @@
 	place func(*picker.Table) cherviltide.Picker
 	// pickers caches the results of place.
 	pickers map[*picker.Table]cherviltide.Picker
-	// careless agents open flows without asking the table; it shows what picker.OpenedAt prevents.
+	// careless agents record every flow at the generation of their own table; it shows what Step.Opened prevents.
 	careless bool
 	// unchecked agents take datagrams of other services; it shows what the check prevents.
 	unchecked bool
@@ -42,19 +42,16 @@
 	at int
 	// flows has the generation at which each held flow was opened.
 	flows map[cherviltide.FlowKey]uint64
+	// notes do not expire.
+	notes map[cherviltide.FlowKey]holder.Note
 	up    bool
 	// declared is the highest generation that the agent has declared in a Released event.
 	declared uint64
 }
 
-// open opens a flow, unless later tables would not find it at this agent.
-func (a *modelAgent) open(table *picker.Table, key cherviltide.FlowKey) bool {
-	opened, ok := table.OpenedAt(key, a.member)
-	if !ok || opened < a.declared {
-		return false
-	}
-	a.flows[key] = opened
-	return true
+// table returns the table that the agent decides with.
+func (a *modelAgent) table() *picker.Table {
+	return a.home.tables[a.at]
 }
 
 // delivery is what became of a datagram.
@@ -89,6 +86,7 @@
 	m.Service, m.Role = c.service.Name, cherviltide.RoleAgent
 	c.record(cherviltide.MemberEvent{Type: cherviltide.EventJoined, Member: m})
 	a := &modelAgent{member: m, home: c, at: c.last(), flows: map[cherviltide.FlowKey]uint64{}, up: true}
+	a.notes = map[cherviltide.FlowKey]holder.Note{}
 	c.agents = append(c.agents, a)
 	c.network[m.Address] = a
 	return a
@@ -111,7 +109,7 @@
 
 // release records that an agent holds no flow that it opened before the oldest one it has.
 func (c *cluster) release(a *modelAgent) {
-	oldest := c.tables[a.at].Generation()
+	oldest := a.table().Generation()
 	for _, opened := range a.flows {
 		oldest = min(oldest, opened)
 	}
@@ -119,9 +117,10 @@
 	c.record(cherviltide.MemberEvent{Type: cherviltide.EventReleased, Member: a.member, Generation: oldest})
 }
 
-// find returns the running agent at a member's address, which may be another incarnation or serve another service.
-func (c *cluster) find(m cherviltide.Member) *modelAgent {
-	if a, ok := c.network[m.Address]; ok && a.up {
+// find returns the running agent at an address. It may be another incarnation than the sender knows, or serve another
+// service.
+func (n network) find(address netip.AddrPort) *modelAgent {
+	if a, ok := n[address]; ok && a.up {
 		return a
 	}
 	return nil
@@ -140,36 +139,29 @@
 	h := framer.Header{
 		Type: framer.TypeForward, Service: c.service.ID, Generation: table.Generation(), Flow: key,
 	}
-	return c.travel(h, c.find(m), opening)
+	return c.travel(h, c.network.find(m.Address), opening)
 }
 
 // travel follows a datagram from agent to agent.
 func (c *cluster) travel(h framer.Header, at *modelAgent, opening bool) delivery {
-	var sender *modelAgent
+	var sender netip.AddrPort
 	for at != nil && h.Hops < framer.MaxHops {
-		_, held := at.flows[h.Flow]
-		table := at.home.tables[at.at]
-		if table.Service().ID != h.Service && !c.unchecked {
-			return delivery{hops: int(h.Hops)}
+		if at.home.service.ID != h.Service && !c.unchecked {
+			break
 		}
-		step := holder.Decide(holder.Situation{
-			Self: at.member, Table: table, Header: h, Held: held, Opening: opening, Busy: c.busy(at),
-		})
+		step := c.decide(h, at, sender, opening)
 		switch step.Action {
-		case holder.ActionDeliver:
-			return delivery{agent: at, hops: int(h.Hops)}
-		case holder.ActionOpen:
-			if c.careless || c.unchecked {
-				at.flows[h.Flow] = table.Generation()
-			} else if !at.open(table, h.Flow) {
+		case holder.ActionDeliver, holder.ActionOpen:
+			if step.Action == holder.ActionOpen && !c.open(at, step, h.Flow) {
 				return delivery{hops: int(h.Hops)}
 			}
-			return delivery{agent: at, opened: true, hops: int(h.Hops)}
+			c.notify(step, h, at, sender)
+			return delivery{agent: at, opened: step.Action == holder.ActionOpen, hops: int(h.Hops)}
 		case holder.ActionPass:
-			h.Generation = table.Generation()
-			sender, at = at, c.find(step.Next)
+			h.Generation = at.table().Generation()
+			sender, at = at.member.Address, c.network.find(step.To)
 		case holder.ActionReturn:
-			sender, at = at, sender
+			sender, at = at.member.Address, c.network.find(sender)
 		default:
 			return delivery{hops: int(h.Hops)}
 		}
@@ -179,6 +171,44 @@
 	return delivery{hops: int(h.Hops)}
 }
 
+// decide asks an agent and keeps its note.
+func (c *cluster) decide(h framer.Header, at *modelAgent, sender netip.AddrPort, opening bool) holder.Step {
+	_, held := at.flows[h.Flow]
+	step := holder.Decide(holder.Situation{
+		Self: at.member, Table: at.table(), Header: h, Sender: sender, Note: at.notes[h.Flow],
+		Held: held, Opening: opening, Busy: c.busy(at),
+	})
+	if step.Forget {
+		delete(at.notes, h.Flow)
+	}
+	if step.Note.Kind != holder.NoteNone {
+		at.notes[h.Flow] = step.Note
+	}
+	return step
+}
+
+// open opens a flow, unless the agent has declared that it holds none of that generation. holder.Holder does not check
+// this yet: an agent that stands in for an owner just after it announced a release can open a flow that the release makes
+// later tables forget.
+func (c *cluster) open(at *modelAgent, step holder.Step, key cherviltide.FlowKey) bool {
+	opened := step.Opened
+	if c.careless {
+		opened = at.table().Generation()
+	} else if place, ok := at.table().OpenedAt(key, at.member); !c.unchecked && (!ok || place < at.declared) {
+		return false
+	}
+	at.flows[key] = opened
+	return true
+}
+
+// notify tells the sender of a probe that the agent holds the flow.
+func (c *cluster) notify(step holder.Step, h framer.Header, at *modelAgent, sender netip.AddrPort) {
+	if to := c.network.find(sender); step.Notify && to != nil {
+		h.Flags, h.Position = framer.FlagHeld, 0
+		c.decide(h, to, at.member.Address, false)
+	}
+}
+
 // sendByPicker delivers without a search: the agent that the picker names holds the flow, opens it or drops the datagram.
 func (c *cluster) sendByPicker(table *picker.Table, key cherviltide.FlowKey, opening bool) delivery {
 	p, ok := c.pickers[table]
@@ -190,7 +220,7 @@
 	if !ok {
 		return delivery{}
 	}
-	at := c.find(m)
+	at := c.network.find(m.Address)
 	if at == nil {
 		return delivery{}
 	}
--- a/bench/measurer/cluster_test.go
+++ b/bench/measurer/cluster_test.go
@@ -85,7 +85,7 @@
 		h.packet(h.anyEntry(t), flowKey(h.nextKey), true)
 	default:
 		if keys := h.open(); len(keys) > 0 {
-			h.packet(h.anyEntry(t), rapid.SampledFrom(keys).Draw(t, "flow"), false)
+			h.packet(h.anyEntry(t), rapid.SampledFrom(keys).Draw(t, "flow"), rapid.Bool().Draw(t, "opening"))
 		}
 	}
 	h.follow(t)
@@ -212,7 +212,7 @@
 func (h *history) reachable(entry int, key cherviltide.FlowKey) bool {
 	m, ok := h.tables[h.entries[entry]].Pick(key)
 	behind := slices.ContainsFunc(h.running(), func(a *modelAgent) bool { return a.at != h.last() })
-	return ok && h.find(m) != nil && !behind
+	return ok && h.network.find(m.Address) != nil && !behind
 }
 
 // settle lets all processes catch up and sends a datagram of each open flow through each entry.
--- a/picker/second.go
+++ b/picker/second.go
@@ -4,9 +4,9 @@
 
 // Second returns the agent that inherits a flow's bucket when its owner goes, and false when there is none.
 func (t *Table) Second(key cherviltide.FlowKey) (cherviltide.Member, bool) {
-	b := &t.buckets[key.Hash()%uint64(len(t.buckets))]
-	if b.second == none {
+	r := t.row(key)
+	if r.second == none {
 		return cherviltide.Member{}, false
 	}
-	return t.targets[b.second].member, true
+	return t.targets[r.second].member, true
 }
