--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,6 @@
 	$(GO) tool revive -config revive.toml -set_exit_status ./...
 
 fuzz:
+	$(GO) test ./proxier -run '^$$' -fuzz FuzzMetadata -fuzztime 3s
 	$(GO) test ./framer -run '^$$' -fuzz FuzzDecode -fuzztime 3s
 	$(GO) test ./parser -run '^$$' -fuzz FuzzParse -fuzztime 3s
--- a/cmd/cherviltide-bench/main.go
+++ b/cmd/cherviltide-bench/main.go
@@ -38,12 +38,22 @@
 	Listen  netip.AddrPort `arg:"required" help:"address"`
 	Slots   int            `default:"2" help:"requests that run at once"`
 	Service time.Duration  `default:"10ms" help:"time that a request takes"`
+	Cold    time.Duration  `help:"time after the start in which requests take longer"`
+	Drain   time.Duration  `help:"time after the start at which the target sheds all new requests; 0 is never"`
+	Load    float64        `default:"-1" help:"load that the load endpoint reports; the truth when negative"`
+	Fault   string         `help:"fault of all requests: cut, early, silent, stall, shed, busy, crossed, slow or endless"`
 }
 
 func (c *targetCommand) run(ctx context.Context) error {
-	return responder.New(responder.Config{
+	r := responder.New(responder.Config{
 		Name: c.Name, Listen: c.Listen, Slots: c.Slots, Service: c.Service, CustomerHeader: proxier.HeaderCustomer,
-	}).Run(ctx)
+		Cold: c.Cold, Load: c.Load, Fault: responder.Fault(c.Fault),
+	})
+	if c.Drain > 0 {
+		timer := time.AfterFunc(c.Drain, r.Drain)
+		defer timer.Stop()
+	}
+	return r.Run(ctx)
 }
 
 type demoCommand struct {
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -193,7 +193,8 @@
 	}
 }
 
-// deadlineContext ends at the deadline unless the answer has started by then. The caller's cancellation is passed on,
+// deadlineContext ends at the deadline unless the answer has started by then. A bulky request that has a slot goes on after
+// its deadline and ends late; a target that has still not answered counts as stalled then. The caller's cancellation is passed on,
 // except for at-most-once requests: a caller that loses its connection asks for the stored answer later.
 func (p *Proxier) deadlineContext(x *exchange) (context.Context, context.CancelFunc) {
 	base := x.r.Context()
@@ -201,7 +202,11 @@
 		base = context.WithoutCancel(base)
 	}
 	ctx, cancel := context.WithCancel(base)
-	timer := time.AfterFunc((x.deadline - p.config.Clock.Now()).Duration(), func() {
+	span := (x.deadline - p.config.Clock.Now()).Duration()
+	if x.kind.Class == cherviltide.ClassBulky {
+		span += stallTimeout
+	}
+	timer := time.AfterFunc(span, func() {
 		if !x.flowing.Load() {
 			cancel()
 		}
