--- a/proxier/claim.go
+++ b/proxier/claim.go
@@ -79,7 +79,8 @@
 	case claimer.StateUnknown:
 		x.unknown(http.StatusConflict, "KeyUnknown", "the effect of an earlier request with this key is unknown")
 	default:
-		x.refuse(claimStatus(v.Reason), string(v.Reason), "the request did not run", retryHint)
+		// A home that took over knows nothing of requests that its predecessor granted, so the text is about this one only.
+		x.refuse(claimStatus(v.Reason), string(v.Reason), "this request did not run; an earlier one with the same key may have", retryHint)
 	}
 	return false
 }
