--- a/commands/agent.go
+++ b/commands/agent.go
@@ -16,6 +16,7 @@
 	"cherviltide.example/cherviltide/loader"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/proxier"
+	"cherviltide.example/cherviltide/reporter"
 )
 
 const (
@@ -26,12 +27,13 @@
 )
 
 type agentCommand struct {
-	Settings string `arg:"required" help:"settings file (JSON)"`
+	Settings string   `arg:"required" help:"settings file (JSON)"`
+	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
 func (c *agentCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
 	var s loader.Agent
-	if err := loader.Read(c.Settings, &s); err != nil {
+	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
 	}
 	key, err := s.Key()
@@ -51,10 +53,12 @@
 	system := clock.NewSystem()
 	slots := admitter.New(admitter.Config{Slots: s.Slots}, system)
 	var data *holder.Holder
+	counter := reporter.NewCounter()
 	f, err := newFollower(s.Process, member, s.Service, log, func(r *messenger.AnnounceRequest) {
 		r.RevisionInForce = data.InForce()
 		r.Generation, r.OldestGeneration = data.Generations()
 		r.Rate = rate(slots)
+		r.Counters = counter.Snapshot()
 	})
 	if err != nil {
 		return err
@@ -69,7 +73,7 @@
 	}
 	data, err = holder.Listen(holder.Config{
 		Self: member, Framer: framer.New(key), Clock: system, View: f.View,
-		Busy: func() bool { return ctx.Err() != nil || busy(f.View().Rules, s.Service, slots) },
+		Busy: func() bool { return f.Leaving() || busy(f.View().Rules, s.Service, slots) },
 	})
 	if err != nil {
 		return err
@@ -77,11 +81,17 @@
 	server := proxier.New(proxier.Config{
 		Service: s.Service, Target: s.Target, TLS: callers, Clock: system, Log: log,
 		Rules: func() cherviltide.Rules { return f.View().Rules },
-		Slots: slots, Claims: claims,
+		Slots: slots, Claims: claims, Recorder: counter,
 	})
 	log.Info("AgentStarted", zap.String("Name", s.Name))
-	serve := func(ctx context.Context) error { return server.Run(ctx, data) }
-	return runGracefully(ctx, f, log, data.Run, slots.Run, claims.Run, peers, serve)
+	path, probe := newProbe(s.Process, f, data.InForce)
+	probe.Counters("Holder", &data.Counters)
+	probe.Metric("Holder.Flows", func() any { return data.Flows() })
+	probe.Metric("Requests", func() any { return counter.Snapshot() })
+	return work{
+		Serve:   path.Watch(func(ctx context.Context) error { return server.Run(ctx, data) }),
+		Support: []func(context.Context) error{path.Watch(data.Run), slots.Run, claims.Run, peers, probe.Run},
+	}.run(ctx, f, log)
 }
 
 // rate is the target's measured service rate in thousandths of a nominal slot; 0 when it is not known.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -17,6 +17,7 @@
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/registrar"
+	"cherviltide.example/cherviltide/reporter"
 	"cherviltide.example/cherviltide/runner"
 	"cherviltide.example/cherviltide/tracker"
 )
@@ -43,6 +44,7 @@
 	tracker     *tracker.Tracker
 	distributor *distributor.Distributor
 	members     members
+	burn        *reporter.Merger
 	calls       chan func()
 }
 
@@ -53,6 +55,7 @@
 		registrar:   registrar.New(),
 		tracker:     tracker.New(),
 		distributor: distributor.New(),
+		burn:        reporter.NewMerger(config.Clock.Now()),
 		calls:       make(chan func()),
 	}
 	c.members = newMembers(&alone{commit: c.commitMember})
@@ -95,6 +98,7 @@
 	messenger.Current.Handle(mux, c.current)
 	messenger.Status.Handle(mux, c.status)
 	messenger.Follow.Handle(mux, c.distributor.Serve)
+	c.handleOperators(mux)
 	return mux
 }
 
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -27,6 +27,10 @@
 	// OldestGeneration is the lowest generation at which the agent opened a flow that it still holds.
 	// It equals Generation when the agent holds no flow.
 	OldestGeneration uint64
+	// Started is when the process started, by its own clock.
+	Started cherviltide.Millis
+	// Counters are the process's requests since its start; they never shrink within an incarnation.
+	Counters []cherviltide.KindCounts
 	// Rate is the measured service rate in thousandths of a nominal slot; 0 when it is not known.
 	Rate uint32
 	// Forwarded is set when another control instance passes the announcement on. It is not passed on again.
@@ -37,6 +41,8 @@
 type AnnounceResponse struct {
 	// Lease is counted from the moment at which the request was sent. It is 0 when the announcement was not accepted.
 	Lease cherviltide.Millis
+	// Leave tells the member to finish what it has and to end, because an operator drains it.
+	Leave bool
 	// Expelled is set when the announced incarnation is dead or replaced; Incarnation is then the newest known one.
 	Expelled    bool
 	Incarnation uint64
@@ -96,29 +102,3 @@
 	// Lags is set when the member does not run the accepted revision.
 	Lags bool
 }
-
-// FollowRequest subscribes to configuration and membership.
-type FollowRequest struct {
-	Name string
-	// Revision and Position are what the follower holds already.
-	Revision uint64
-	Position uint64
-	// Service limits membership events to one service; empty means all.
-	Service string
-}
-
-// FollowUpdate is one message of a subscription. An empty update is a heartbeat.
-type FollowUpdate struct {
-	// Position is the newest membership position that this update brings the follower to.
-	Position uint64
-	// Events are in the order of their positions.
-	Events []cherviltide.PlacedEvent
-	// Rules is nil when the follower's revision is current.
-	Rules *RulesUpdate
-}
-
-// RulesUpdate carries an accepted rules file.
-type RulesUpdate struct {
-	Revision uint64
-	Text     string
-}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -2,6 +2,7 @@
 package tracker
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -17,7 +18,7 @@
 	// eventLimit is how many events are kept for followers that lag; those further behind need a snapshot.
 	eventLimit = 4096
 	// graveLimit is how many dead members are remembered, so that late announcements of theirs change nothing.
-	graveLimit = 8192
+	graveLimit = 4096
 )
 
 // Error is damaged membership state.
@@ -31,8 +32,8 @@
 
 // grave remembers a dead member.
 type grave struct {
-	Incarnation uint64
-	Position    uint64
+	Member   cherviltide.Member
+	Position uint64
 }
 
 // Tracker holds the members, the tables of the services and the newest events. One goroutine uses it.
@@ -40,6 +41,8 @@
 	// base is 0 until the log is founded.
 	base     uint64
 	position uint64
+	// oldest is a position after which all events are in events.
+	oldest uint64
 	// entries has no dead members.
 	entries map[string]Entry
 	graves  map[string]grave
@@ -74,7 +77,7 @@
 		return
 	}
 	if e.Type == cherviltide.EventFounded && t.base == 0 {
-		t.base = e.Generation
+		t.base, t.oldest = e.Generation, e.Generation
 	}
 	if t.base == 0 {
 		return
@@ -98,8 +101,7 @@
 	case cherviltide.EventFounded:
 		return false
 	case cherviltide.EventDefined:
-		t.define(e)
-		return false
+		return t.define(e)
 	case cherviltide.EventJoined:
 		return t.join(e.Member)
 	}
@@ -128,13 +130,13 @@
 
 // incarnation returns the newest known incarnation of a member, dead or alive, or 0.
 func (t *Tracker) incarnation(name string) uint64 {
-	return max(t.entries[name].Member.Incarnation, t.graves[name].Incarnation)
+	return max(t.entries[name].Member.Incarnation, t.graves[name].Member.Incarnation)
 }
 
 // bury moves a member to the dead and forgets the member that died first when there are too many.
 func (t *Tracker) bury(m cherviltide.Member) {
+	t.graves[m.Name] = grave{Member: t.entries[m.Name].Member, Position: t.position}
 	delete(t.entries, m.Name)
-	t.graves[m.Name] = grave{Incarnation: m.Incarnation, Position: t.position}
 	if len(t.graves) <= graveLimit {
 		return
 	}
@@ -147,15 +149,16 @@
 	delete(t.graves, oldest)
 }
 
-// define starts the table of a service from its present members, so every instance derives the same table.
-func (t *Tracker) define(e cherviltide.MemberEvent) {
+// define starts the table of a service from its present members, so every instance derives the same table. It reports
+// whether the table is new.
+func (t *Tracker) define(e cherviltide.MemberEvent) bool {
 	name := e.Member.Service
 	if e.Buckets <= 0 {
 		delete(t.tables, name)
-		return
+		return true
 	}
 	if old, ok := t.tables[name]; ok && old.Service().Buckets == min(e.Buckets, picker.MaxBuckets) {
-		return
+		return false
 	}
 	table := picker.New(newService(name, e.Buckets))
 	for _, x := range t.Entries() {
@@ -164,6 +167,7 @@
 		}
 	}
 	t.tables[name] = table
+	return true
 }
 
 // events returns the events that lead a new table to the entry's state.
@@ -207,6 +211,7 @@
 // retain appends an event and drops the older half when there are too many. Published slices stay as they are.
 func (t *Tracker) retain(e cherviltide.PlacedEvent) {
 	if len(t.events) >= 2*eventLimit {
+		t.oldest = t.events[eventLimit-1].Position
 		t.events = slices.Clone(t.events[eventLimit:])
 	}
 	t.events = append(t.events, e)
@@ -224,9 +229,25 @@
 	return list
 }
 
-// Events returns the newest events. The caller must not change them.
-func (t *Tracker) Events() []cherviltide.PlacedEvent {
-	return t.events
+// Dead returns at most limit dead members, those that died last first.
+func (t *Tracker) Dead(limit int) []Entry {
+	list := slices.Collect(maps.Values(t.graves))
+	slices.SortFunc(list, func(a, b grave) int { return cmp.Compare(b.Position, a.Position) })
+	var dead []Entry
+	for _, g := range list[:min(limit, len(list))] {
+		dead = append(dead, Entry{Member: g.Member, State: cherviltide.StateDead})
+	}
+	return dead
+}
+
+// Base returns the base of the log; it is 0 before the log is founded.
+func (t *Tracker) Base() uint64 {
+	return t.base
+}
+
+// Events returns the newest events and a position after which none is missing. The caller must not change them.
+func (t *Tracker) Events() (events []cherviltide.PlacedEvent, oldest uint64) {
+	return t.events, t.oldest
 }
 
 // Tables returns the table of each defined service. The caller owns the map.
