Test the report and operators' TLS against running processes

Cause: the burn report was proved on its core only, and operators' TLS not at all.

Ruled out: a fixed wait for the next announcement; the test polls.

Change: a test sends 7 requests and reads them from the report before and after an agent ends. Another opens control with certificates of its own and of a strange authority. A test keeps docs/metrics.md complete.

Before: untested.

Conclusion: the report counts what callers received.

--- a/bench/launcher/operators_test.go
+++ b/bench/launcher/operators_test.go
@@ -8,7 +8,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -78,3 +81,20 @@
 		require.Equal(t, http.StatusOK, res.StatusCode, "%s: %s", name, body)
 	}
 }
+
+// Guards against requests that the report of the agents' counters misses or counts twice.
+func TestReportCountsRequests(t *testing.T) {
+	s := startSystem(t)
+	for range 7 {
+		a, err := newCaller(t, s, s.Plan.Customer).Get(t.Context(), s.URL(s.Plan.Services[advisory]), "/advisories/VECC", 2000)
+		require.NoError(t, err)
+		require.True(t, a.Whole)
+	}
+	counted := func() bool {
+		return strings.Contains(operate(t.Context(), t, s, commands.ExitDone, "report", "--json"), `"Timely": 7,`)
+	}
+	require.Eventually(t, counted, time.Minute, 100*time.Millisecond)
+	require.NoError(t, s.Signal(s.Plan.Services[advisory].Name+"-1", syscall.SIGTERM))
+	waitEnded(t, s, s.Plan.Services[advisory].Name+"-1")
+	require.True(t, counted(), "the counts of an agent stay after its end")
+}
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -3,16 +3,22 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/bench/issuer"
+	"cherviltide.example/cherviltide/certifier"
+	"cherviltide.example/cherviltide/forwarder"
+	"cherviltide.example/cherviltide/holder"
 	"cherviltide.example/cherviltide/messenger"
 )
 
@@ -20,6 +26,10 @@
 
 // control is a control instance with a fixed answer to edits.
 func control(t *testing.T, apply func(*messenger.ApplyRequest) (*messenger.ApplyResponse, error)) string {
+	return controlTLS(t, nil, apply)
+}
+
+func controlTLS(t *testing.T, config *tls.Config, apply func(*messenger.ApplyRequest) (*messenger.ApplyResponse, error)) string {
 	mux := http.NewServeMux()
 	messenger.Current.Handle(mux, func(context.Context, *messenger.CurrentRequest) (*messenger.CurrentResponse, error) {
 		return &messenger.CurrentResponse{Revision: 4, Text: first, Confirmed: false}, nil
@@ -36,9 +46,15 @@
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := messenger.NewServer(mux, nil)
+	server := messenger.NewServer(mux, config)
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(listener) }()
+	go func() {
+		if config == nil {
+			done <- server.Serve(listener)
+		} else {
+			done <- server.ServeTLS(listener, "", "")
+		}
+	}()
 	t.Cleanup(func() { _ = server.Close(); <-done })
 	return listener.Addr().String()
 }
@@ -179,3 +195,42 @@
 	_, out, _ = run("--help")
 	require.Contains(t, out, "Exit codes:")
 }
+
+// TestOperatorTLS guards against an operator's command that talks to a control instance of another authority, or that
+// control serves without a certificate.
+func TestOperatorTLS(t *testing.T) {
+	ours, err := issuer.New(t.TempDir())
+	require.NoError(t, err)
+	others, err := issuer.New(t.TempDir())
+	require.NoError(t, err)
+	certificate, key, err := ours.Issue("control", "control-1", net.IPv4(127, 0, 0, 1))
+	require.NoError(t, err)
+	config, err := certifier.Server(certifier.Files{Certificate: certificate, Key: key, Authority: ours.Authority()}, "h2")
+	require.NoError(t, err)
+	address := controlTLS(t, config, nil)
+	status := func(args ...string) int {
+		code, _, _ := run(append([]string{"status", "--timeout", "200ms", "--control", address}, args...)...)
+		return code
+	}
+	mine, mineKey, err := ours.Issue("rita", "rita")
+	require.NoError(t, err)
+	theirs, theirsKey, err := others.Issue("eve", "eve")
+	require.NoError(t, err)
+	require.Equal(t, ExitDone, status("--certificate", mine, "--key", mineKey, "--authority", ours.Authority()))
+	require.Equal(t, ExitRefused, status("--certificate", mine, "--key", mineKey, "--authority", others.Authority()))
+	require.Equal(t, ExitRefused, status("--certificate", theirs, "--key", theirsKey, "--authority", ours.Authority()))
+	require.Equal(t, ExitRefused, status(), "no certificate")
+}
+
+// TestMetricsAreDocumented guards against counters without a meaning and a unit in docs/metrics.md.
+func TestMetricsAreDocumented(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "docs", "metrics.md"))
+	require.NoError(t, err)
+	for prefix, counters := range map[string]any{"Forwarder": forwarder.Counters{}, "Holder": holder.Counters{}} {
+		for _, f := range reflect.VisibleFields(reflect.TypeOf(counters)) {
+			if f.IsExported() && len(f.Index) == 1 {
+				require.Contains(t, string(text), "`"+prefix+"."+f.Name+"`")
+			}
+		}
+	}
+}
