--- a/commands/entry.go
+++ b/commands/entry.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	data, err = forwarder.Listen(forwarder.Config{
-		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View,
+		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View, Log: log,
 	})
 	if err != nil {
 		return err
@@ -43,7 +43,11 @@
 	log.Info("EntryStarted", zap.String("Name", s.Name))
 	path, probe := newProbe(s.Process, f, data.InForce)
 	probe.Counters("Forwarder", &data.Counters)
-	return runGracefully(ctx, f, log, path.Watch(data.Run), probe.Run)
+	return work{
+		Serve:    path.Watch(data.Run),
+		Support:  []func(context.Context) error{probe.Run},
+		Activity: func() uint64 { return data.Counters.Forwarded.Load() + data.Counters.Replied.Load() },
+	}.run(ctx, f, log)
 }
 
 func ports(list []loader.Port) []forwarder.Port {
