Check roles between processes and reload certificates

Cause: with TLS any certificate of the authority could call every procedure, and a renewed certificate needed a restart.

Change: the organizational unit of a certificate names the role (Entry, Agent, Control, Operator). One table names the roles that may call each procedure; a procedure that is missing there is closed to everyone under TLS. Followers accept servers of role Control only, and an announced member must have the role of its certificate. Server and Client follow their files with at most one look a second; files that do not fit together leave the old identity in force and are logged.

Ruled out: a URI name for the role, because common tools for certificates set an organizational unit more easily. A client checks servers by the authority that was current when the client was made; followers make a client for each connection.

--- a/bench/issuer/issuer.go
+++ b/bench/issuer/issuer.go
@@ -35,7 +35,7 @@
 		return nil, errors.Trace(err)
 	}
 	i := &Issuer{folder: folder, key: key, serial: 1}
-	template := i.template("authority")
+	template := i.template(pkix.Name{CommonName: "authority"})
 	template.IsCA = true
 	template.BasicConstraintsValid = true
 	template.KeyUsage = x509.KeyUsageCertSign
@@ -54,13 +54,22 @@
 	return filepath.Join(i.folder, "authority.pem")
 }
 
+// IssueRole writes NAME.pem and NAME.key for a process with a role, which its organizational unit names.
+func (i *Issuer) IssueRole(name, role string, addresses ...net.IP) (certificate, key string, err error) {
+	return i.issue(name, pkix.Name{CommonName: name, OrganizationalUnit: []string{role}}, addresses)
+}
+
 // Issue writes NAME.pem and NAME.key for a common name and returns their paths.
 func (i *Issuer) Issue(name, commonName string, addresses ...net.IP) (certificate, key string, err error) {
+	return i.issue(name, pkix.Name{CommonName: commonName}, addresses)
+}
+
+func (i *Issuer) issue(name string, subject pkix.Name, addresses []net.IP) (certificate, key string, err error) {
 	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return "", "", errors.Trace(err)
 	}
-	template := i.template(commonName)
+	template := i.template(subject)
 	template.IPAddresses = addresses
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	der, err := x509.CreateCertificate(rand.Reader, template, i.certificate, &private.PublicKey, i.key)
@@ -79,11 +88,11 @@
 	return certificate, key, errors.Trace(write(key, "EC PRIVATE KEY", encoded))
 }
 
-func (i *Issuer) template(commonName string) *x509.Certificate {
+func (i *Issuer) template(subject pkix.Name) *x509.Certificate {
 	i.serial++
 	return &x509.Certificate{
 		SerialNumber: big.NewInt(i.serial),
-		Subject:      pkix.Name{CommonName: commonName},
+		Subject:      subject,
 		NotBefore:    time.Now().Add(-time.Hour),
 		NotAfter:     time.Now().Add(validity),
 	}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -55,6 +55,8 @@
 	}
 	log, err := zap.NewProduction()
 	if err == nil {
+		// Packages without a logger of their own report to the global one.
+		zap.ReplaceGlobals(log)
 		err = c.run(ctx, out, log)
 	}
 	if err != nil {
--- a/commands/process.go
+++ b/commands/process.go
@@ -116,16 +116,34 @@
 	if err != nil {
 		return nil, err
 	}
+	newClient, err := controlClients(p)
+	if err != nil {
+		return nil, err
+	}
 	return follower.New(follower.Config{
 		Member:    m,
 		Service:   service,
 		Control:   controlURLs(p.Control, client),
-		NewClient: func() *http.Client { return messenger.NewClient(client) },
+		NewClient: newClient,
 		Report:    report,
 		Log:       log,
 	}), nil
 }
 
+// controlClients returns what makes clients of control instances; each has the newest identity and authority.
+func controlClients(p loader.Process) (func() *http.Client, error) {
+	if p.TLS == (loader.TLS{}) {
+		return func() *http.Client { return messenger.NewClient(nil) }, nil
+	}
+	source, err := certifier.NewSource(certifier.Files(p.TLS), "h2")
+	if err != nil {
+		return nil, err
+	}
+	return func() *http.Client {
+		return messenger.NewClient(certifier.RequireRole(source.Client(), cherviltide.RoleControl))
+	}, nil
+}
+
 func controlURLs(addresses []netip.AddrPort, client *tls.Config) []string {
 	var list []string
 	for _, a := range addresses {
--- a/controller/members.go
+++ b/controller/members.go
@@ -18,7 +18,10 @@
 // listedDead is how many dead members a status lists.
 const listedDead = 100
 
-var errNoLeader = errors.New("no leader of the membership group is known")
+var (
+	errNoLeader = errors.New("no leader of the membership group is known")
+	errRole     = errors.New("the member has another role than the caller's certificate")
+)
 
 // membershipLog is the log of the membership group as the control goroutine sees it. Its committed entries come back in
 // order through commitMember, on the control goroutine.
@@ -148,6 +151,9 @@
 
 // announce handles an announcement, or passes it on to the leader.
 func (c *Controller) announce(ctx context.Context, req *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
+	if role, ok := messenger.CallerRole(ctx); ok && role != req.Member.Role && !(req.Forwarded && role == cherviltide.RoleControl) {
+		return nil, &Error{cherviltide.Fault{Op: "controller.announce", Kind: cherviltide.KindForbidden, Err: errRole}}
+	}
 	res := &messenger.AnnounceResponse{}
 	accepted := false
 	err := c.do(ctx, func() {
--- a/member.go
+++ b/member.go
@@ -12,6 +12,9 @@
 	RoleControl Role = "Control"
 )
 
+// RoleOperator is the role of operators' commands, which are not members.
+const RoleOperator Role = "Operator"
+
 // Member is a process that has announced itself to control.
 type Member struct {
 	// Name is unique in the system and is the same after a restart.
--- a/messenger/procedure.go
+++ b/messenger/procedure.go
@@ -24,7 +24,7 @@
 		}
 		return connect.NewResponse(res), nil
 	}, connect.WithCodec(codec{}), connect.WithCompressMinBytes(compressMinimum))
-	mux.Handle(p.path, handler)
+	mux.Handle(p.path, restrict(handler, callers[p.path]))
 }
 
 // Call runs the procedure at the peer with the given base URL.
@@ -51,7 +51,7 @@
 		}
 		return nil
 	}, connect.WithCodec(codec{}), connect.WithCompressMinBytes(compressMinimum))
-	mux.Handle(s.path, handler)
+	mux.Handle(s.path, restrict(handler, callers[s.path]))
 }
 
 // Call opens the stream and passes each message to receive until the stream or ctx ends.
