--- a/commands/control.go
+++ b/commands/control.go
@@ -9,15 +9,18 @@
 	"cherviltide.example/cherviltide/clock"
 	"cherviltide.example/cherviltide/controller"
 	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/prober"
+	"cherviltide.example/cherviltide/runner"
 )
 
 type controlCommand struct {
-	Settings string `arg:"required" help:"settings file (JSON)"`
+	Settings string   `arg:"required" help:"settings file (JSON)"`
+	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
 func (c *controlCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
 	var s loader.Control
-	if err := loader.Read(c.Settings, &s); err != nil {
+	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
 	}
 	server, err := serverTLS(s.Process)
@@ -25,7 +28,13 @@
 		return err
 	}
 	log.Info("ControlStarted", zap.String("Name", s.Name))
-	return controller.New(controller.Config{
+	control := controller.New(controller.Config{
 		Name: s.Name, Listen: s.Listen, TLS: server, Clock: clock.NewSystem(), Log: log,
-	}).Run(ctx)
+	})
+	probe := prober.New(prober.Config{Listen: s.Probe, Ready: control.Ready})
+	control.Measure(probe)
+	group := runner.NewGroup(ctx, 2)
+	group.Go("control", control.Run)
+	group.Go("probe", probe.Run)
+	return group.Wait()
 }
--- a/commands/drain.go
+++ b/commands/drain.go
@@ -1,37 +1,47 @@
 package commands
 
-import "cherviltide.example/cherviltide"
+import (
+	"context"
+	"fmt"
+	"time"
 
-// Times of a planned stop, counted from the signal.
-const (
-	// leaveGrace is how long a stopping process goes on taking work, so that others hear that it leaves. Together with
-	// the way of the announcement it stays below 3 s.
-	leaveGrace cherviltide.Millis = 2_000
-	// quietTime is how long a stopping entry must have forwarded nothing before it ends.
-	quietTime cherviltide.Millis = 1_000
-	// drainLimit is when a stopping entry ends although others still send to it.
-	drainLimit cherviltide.Millis = 8_000
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/messenger"
 )
 
-// drain decides when a stopping process takes nothing any more.
-type drain struct {
-	// since is the time of the stop signal.
-	since cherviltide.Millis
-	// changed is when activity was last seen to grow.
-	changed  cherviltide.Millis
-	activity uint64
+type drainCommand struct {
+	remote
+	Name     string        `arg:"positional,required" help:"name of the member that is to leave"`
+	Operator string        `arg:"--operator,env:USER" help:"who drains the member"`
+	Wait     time.Duration `arg:"--wait" help:"wait until the member has ended, at most this long"`
 }
 
-// newDrain returns the decision for a process that was told to stop at the given time.
-func newDrain(now cherviltide.Millis, activity uint64) *drain {
-	return &drain{since: now, changed: now, activity: activity}
+func (c *drainCommand) examples() string {
+	return "cherviltide drain advisory-desk-1 --control 127.0.0.1:7400 --wait 10m"
 }
 
-// done reports whether the process may stop, given a count that grows with each datagram.
-func (d *drain) done(now cherviltide.Millis, activity uint64) bool {
-	if activity != d.activity {
-		d.activity, d.changed = activity, now
+func (c *drainCommand) operate(ctx context.Context, console console) error {
+	s, err := c.open()
+	if err != nil {
+		return err
 	}
-	stopping := now - d.since
-	return stopping >= drainLimit || (stopping >= leaveGrace && now-d.changed >= quietTime)
+	res, err := ask(ctx, s, messenger.Drain, &messenger.DrainRequest{Member: c.Name, Operator: c.Operator})
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(console.Out, "%s is %s\n", c.Name, res.State)
+	if c.Wait == 0 {
+		return nil
+	}
+	return await(ctx, console, s, c.Wait, func(res *messenger.StatusResponse) (bool, string) {
+		if !res.Confirmed {
+			return false, "control has no leader"
+		}
+		for _, m := range res.Members {
+			if m.Member.Name == c.Name {
+				return m.State == cherviltide.StateDead, fmt.Sprintf("%s is %s", c.Name, m.State)
+			}
+		}
+		return true, fmt.Sprintf("%s has ended", c.Name)
+	})
 }
--- a/commands/process.go
+++ b/commands/process.go
@@ -79,6 +79,7 @@
 func (w work) leave(ctx, serveCtx context.Context, f *follower.Follower, log *zap.Logger) error {
 	select {
 	case <-ctx.Done():
+	case <-f.Drained():
 	case <-serveCtx.Done():
 		return nil
 	}
--- a/follower/announce.go
+++ b/follower/announce.go
@@ -87,6 +87,7 @@
 		Leaving:      f.leaving.Load(),
 		Ended:        f.ended.Load(),
 		RevisionSeen: f.View().received,
+		Started:      f.started,
 	}
 	f.config.Report(req)
 	sent := time.Now()
@@ -98,6 +99,9 @@
 		f.rejoin(res.Incarnation)
 		return nil
 	}
+	if res.Leave {
+		f.drainOnce.Do(func() { close(f.drained) })
+	}
 	if res.Lease > 0 {
 		f.lease.renew(sent, res.Lease)
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,9 +40,13 @@
 	view    atomic.Pointer[View]
 	leaving atomic.Bool
 	ended   atomic.Bool
+	started cherviltide.Millis
 	// wake interrupts the wait between two announcements.
 	wake  chan struct{}
 	lease lease
+	// drained is closed once, when control tells the process to leave.
+	drained   chan struct{}
+	drainOnce sync.Once
 	// resync asks for a snapshot of the tables, wholeText for the whole rules text.
 	resync    atomic.Bool
 	wholeText atomic.Bool
@@ -49,7 +54,12 @@
 
 // New returns a follower that has not started.
 func New(config Config) *Follower {
-	f := &Follower{config: config, wake: make(chan struct{}, 1)}
+	f := &Follower{
+		config:  config,
+		started: cherviltide.Millis(time.Now().UnixMilli()),
+		wake:    make(chan struct{}, 1),
+		drained: make(chan struct{}),
+	}
 	f.member.Store(&config.Member)
 	f.view.Store(NewView())
 	return f
@@ -65,6 +75,16 @@
 	return *f.member.Load()
 }
 
+// Leaving reports whether the process has asked to receive nothing new.
+func (f *Follower) Leaving() bool {
+	return f.leaving.Load()
+}
+
+// Drained returns a channel that is closed when an operator has asked control to make the process leave.
+func (f *Follower) Drained() <-chan struct{} {
+	return f.drained
+}
+
 // Run follows and announces until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	group := runner.NewGroup(ctx, 2)
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -27,6 +27,10 @@
 	// OldestGeneration is the lowest generation at which the agent opened a flow that it still holds.
 	// It equals Generation when the agent holds no flow.
 	OldestGeneration uint64
+	// Started is when the process started, by its own clock.
+	Started cherviltide.Millis
+	// Counters are the process's requests since its start; they never shrink within an incarnation.
+	Counters []cherviltide.KindCounts
 	// Rate is the measured service rate in thousandths of a nominal slot; 0 when it is not known.
 	Rate uint32
 	// Forwarded is set when another control instance passes the announcement on. It is not passed on again.
@@ -37,6 +41,8 @@
 type AnnounceResponse struct {
 	// Lease is counted from the moment at which the request was sent. It is 0 when the announcement was not accepted.
 	Lease cherviltide.Millis
+	// Leave tells the member to finish what it has and to end, because an operator drains it.
+	Leave bool
 	// Expelled is set when the announced incarnation is dead or replaced; Incarnation is then the newest known one.
 	Expelled    bool
 	Incarnation uint64
