--- a/commands/commands.go
+++ b/commands/commands.go
@@ -88,6 +88,8 @@
 	if err != nil {
 		return err
 	}
+	// Packages without a logger of their own report to the global one.
+	zap.ReplaceGlobals(log)
 	return subcommand.(command).run(ctx, console.Out, log)
 }
 
