Add the replicated log as a pure state machine

Cause: control keeps its state in the memory of one instance and loses it with the process. It has no sockets, disks, goroutines or clock. An identity holds for one life of a disk, and candidates count identities, so an empty disk has no vote until a majority has admitted its new identity. Ruled out: replacing the old identity by the new one in a single change, since majorities of the two sets need not share a voter; founding a system on a setting alone, since a wiped founder would start a second system.

--- a/ports.go
+++ b/ports.go
@@ -1,6 +1,12 @@
 package cherviltide
 
-import "context"
+import (
+	"context"
+	"errors"
+)
+
+// ErrNotLeader tells that another instance leads the group, or none does. The operation did not run.
+var ErrNotLeader = errors.New("this instance does not lead the group")
 
 // Log is a replicated log as its users see it.
 type Log interface {
--- /dev/null
+++ b/voter/admission.go
@@ -0,0 +1,143 @@
+package voter
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"cherviltide.example/cherviltide"
+)
+
+// foundingTerms is the number of terms from which a founder chooses its first one.
+const foundingTerms = 1 << 20
+
+func compare(a, b ID) int {
+	if c := strings.Compare(a.Name, b.Name); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Number, b.Number)
+}
+
+// seekAdmission asks the named instances for admission while this identity has never been a voter. Its votes count
+// nowhere until then, because candidates count identities and not names. An identity that was a voter asks only to
+// learn of its removal.
+func (v *Voter) seekAdmission() {
+	if v.removed || v.isVoter(v.config.Self) || v.now < v.joinAt {
+		return
+	}
+	v.joinAt = v.now + Heartbeat
+	if v.mayFound() {
+		v.found()
+		return
+	}
+	for _, name := range v.config.Names {
+		if name != v.config.Self.Name {
+			v.promise(Message{Type: MessageJoin, To: ID{Name: name}, Reject: v.hard.Admitted})
+		}
+	}
+}
+
+func (v *Voter) isBlank() bool {
+	return v.log.last() == 0
+}
+
+// mayFound reports whether this voter may start a new system: every other named instance must have shown to this
+// identity that its log is empty. A wiped founder thus never starts a second system beside the first.
+func (v *Voter) mayFound() bool {
+	return v.config.New && v.isBlank() && v.config.Names[0] == v.config.Self.Name && len(v.blank) == len(v.config.Names)-1
+}
+
+func (v *Voter) found() {
+	ids := []ID{v.config.Self}
+	for _, id := range v.blank {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, compare)
+	// The term differs between two attempts of a founder that lost its disk, so their first entries never pass as equal.
+	v.follow(v.hard.Term+1+v.random.Uint64N(foundingTerms), ID{})
+	v.append(Entry{Index: 1, Term: v.hard.Term, Type: EntryVoters, Data: encodeVoters(ids)})
+	v.electionAt = v.now
+}
+
+func (v *Voter) onJoin(m Message) {
+	if v.isBlank() {
+		v.promise(Message{Type: MessageBlank, To: m.From})
+		return
+	}
+	if v.role != leader || !slices.Contains(v.config.Names, m.From.Name) || v.isVoter(m.From) {
+		return
+	}
+	if p := v.peers[m.From]; p != nil {
+		p.heard = v.now
+		p.joining = p.joining || !m.Reject
+		return
+	}
+	p := &peer{next: 1, heard: v.now, joining: !m.Reject}
+	v.peers[m.From] = p
+	v.feed(m.From, p)
+}
+
+func (v *Voter) onBlank(m Message) {
+	if v.isBlank() && slices.Contains(v.config.Names, m.From.Name) {
+		v.blank[m.From.Name] = m.From
+	}
+}
+
+// admit makes a voter of a peer that has caught up. An older identity of its name is removed first, in a change of its
+// own: the majorities of two sets that differ by one voter always share a voter.
+func (v *Voter) admit() {
+	if v.commit < v.start || (v.log.voters().index > v.commit && !v.config.off.changeInTurn) {
+		return
+	}
+	for _, id := range v.peerIDs() {
+		p := v.peers[id]
+		if v.isVoter(id) {
+			continue
+		}
+		if v.now-p.heard > 2*ElectionTimeout {
+			delete(v.peers, id)
+			continue
+		}
+		if !p.joining || p.match < v.mark {
+			continue
+		}
+		v.replace(id)
+		return
+	}
+}
+
+func (v *Voter) replace(id ID) {
+	ids := v.Voters()
+	old := slices.IndexFunc(ids, func(x ID) bool { return x.Name == id.Name })
+	if old < 0 {
+		v.changeVoters(append(ids, id))
+		return
+	}
+	p := v.peers[ids[old]]
+	if ids[old] == v.config.Self || (p != nil && v.now-p.heard < 2*ElectionTimeout) {
+		return
+	}
+	v.changeVoters(slices.Delete(ids, old, old+1))
+}
+
+func (v *Voter) changeVoters(ids []ID) {
+	slices.SortFunc(ids, compare)
+	v.propose(EntryVoters, encodeVoters(ids))
+}
+
+// Remove starts the removal of a voter. Only the leader can do it, and only one change at a time.
+func (v *Voter) Remove(name string) error {
+	if v.role != leader || v.failed != nil {
+		return fault("voter.Remove", cherviltide.KindUnavailable, cherviltide.ErrNotLeader)
+	}
+	if v.commit < v.start || v.log.voters().index > v.commit {
+		return fault("voter.Remove", cherviltide.KindUnavailable, ErrPending)
+	}
+	ids := v.Voters()
+	at := slices.IndexFunc(ids, func(x ID) bool { return x.Name == name })
+	if at < 0 || len(ids) == 1 {
+		return fault("voter.Remove", cherviltide.KindInvalid, errNotVoter)
+	}
+	v.changeVoters(slices.Delete(ids, at, at+1))
+	return nil
+}
