--- /dev/null
+++ b/filesystem.go
@@ -0,0 +1,26 @@
+package cherviltide
+
+import "io"
+
+// FileSystem is the part of a file system that durable state needs. Paths are those of the operating system.
+type FileSystem interface {
+	// MakeFolder creates a folder and its parents, unless they exist.
+	MakeFolder(path string) error
+	// Create creates an empty file or empties an existing one.
+	Create(path string) (File, error)
+	// ReadFile returns an error that wraps fs.ErrNotExist when there is no such file.
+	ReadFile(path string) ([]byte, error)
+	// Rename replaces the file at the new path at once. It is durable after SyncFolder.
+	Rename(from, to string) error
+	// SyncFolder makes the names in a folder durable.
+	SyncFolder(path string) error
+	// Lock takes a lock on a file that only one process can hold. It does not wait.
+	Lock(path string) (io.Closer, error)
+}
+
+// File is a file that is open for writing.
+type File interface {
+	io.WriteCloser
+	// Sync returns after everything written is durable.
+	Sync() error
+}
