Route connections by an agent tag in their IDs and reply through live entries

Ruled out: lost datagrams at sockets (RcvbufErrors stayed 0). Change: connection IDs start with a tag of the agent, and any agent passes a datagram to the agent that its ID names; a leaving agent leaves new connections to others; connections of an agent that is known to be dead are reset by any agent, under a key shared by all; replies use an entry that was heard within the last second. The launcher takes ports below the ephemeral range, since a process lost its port to an outgoing connection once.

--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -27,6 +28,8 @@
 	packetKey    = "000102030405060708090a0b0c0d0e0f"
 	startTimeout = 15 * time.Second
 	pollInterval = 50 * time.Millisecond
+	// firstPort and lastPort bound the ports of the processes.
+	firstPort, lastPort = 10_000, 32_000
 )
 
 // Plan describes a system.
@@ -316,14 +319,15 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 }
 
-// freePort returns a port that is free for TCP and UDP on all addresses at the time of the call.
+// freePort returns a port that is free for TCP and UDP on all addresses at the time of the call. It lies below the range
+// from which the operating system gives ports to outgoing connections, so that none of them takes it before its process.
 func freePort() uint16 {
 	for {
-		listener, err := net.Listen("tcp4", ":0")
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		listener, err := net.Listen("tcp4", fmt.Sprintf(":%d", port))
 		if err != nil {
 			continue
 		}
-		port := listener.Addr().(*net.TCPAddr).Port
 		conn, err := net.ListenPacket("udp4", fmt.Sprintf(":%d", port))
 		_ = listener.Close()
 		if err != nil {
--- a/commands/agent.go
+++ b/commands/agent.go
@@ -81,7 +81,7 @@
 	server := proxier.New(proxier.Config{
 		Service: s.Service, Target: s.Target, TLS: callers, Clock: system, Log: log,
 		Rules: func() cherviltide.Rules { return f.View().Rules },
-		Slots: slots, Claims: claims, Recorder: counter,
+		Slots: slots, Claims: claims, Recorder: counter, ResetKey: loader.ResetKey(key),
 	})
 	log.Info("AgentStarted", zap.String("Name", s.Name))
 	path, probe := newProbe(s.Process, f, data.InForce)
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -44,6 +44,7 @@
 	FlagDeclined                   // The second declined the offer.
 	FlagBehind                     // The receiver's table is older than the sender's; the sender decides.
 	FlagHeld                       // Notice without payload: the sender holds the flow.
+	FlagTagged                     // The datagram's connection ID names the receiver.
 )
 
 // Errors of Decode. They are plain values so that the packet path does not allocate.
@@ -124,7 +125,7 @@
 	if h.Type != TypeForward && h.Type != TypeReply {
 		return Header{}, nil, ErrType
 	}
-	if h.Flags&(h.Flags-1) != 0 || h.Flags > FlagHeld {
+	if h.Flags&(h.Flags-1) != 0 || h.Flags > FlagTagged {
 		return Header{}, nil, ErrFlags
 	}
 	if h.Hops > MaxHops {
--- a/framer/framer_test.go
+++ b/framer/framer_test.go
@@ -71,7 +71,7 @@
 	}{
 		"unknown type": {func(h *framer.Header) { h.Type = 3 }, framer.ErrType},
 		"two flags":    {func(h *framer.Header) { h.Flags = framer.FlagProbe | framer.FlagHeld }, framer.ErrFlags},
-		"unknown flag": {func(h *framer.Header) { h.Flags = 0x40 }, framer.ErrFlags},
+		"unknown flag": {func(h *framer.Header) { h.Flags = 0x80 }, framer.ErrFlags},
 		"hops":         {func(h *framer.Header) { h.Hops = framer.MaxHops + 1 }, framer.ErrHops},
 	}
 	for name, c := range cases {
--- a/holder/decision.go
+++ b/holder/decision.go
@@ -21,6 +21,7 @@
 	ActionReturn                // The sender gets the datagram back.
 	ActionAbsorb                // The datagram is a notice and ends here.
 	ActionRefuse                // The agent holds as many flows as the service allows.
+	ActionReset                 // The agent of the connection has died; the transport answers with a stateless reset.
 )
 
 // Step is an action with its parameters.
--- a/holder/flow.go
+++ b/holder/flow.go
@@ -14,12 +14,17 @@
 	text string
 	// opened is the generation that the flow counts as opened at.
 	opened uint64
-	entry  atomic.Pointer[netip.AddrPort]
-	last   atomic.Int64
+	// entry is the entry that last delivered a datagram of the flow.
+	entry atomic.Pointer[entry]
+	last  atomic.Int64
 	// connections is the number of open QUIC connections that came from the flow's caller address.
 	connections atomic.Int32
 }
 
+func newFlow(key cherviltide.FlowKey, generation uint64) *flow {
+	return &flow{key: key, text: key.Caller.String() + ">" + key.Virtual.String(), opened: generation}
+}
+
 // Network returns the name of the transport.
 func (f *flow) Network() string { return "udp" }
 
@@ -27,10 +32,13 @@
 func (f *flow) String() string { return f.text }
 
 // seen records the entry and the time of a datagram.
-func (f *flow) seen(entry netip.AddrPort, now cherviltide.Millis) {
-	if p := f.entry.Load(); p == nil || *p != entry {
-		f.entry.Store(&entry)
+func (f *flow) seen(known *entries, address netip.AddrPort, now cherviltide.Millis) {
+	e := f.entry.Load()
+	if e == nil || e.address != address {
+		e = known.get(address)
+		f.entry.Store(e)
 	}
+	e.heard.Store(int64(now))
 	f.last.Store(int64(now))
 }
 
@@ -51,7 +59,7 @@
 }
 
 func (s *flows) open(key cherviltide.FlowKey, generation uint64) *flow {
-	f := &flow{key: key, text: key.Caller.String() + ">" + key.Virtual.String(), opened: generation}
+	f := newFlow(key, generation)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.byID[key] = f
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -54,6 +54,8 @@
 	inForce  atomic.Uint64
 	buffers  sync.Pool
 	receive  []byte
+	refusing atomic.Bool
+	entries  entries
 	Counters Counters
 }
 
@@ -71,6 +73,7 @@
 	HopLimit     atomic.Uint64 // Datagrams that agents have passed on too often.
 	WrongService atomic.Uint64
 	Full         atomic.Uint64 // The agent holds as many flows as the service allows.
+	Reset        atomic.Uint64 // Datagrams of connections whose agent has died.
 	Malformed    atomic.Uint64
 	Expired      atomic.Uint64 // Flows that ended by the idle timeout.
 }
@@ -165,7 +168,8 @@
 	}
 }
 
-// WriteTo sends a datagram to the caller of a flow through the entry that last delivered one.
+// WriteTo sends a datagram to the caller of a flow through the entry that last delivered one, or through another entry
+// when that one has been silent.
 func (h *Holder) WriteTo(p []byte, addr net.Addr) (int, error) {
 	f, ok := addr.(*flow)
 	if !ok {
@@ -184,7 +188,7 @@
 		Service: cherviltide.ServiceIDOf(h.config.Self.Service),
 		Flow:    f.key,
 	}, len(p))
-	if _, err := h.conn.WriteToUDPAddrPort(b, *entry); err != nil {
+	if _, err := h.conn.WriteToUDPAddrPort(b, h.entries.choose(entry, h.config.Clock.Now())); err != nil {
 		return 0, err
 	}
 	return len(p), nil
--- a/holder/receive.go
+++ b/holder/receive.go
@@ -44,7 +44,7 @@
 		h.silence.heard(sender)
 	}
 	a.flow = h.flows.get(a.header.Flow)
-	return h.act(a, Decide(h.situation(a)))
+	return h.act(a, h.decide(h.situation(a), a.payload))
 }
 
 // situation collects what the decision needs.
@@ -56,11 +56,11 @@
 		Sender: a.sender,
 		Held:   a.flow != nil,
 	}
-	if s.Held {
+	s.Opening = opening(a.payload)
+	if s.Held && !h.refuses(s) {
 		return s
 	}
 	s.Note = h.notes.get(a.header.Flow, a.now)
-	s.Opening = opening(a.payload)
 	s.Full = h.flows.len() >= a.table.Service().Connections
 	s.Busy = h.config.Busy()
 	s.Silent = func(to netip.AddrPort) bool { return h.silence.silent(to, a.now) }
@@ -88,6 +88,9 @@
 	case ActionReturn:
 		h.send(a, step, a.header.Generation, a.sender)
 		return nil, nil
+	case ActionReset:
+		// The flow is not held: the caller opens another connection after the reset.
+		a.flow = newFlow(a.header.Flow, 0)
 	case ActionDeliver:
 	default:
 		return nil, nil
@@ -95,7 +98,7 @@
 	if step.Notify {
 		h.notify(a)
 	}
-	a.flow.seen(a.header.Entry, a.now)
+	a.flow.seen(&h.entries, a.header.Entry, a.now)
 	return a.flow, a.payload
 }
 
@@ -141,6 +144,8 @@
 		c.Notices.Add(1)
 	case ActionRefuse:
 		c.Full.Add(1)
+	case ActionReset:
+		c.Reset.Add(1)
 	}
 	switch step.Flags {
 	case framer.FlagOffered:
--- /dev/null
+++ b/picker/tag.go
@@ -0,0 +1,35 @@
+package picker
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cherviltide.example/cherviltide"
+)
+
+// TagOf returns the tag of the agent with the given name. It stays the same after a restart.
+func TagOf(name string) uint32 {
+	return uint32(xxhash.Sum64String(name))
+}
+
+// Tagged returns the live agent of the service with the given tag.
+func (t *Table) Tagged(tag uint32) (cherviltide.Member, bool) {
+	for i := range t.targets {
+		if uint32(t.targets[i].seed) == tag {
+			return t.targets[i].member, true
+		}
+	}
+	return cherviltide.Member{}, false
+}
+
+// Gone reports whether the tag belongs to an agent that has died lately and has not returned.
+func (t *Table) Gone(tag uint32) bool {
+	if _, live := t.Tagged(tag); live {
+		return false
+	}
+	for _, d := range t.dead {
+		if TagOf(d.name) == tag {
+			return true
+		}
+	}
+	return false
+}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -49,6 +49,10 @@
 	Started(remote net.Addr)
 	// Ended releases the flow of a closed connection.
 	Ended(remote net.Addr)
+	// Tag is what the agent's connection IDs start with.
+	Tag() uint32
+	// Refuse leaves new connections to other agents.
+	Refuse()
 }
 
 // Slots limits the requests that run at the target.
@@ -75,6 +79,8 @@
 	Slots  Slots
 	// Claims may be nil; requests of at-most-once kinds are then refused.
 	Claims Claims
+	// ResetKey is the same at all agents, so that each can reset the connections of a dead one; zero means no resets.
+	ResetKey [32]byte
 	// Recorder may be nil.
 	Recorder cherviltide.Recorder
 	Clock    cherviltide.Clock
@@ -104,7 +110,10 @@
 // Run serves callers on conn until ctx ends. Then it accepts nothing new and returns after the requests in progress have
 // finished, however long they take.
 func (p *Proxier) Run(ctx context.Context, conn PacketConn) error {
-	transport := &quic.Transport{Conn: conn}
+	transport := &quic.Transport{Conn: conn, ConnectionIDGenerator: connectionIDs{tag: conn.Tag()}}
+	if p.config.ResetKey != [32]byte{} {
+		transport.StatelessResetKey = (*quic.StatelessResetKey)(&p.config.ResetKey)
+	}
 	listener, err := transport.ListenEarly(p.config.TLS, &quic.Config{
 		MaxIdleTimeout:          idleTimeout,
 		DisablePathMTUDiscovery: true,
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -31,6 +31,8 @@
 
 func (plainConn) Started(net.Addr) {}
 func (plainConn) Ended(net.Addr)   {}
+func (plainConn) Tag() uint32      { return 1 }
+func (plainConn) Refuse()          {}
 
 type result struct {
 	kind    string
