Leave new connections to others when an agent drains

Cause: datagrams that open a connection kept being delivered at a leaving agent whose listener was closed. A trace of opening datagrams showed that holder.Refuse was never called: its call had been lost when the drain of the proxier was rewritten. Callers' handshakes ended after 5 s. Ruled out: stale notes at the owner (its direct probe was answered by a delivery), the entries, and lost datagrams at sockets. Change: Run calls Refuse before it closes the listener; TestStop checks it.

--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -130,7 +130,8 @@
 	runner.Start(ctx, "serve", ends, func(context.Context) error { return p.server.ServeListener(listener) })
 	select {
 	case <-ctx.Done():
-		// New connections are refused at once; the listener's end leaves the open ones as they are.
+		// New connections go to other agents at once; the listener's end leaves the open ones as they are.
+		conn.Refuse()
 		err = errors.Join(listener.Close(), p.drain(ctx))
 		<-ends
 	case end := <-ends:
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -27,12 +27,15 @@
 )
 
 // plainConn is a data path without agents: each packet of the socket belongs to this proxier.
-type plainConn struct{ *net.UDPConn }
+type plainConn struct {
+	*net.UDPConn
+	refused *atomic.Bool
+}
 
 func (plainConn) Started(net.Addr) {}
 func (plainConn) Ended(net.Addr)   {}
 func (plainConn) Tag() uint32      { return 1 }
-func (plainConn) Refuse()          {}
+func (c plainConn) Refuse()        { c.refused.Store(true) }
 
 type result struct {
 	kind    string
@@ -68,6 +71,8 @@
 	// gate holds up the requests below /a/gate and /b/gate until something is sent, after it has received their context.
 	gate    chan context.Context
 	results recorder
+	// refused is true once new connections are left to other agents.
+	refused atomic.Bool
 	stop    context.CancelFunc
 	done    chan error
 	url     string
@@ -116,7 +121,7 @@
 	})
 	ctx, cancel := context.WithCancel(b.t.Context())
 	b.stop = cancel
-	go func() { b.done <- p.Run(ctx, plainConn{conn}) }()
+	go func() { b.done <- p.Run(ctx, plainConn{conn, &b.refused}) }()
 	b.t.Cleanup(func() { cancel(); _ = conn.Close() })
 }
 
@@ -262,7 +267,8 @@
 	require.Equal(t, cherviltide.OutcomeUnknown, (<-b.results).outcome)
 }
 
-// Guards against a planned stop that cuts a request in progress or accepts a new one.
+// Guards against a planned stop that cuts a request in progress, accepts a new one, or keeps the datagrams of callers'
+// next connections to itself. Run had lost the call of Refuse once, and such connections then waited 5 s in vain.
 func TestStop(t *testing.T) {
 	b := newBed(t)
 	c := b.caller("alpha")
@@ -274,6 +280,7 @@
 		require.Equal(t, cherviltide.OutcomeTimely, (<-b.results).outcome)
 	}
 	require.Empty(t, b.done)
+	require.True(t, b.refused.Load())
 	b.gate <- nil
 	r := <-got
 	require.NoError(t, r.err)
