Let an expelled agent return under a new incarnation

Cause: a process that control had expelled announces a new incarnation, but its data path knew itself by the old one. The agent took its own entry in the table for another process and passed packets to itself. Ruled out: ending the process, because running requests would be cut. Change: the data path recognises itself by name and address. Open: the claims of an expelled agent still carry the incarnation of its start; the agent then refuses keys that it is home for until it restarts.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	url         string
 	mux         *http.ServeMux
 	close       func()
+	// expelled is the newest incarnation that the instance takes for dead.
+	expelled atomic.Uint64
 	// edit changes each update on its way to followers.
 	edit func(*messenger.FollowUpdate)
 }
@@ -52,7 +55,10 @@
 			return send(u)
 		})
 	})
-	messenger.Announce.Handle(mux, func(context.Context, *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
+	messenger.Announce.Handle(mux, func(_ context.Context, req *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
+		if known := x.expelled.Load(); req.Member.Incarnation <= known {
+			return &messenger.AnnounceResponse{Expelled: true, Incarnation: known}, nil
+		}
 		return &messenger.AnnounceResponse{Lease: tracker.Lease}, nil
 	})
 	x.mux, x.url = mux, "127.0.0.1:0"
@@ -262,3 +268,21 @@
 	lost.close()
 	require.Same(t, last, f.View(), "the view outlives control")
 }
+
+// TestExpelled guards against a process that stays out after control took it for dead, and against one that trusts a
+// lease which it has lost.
+func TestExpelled(t *testing.T) {
+	x := newInstance(t, 1_000)
+	x.expelled.Store(1 << 63)
+	f := newFollower(x.url)
+	require.Zero(t, f.LeaseUntil(), "a lease before the first announcement")
+	start(t, f)
+	eventually(t, "lease under a newer incarnation", func() bool { return f.LeaseUntil() > 0 })
+	require.Greater(t, f.Member().Incarnation, uint64(1<<63))
+	x.expelled.Store(f.Member().Incarnation)
+	eventually(t, "lease under another incarnation", func() bool {
+		return f.Member().Incarnation > x.expelled.Load() && f.LeaseUntil() > 0
+	})
+	x.close()
+	eventually(t, "end of the lease without control", func() bool { return f.LeaseUntil() == 0 })
+}
--- a/holder/decision.go
+++ b/holder/decision.go
@@ -290,6 +290,8 @@
 	return len(chain) > 0 && same(chain[0], s.Self)
 }
 
+// same compares members by address instead of incarnation: a process that control had expelled is in the table under a
+// newer incarnation than the one it started with.
 func same(a, b cherviltide.Member) bool {
-	return a.Name == b.Name && a.Incarnation == b.Incarnation
+	return a.Name == b.Name && a.Address == b.Address
 }
