Encode each table once, and measure distribution

Cause: measured with 300 followers in a process of their own, the serving instance encoded every table anew for each stream and used 378% of a core with 10 services and 400 targets (1 to 2 changes a second; machine loaded at 18 to 24). A follower that had missed 1,000 member events needed 6.7 s, because each event costs it a new placement.

Change: tables are encoded once for all streams and for as long as they stay the same. A service with more than 16 missed events is sent as a table. The cases distribution and catch-up measure both; cherviltide-bench subscribe runs the followers.

--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -19,6 +19,8 @@
 var cases = []Case{
 	{"system-planned", systemPlanned},
 	{"system-crash", systemCrashed},
+	{"distribution", distribution},
+	{"catch-up", catchUp},
 }
 
 // Run runs the case with the given name, or all cases when the name is empty.
--- a/cmd/cherviltide-bench/main.go
+++ b/cmd/cherviltide-bench/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
@@ -16,6 +17,7 @@
 	"cherviltide.example/cherviltide/bench/measurer"
 	"cherviltide.example/cherviltide/bench/responder"
 	"cherviltide.example/cherviltide/bench/sprayer"
+	"cherviltide.example/cherviltide/bench/subscriber"
 	"cherviltide.example/cherviltide/proxier"
 )
 
@@ -67,15 +69,31 @@
 	return measurer.Run(ctx, os.Stdout, c.Case, c.Seed)
 }
 
+type subscribeCommand struct {
+	Control string        `arg:"required" help:"base URL of the control instance"`
+	Count   int           `arg:"required" help:"number of followers"`
+	Warm    time.Duration `default:"2s" help:"time before the measurement"`
+	Span    time.Duration `default:"5s" help:"time of the measurement"`
+}
+
+func (c *subscribeCommand) run(ctx context.Context) error {
+	usage, err := subscriber.Run(ctx, c.Control, c.Count, c.Warm, c.Span)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(usage)
+}
+
 type command interface {
 	run(ctx context.Context) error
 }
 
 var arguments struct {
-	Fabric  *fabricCommand  `arg:"subcommand:fabric" help:"spray datagrams over entries"`
-	Target  *targetCommand  `arg:"subcommand:target" help:"serve requests as a target"`
-	Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole path on this machine"`
-	Measure *measureCommand `arg:"subcommand:measure" help:"run measurements and print JSON lines"`
+	Fabric    *fabricCommand    `arg:"subcommand:fabric" help:"spray datagrams over entries"`
+	Target    *targetCommand    `arg:"subcommand:target" help:"serve requests as a target"`
+	Demo      *demoCommand      `arg:"subcommand:demo" help:"run the whole path on this machine"`
+	Subscribe *subscribeCommand `arg:"subcommand:subscribe" help:"run followers in one process and print their usage as JSON"`
+	Measure   *measureCommand   `arg:"subcommand:measure" help:"run measurements and print JSON lines"`
 }
 
 func main() {
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -52,6 +52,8 @@
 	history *history
 	// digest is over all tables.
 	digest func() uint64
+	// snapshots has what encodes each table, once for all streams and for all states that share the table.
+	snapshots map[string]encoded
 	// since is when this instance first published the log's base.
 	since cherviltide.Millis
 }
@@ -90,10 +92,11 @@
 		since = d.now()
 	}
 	d.state = &published{
-		State:   state,
-		since:   since,
-		history: d.state.history.with(d.state.Text, state.Revision, state.Text),
-		digest:  sync.OnceValue(func() uint64 { return Digest(state.Tables) }),
+		State:     state,
+		since:     since,
+		snapshots: encode(state.Tables, d.state.snapshots),
+		history:   d.state.history.with(d.state.Text, state.Revision, state.Text),
+		digest:    sync.OnceValue(func() uint64 { return Digest(state.Tables) }),
 	}
 	close(d.changed)
 	d.changed = make(chan struct{})
--- a/distributor/update.go
+++ b/distributor/update.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,6 +24,24 @@
 	return max(h.Sum64(), 1)
 }
 
+// encoded is a table with what encodes it at the first call.
+type encoded struct {
+	table *picker.Table
+	data  func() ([]byte, error)
+}
+
+// encode returns the encoded forms of tables. Those of unchanged tables are taken over.
+func encode(tables map[string]*picker.Table, before map[string]encoded) map[string]encoded {
+	next := make(map[string]encoded, len(tables))
+	for name, table := range tables {
+		next[name] = before[name]
+		if before[name].table != table {
+			next[name] = encoded{table: table, data: sync.OnceValues(table.Snapshot)}
+		}
+	}
+	return next
+}
+
 // covers reports whether deltas can bring a follower up to date, so that it needs no snapshot.
 func (p *published) covers(held *messenger.FollowRequest) bool {
 	return p.Base == held.Base && held.Position >= p.Oldest && held.Position <= p.Position
@@ -49,27 +68,33 @@
 	return u, err
 }
 
-// delta adds the events after the follower's position. Services that were defined since then are sent as tables, and
-// events of services without a table are left out.
+// deltaLimit is how many events of one service are sent as events. Each costs the follower a new placement, which takes
+// longer than reading the table.
+const deltaLimit = 16
+
+// delta adds the events after the follower's position. Services that were defined since then or have many events are sent
+// as tables, and events of services without a table are left out.
 func (p *published) delta(u *messenger.FollowUpdate, held *messenger.FollowRequest) error {
 	first := sort.Search(len(p.Events), func(i int) bool { return p.Events[i].Position > held.Position })
 	events := p.Events[first:]
-	defined := map[string]bool{}
+	whole, counts := map[string]bool{}, map[string]int{}
 	for _, e := range events {
-		if e.Event.Type == cherviltide.EventDefined {
-			defined[e.Event.Member.Service] = true
+		service := e.Event.Member.Service
+		counts[service]++
+		if e.Event.Type == cherviltide.EventDefined || (service != "" && counts[service] > deltaLimit) {
+			whole[service] = true
 		}
 	}
 	after := held.Position
 	for _, e := range events {
 		service := e.Event.Member.Service
-		if p.Tables[service] == nil || defined[service] || (held.Service != "" && service != held.Service) {
+		if p.Tables[service] == nil || whole[service] || (held.Service != "" && service != held.Service) {
 			continue
 		}
 		u.Events = append(u.Events, messenger.NewMemberDelta(after, e))
 		after = e.Position
 	}
-	return p.tables(u, slices.Sorted(maps.Keys(defined)), held.Service)
+	return p.tables(u, slices.Sorted(maps.Keys(whole)), held.Service)
 }
 
 // tables adds the tables of services to an update.
@@ -80,7 +105,7 @@
 		}
 		snapshot := messenger.TableSnapshot{Service: name}
 		if table := p.Tables[name]; table != nil {
-			data, err := table.Snapshot()
+			data, err := p.snapshots[name].data()
 			if err != nil {
 				return err
 			}
