--- a/commands/entry.go
+++ b/commands/entry.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	data, err = forwarder.Listen(forwarder.Config{
-		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View,
+		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View, Log: log,
 	})
 	if err != nil {
 		return err
@@ -43,6 +43,9 @@
 	log.Info("EntryStarted", zap.String("Name", s.Name))
 	path, probe := newProbe(s.Process, f, data.InForce)
 	probe.Counters("Forwarder", &data.Counters)
+	for _, r := range forwarder.Reasons() {
+		probe.Metric("Forwarder.Dropped."+r.String(), func() any { return data.Counters.Dropped(r) })
+	}
 	return work{
 		Serve:    path.Watch(data.Run),
 		Support:  []func(context.Context) error{probe.Run},
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -55,10 +55,13 @@
 	p.metrics.Set(name, expvar.Func(value))
 }
 
-// Counters adds a metric for each atomic.Uint64 field of the struct that counters points to, as PREFIX.FIELD.
+// Counters adds a metric for each exported atomic.Uint64 field of the struct that counters points to, as PREFIX.FIELD.
 func (p *Prober) Counters(prefix string, counters any) {
 	s := reflect.ValueOf(counters).Elem()
 	for i := range s.NumField() {
+		if !s.Type().Field(i).IsExported() {
+			continue
+		}
 		if n, ok := s.Field(i).Addr().Interface().(*atomic.Uint64); ok {
 			p.Metric(prefix+"."+s.Type().Field(i).Name, func() any { return n.Load() })
 		}
