--- a/bench/measurer/distribution.go
+++ b/bench/measurer/distribution.go
@@ -30,9 +30,9 @@
 	changeInterval = time.Second
 	// memberEvery is how many changes of the rules come with a suspicion or its end, and the release that follows.
 	memberEvery = 4
-	warmUp         = 2 * time.Second
-	observed       = 5 * time.Second
-	bucketsEach    = 1024
+	warmUp      = 2 * time.Second
+	observed    = 5 * time.Second
+	bucketsEach = 1024
 )
 
 // serving is a control instance reduced to distribution. One goroutine changes it.
