Measure distribution after all followers have their first state

Cause: the first state costs a follower a placement for each service; with 300 followers on a loaded machine that overlapped the measured span, and times in force of up to 4 s were those of starting followers. Change: the span starts after every follower has rules and tables.

--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -19,7 +19,8 @@
 var cases = []Case{
 	{"system-planned", systemPlanned},
 	{"system-crash", systemCrashed},
-	{"distribution", distribution},
+	{"distribution-targets", distributionTargets},
+	{"distribution-services", distributionServices},
 	{"catch-up", catchUp},
 }
 
--- a/bench/subscriber/subscriber.go
+++ b/bench/subscriber/subscriber.go
@@ -41,7 +41,8 @@
 	AnnouncesPerSecond float64
 }
 
-// Run runs count followers for the warm-up and the span after it, and returns the usage of each in the span.
+// Run runs count followers until all have a first state, then for the warm-up and the span after it, and returns the usage
+// of each in the span.
 func Run(ctx context.Context, control string, count int, warm, span time.Duration) (Usage, error) {
 	before := heap()
 	counted := &counter{}
@@ -53,6 +54,9 @@
 		followers[i] = newFollower(i, control, counted)
 		group.Go("follower", followers[i].Run)
 	}
+	if err := settle(ctx, followers); err != nil {
+		return Usage{}, err
+	}
 	if _, err := observe(ctx, followers, warm); err != nil {
 		return Usage{}, err
 	}
@@ -91,6 +95,22 @@
 	})
 }
 
+// settle waits until every follower has rules and tables.
+func settle(ctx context.Context, followers []*follower.Follower) error {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for _, f := range followers {
+		for f.View().Rules.Revision == 0 || f.View().Base == 0 {
+			select {
+			case <-ctx.Done():
+				return errors.Trace(ctx.Err())
+			case <-ticker.C:
+			}
+		}
+	}
+	return nil
+}
+
 // observe returns how long after its acceptance each revision was seen in each follower's view during the span.
 func observe(ctx context.Context, followers []*follower.Follower, span time.Duration) ([]time.Duration, error) {
 	ticker := time.NewTicker(sampleInterval)
