Give the operators' TLS test certificates with roles

Cause: commands.TestOperatorTLS failed since roles are checked: its certificates named no role, and procedures of operators now require the role Operator. The requirement changed, not the strictness: the test also shows now that certificates of entries, agents and an unknown role of the same authority are refused, and operators' commands accept only servers of role Control. After: go test ./commands passes.

--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -203,7 +203,7 @@
 	require.NoError(t, err)
 	others, err := issuer.New(t.TempDir())
 	require.NoError(t, err)
-	certificate, key, err := ours.Issue("control", "control-1", net.IPv4(127, 0, 0, 1))
+	certificate, key, err := ours.IssueRole("control-1", "Control", net.IPv4(127, 0, 0, 1))
 	require.NoError(t, err)
 	config, err := certifier.Server(certifier.Files{Certificate: certificate, Key: key, Authority: ours.Authority()}, "h2")
 	require.NoError(t, err)
@@ -212,14 +212,19 @@
 		code, _, _ := run(append([]string{"status", "--timeout", "200ms", "--control", address}, args...)...)
 		return code
 	}
-	mine, mineKey, err := ours.Issue("rita", "rita")
+	mine, mineKey, err := ours.IssueRole("rita", "Operator")
 	require.NoError(t, err)
-	theirs, theirsKey, err := others.Issue("eve", "eve")
+	theirs, theirsKey, err := others.IssueRole("eve", "Operator")
 	require.NoError(t, err)
 	require.Equal(t, ExitDone, status("--certificate", mine, "--key", mineKey, "--authority", ours.Authority()))
 	require.Equal(t, ExitRefused, status("--certificate", mine, "--key", mineKey, "--authority", others.Authority()))
 	require.Equal(t, ExitRefused, status("--certificate", theirs, "--key", theirsKey, "--authority", ours.Authority()))
 	require.Equal(t, ExitRefused, status(), "no certificate")
+	for _, role := range []string{"Entry", "Agent", "Customer"} {
+		certificate, key, err := ours.IssueRole("process-"+role, role)
+		require.NoError(t, err)
+		require.Equal(t, ExitFailed, status("--certificate", certificate, "--key", key, "--authority", ours.Authority()), role)
+	}
 }
 
 // TestMetricsAreDocumented guards against counters without a meaning and a unit in docs/metrics.md.
--- a/commands/remote.go
+++ b/commands/remote.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &session{client: messenger.NewClient(tls), bases: controlURLs(r.Control, tls), timeout: r.Timeout}, nil
+	return &session{client: messenger.NewClient(certifier.RequireRole(tls, cherviltide.RoleControl)), bases: controlURLs(r.Control, tls), timeout: r.Timeout}, nil
 }
 
 // ask calls a procedure at one instance after the other until one gives a final answer or the session's bound has passed.
