Keep a switch for fail static and for bounded clock steps

Cause: the tests of the tracker showed that a mass silence and a step of the clock expel nobody, but not that the mechanism is what prevents it. Change: both bounds are limits of the tracker. With them off the same schedules expel all 7 members.

--- a/tracker/lease.go
+++ b/tracker/lease.go
@@ -16,9 +16,6 @@
 	// quietAfter is when a member counts towards a mass silence. It is more than one announcement interval below
 	// SuspectAfter, so a mass silence is seen as a whole before its first member would be suspected.
 	quietAfter cherviltide.Millis = 1_250
-	// maxStep is how far the count of time advances between two calls at most. A larger step is a change of the clock or
-	// a pause of this process, during which it could not hear members.
-	maxStep cherviltide.Millis = 1_000
 	// proposeAgain is how long an event may stay uncommitted before it is proposed again.
 	proposeAgain cherviltide.Millis = 2_000
 )
@@ -56,11 +53,13 @@
 	// expired has the times and groups of the members that this leader let die by silence.
 	expired []expiry
 	held    []string
+	// maxStep is that of the limits.
+	maxStep cherviltide.Millis
 }
 
 // Lead starts a leadership: every member has a full lease from now on.
 func (t *Tracker) Lead(now cherviltide.Millis) {
-	t.leases = &leases{wall: now, contacts: map[string]*contact{}, proposed: map[string]cherviltide.Millis{}}
+	t.leases = &leases{wall: now, maxStep: t.limits.MaxStep, contacts: map[string]*contact{}, proposed: map[string]cherviltide.Millis{}}
 }
 
 // Yield ends a leadership and forgets its leases.
@@ -83,7 +82,7 @@
 
 // advance moves the count of time on by the clock's step, within bounds.
 func (l *leases) advance(now cherviltide.Millis) {
-	l.now += min(max(now-l.wall, 0), maxStep)
+	l.now += min(max(now-l.wall, 0), l.maxStep)
 	l.wall = now
 }
 
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -47,7 +47,7 @@
 	if err := cbor.Unmarshal(data, &s); err != nil {
 		return &Error{cherviltide.Fault{Op: "tracker.Restore", Kind: cherviltide.KindDamaged, Err: err}}
 	}
-	next := New()
+	next := WithLimits(t.limits)
 	next.base, next.position, next.oldest = s.Base, s.Position, s.Position
 	for _, x := range s.Entries {
 		next.entries[x.Member.Name] = x
--- a/tracker/static.go
+++ b/tracker/static.go
@@ -8,15 +8,25 @@
 
 // Bounds of fail static.
 const (
-	// staticShare is the share of a group's members that may be silent or have died lately, in percent. The loss of one
-	// of three failure domains (3 of 7 targets) stays below it.
-	staticShare = 50
 	// staticWindow is how long a death counts towards the share.
 	staticWindow cherviltide.Millis = 30_000
 	// everyone is the group of all members.
 	everyone = "*"
 )
 
+// Limits decide when silence is not taken for the death of members.
+type Limits struct {
+	// StaticShare is the share of a group's members that may be silent or have died lately, in percent. Above it the old
+	// set is kept; 100 never keeps it.
+	StaticShare int
+	// MaxStep is how far the count of time advances between two calls at most. A larger step is a change of the clock or
+	// a pause of this process, during which it could not hear members.
+	MaxStep cherviltide.Millis
+}
+
+// DefaultLimits let a service lose one of three failure domains (3 of 7 targets).
+var DefaultLimits = Limits{StaticShare: 50, MaxStep: 1_000}
+
 // expiry is the death of a member by silence.
 type expiry struct {
 	at          cherviltide.Millis
@@ -55,7 +65,7 @@
 	}
 	static := map[string]bool{}
 	for g := range total {
-		if gone[g]*100 > total[g]*staticShare {
+		if gone[g]*100 > total[g]*t.limits.StaticShare {
 			static[g] = true
 		}
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -38,6 +38,7 @@
 
 // Tracker holds the members, the tables of the services and the newest events. One goroutine uses it.
 type Tracker struct {
+	limits Limits
 	// base is 0 until the log is founded.
 	base     uint64
 	position uint64
@@ -53,9 +54,14 @@
 	leases *leases
 }
 
-// New returns a tracker without members.
+// New returns a tracker without members and with the default limits.
 func New() *Tracker {
-	return &Tracker{entries: map[string]Entry{}, graves: map[string]grave{}, tables: map[string]*picker.Table{}}
+	return WithLimits(DefaultLimits)
+}
+
+// WithLimits returns a tracker without members.
+func WithLimits(limits Limits) *Tracker {
+	return &Tracker{limits: limits, entries: map[string]Entry{}, graves: map[string]grave{}, tables: map[string]*picker.Table{}}
 }
 
 // Encode returns the log entry of an event.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -24,8 +24,10 @@
 	reply map[string]tracker.Announcement
 }
 
-func newGroup(agents int) *group {
-	g := &group{t: tracker.New(), now: start, reply: map[string]tracker.Announcement{}}
+func newGroup(agents int) *group { return newGroupWithin(tracker.DefaultLimits, agents) }
+
+func newGroupWithin(limits tracker.Limits, agents int) *group {
+	g := &group{t: tracker.WithLimits(limits), now: start, reply: map[string]tracker.Announcement{}}
 	g.t.Lead(g.now)
 	g.commit(g.t.Maintain(g.now, nil))
 	g.commit(g.t.Maintain(g.now, []cherviltide.Service{{Name: "desk", Buckets: 64}}))
@@ -148,6 +150,21 @@
 	g.run(0)
 }
 
+// TestSilenceWithoutLimits shows what the limits prevent: each switch off expels all members.
+func TestSilenceWithoutLimits(t *testing.T) {
+	off := tracker.DefaultLimits
+	off.StaticShare = 100
+	g := newGroupWithin(off, 7)
+	g.silence(7)
+	g.run(60_000)
+	require.Equal(t, 7, g.count(cherviltide.EventDied), "a mass silence without fail static")
+	off.MaxStep = 1 << 40
+	g = newGroupWithin(off, 7)
+	g.now += 3_600_250
+	g.commit(g.t.Tick(g.now))
+	require.Equal(t, 7, g.count(cherviltide.EventDied), "a step of the clock without bounded steps")
+}
+
 // TestIncarnations guards against a late announcement of a dead or replaced process that changes its successor.
 func TestIncarnations(t *testing.T) {
 	g := newGroup(3)
