--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -12,6 +12,7 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/picker"
 )
 
 // TestStorm guards against an instance that is overloaded when 3,400 entries return at once, and against followers that
@@ -124,6 +125,39 @@
 	}
 }
 
+// TestFilter guards against an agent that receives, or is compared by, what belongs to other services.
+func TestFilter(t *testing.T) {
+	tables := map[string]*picker.Table{}
+	state := State{Base: 1, Position: 40, Oldest: 1}
+	for i := range 20 {
+		service := fmt.Sprintf("service-%d", i%2)
+		state.Events = append(state.Events, cherviltide.PlacedEvent{Position: uint64(20 + i), Event: cherviltide.MemberEvent{
+			Type: cherviltide.EventSuspected, Member: cherviltide.Member{Name: "x", Service: service},
+		}})
+		tables[service] = picker.New(cherviltide.Service{Name: service, Buckets: 8})
+	}
+	state.Tables = tables
+	d := New()
+	d.Publish(state)
+	p, _ := d.current()
+	for service, want := range map[string]struct{ events, tables int }{"service-0": {10, 1}, "": {20, 2}, "unknown": {0, 0}} {
+		u, err := p.update(&messenger.FollowRequest{Base: 1, Position: 5, Service: service}, true)
+		require.NoError(t, err)
+		require.Len(t, u.Events, want.events, service)
+		held := map[string]*picker.Table{}
+		for name, table := range tables {
+			if service == "" || name == service {
+				held[name] = table
+			}
+		}
+		require.Equal(t, Digest(held), u.Digest, service)
+		u, err = p.update(&messenger.FollowRequest{Service: service}, false)
+		require.NoError(t, err)
+		require.Len(t, u.Tables, want.tables, service)
+		require.True(t, u.Reset)
+	}
+}
+
 // TestRefusals guards against a follower that stays with an instance which cannot serve it, or loses its tables to an
 // empty log.
 func TestRefusals(t *testing.T) {
