Test events of older incarnations in the log

Cause: with the check of incarnations in the tracker's join switched off, all tests passed, because announcements are checked before. Change: the test commits late events directly. It fails with the check switched off.

--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -175,10 +175,16 @@
 	g.commit(g.t.Announce(g.now, tracker.Announcement{Member: agent(0), Leaving: true}))
 	require.True(t, g.t.Alive(newer))
 	require.Zero(t, g.count(cherviltide.EventDied)+g.count(cherviltide.EventLeaving))
+	// A deposed leader's proposal may be committed after its successor's.
+	g.commit([]cherviltide.MemberEvent{{Type: cherviltide.EventJoined, Member: agent(0)}, {Type: cherviltide.EventDied, Member: agent(0)}})
+	require.True(t, g.t.Alive(newer), "an event of an older incarnation was applied")
+	g.log = nil
 	other.Address, other.Incarnation = newer.Address, 30
 	g.commit(g.t.Announce(g.now, tracker.Announcement{Member: other}))
 	require.True(t, g.t.Alive(other))
 	require.False(t, g.t.Alive(newer), "a process at the same address replaces the older one")
+	g.commit([]cherviltide.MemberEvent{{Type: cherviltide.EventJoined, Member: newer}})
+	require.False(t, g.t.Alive(newer), "a dead incarnation joined again")
 	known, late := g.t.Known(newer)
 	require.True(t, late)
 	require.Equal(t, uint64(20), known)
