Replicate configuration and membership over the control instances

Cause: one control instance kept everything in memory, so its death lost the accepted rules and the members. Requests to an instance that does not lead are passed to the leader. The settings name the voters, and NewSystem allows the first of them to found a system once all others have shown empty folders. The demo runs three instances. Ruled out: founding on the setting alone, since a wiped founder would count itself as a fresh one.

--- a/bench/launcher/demo.go
+++ b/bench/launcher/demo.go
@@ -20,7 +20,7 @@
 	fast, slow := 5*time.Millisecond, 20*time.Millisecond
 	return Plan{
 		Folder: folder, Binary: binary, Bench: bench,
-		Controls: 1, Entries: 3, Seed: 1,
+		Controls: 3, Entries: 3, Seed: 1,
 		FailureDomains: []string{"salt-lake", "rajarhat", "howrah"},
 		Customer:       "air-bengal",
 		Services: []ServicePlan{{
--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -175,9 +175,16 @@
 	for range s.Plan.Controls {
 		s.Control = append(s.Control, loopback(freePort()))
 	}
+	var voters []loader.Voter
 	for i, listen := range s.Control {
-		name := fmt.Sprintf("control-%d", i+1)
-		settings := loader.Control{Process: s.process(name, i), Listen: listen, Data: filepath.Join(s.Plan.Folder, name)}
+		voters = append(voters, loader.Voter{Name: fmt.Sprintf("control-%d", i+1), Address: listen})
+	}
+	for i, listen := range s.Control {
+		name := voters[i].Name
+		settings := loader.Control{
+			Process: s.process(name, i), Listen: listen, Data: filepath.Join(s.Plan.Folder, name),
+			Voters: voters, NewSystem: true,
+		}
 		if err := s.startRole("control", name, settings); err != nil {
 			return err
 		}
--- a/commands/control.go
+++ b/commands/control.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide/clock"
 	"cherviltide.example/cherviltide/controller"
+	"cherviltide.example/cherviltide/journaler"
 	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/messenger"
 )
 
 type controlCommand struct {
@@ -20,12 +23,28 @@
 	if err := loader.Read(c.Settings, &s); err != nil {
 		return err
 	}
+	if err := s.Check(); err != nil {
+		return err
+	}
 	server, err := serverTLS(s.Process)
 	if err != nil {
 		return err
 	}
-	log.Info("ControlStarted", zap.String("Name", s.Name))
-	return controller.New(controller.Config{
+	client, err := clientTLS(s.Process)
+	if err != nil {
+		return err
+	}
+	config := controller.Config{
 		Name: s.Name, Listen: s.Listen, TLS: server, Clock: clock.NewSystem(), Log: log,
-	}).Run(ctx)
+		Data: s.Data, Files: journaler.NewSystem(), New: s.NewSystem,
+		NewClient: func() *http.Client { return messenger.NewClient(client) },
+	}
+	for _, v := range s.Voters {
+		config.Voters = append(config.Voters, controller.Voter{Name: v.Name, URL: messenger.Scheme(client) + v.Address.String()})
+	}
+	if len(config.Voters) == 0 {
+		config.Voters, config.New = []controller.Voter{{Name: s.Name}}, true
+	}
+	log.Info("ControlStarted", zap.String("Name", s.Name))
+	return controller.New(config).Run(ctx)
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -19,13 +19,19 @@
 	"cherviltide.example/cherviltide/registrar"
 	"cherviltide.example/cherviltide/runner"
 	"cherviltide.example/cherviltide/tracker"
+	"cherviltide.example/cherviltide/voter"
 )
 
-// tickInterval is the time between two checks of the members' leases.
-const tickInterval = 250 * time.Millisecond
-
-// Error is a failure of the control process.
-type Error struct{ cherviltide.Fault }
+const (
+	// leaseInterval is the time between two checks of the members' leases.
+	leaseInterval cherviltide.Millis = 250
+	// tickInterval is the time between two ticks of the voters.
+	tickInterval = 20 * time.Millisecond
+	// confirmTimeout bounds the wait for a majority to confirm the leader.
+	confirmTimeout = time.Second
+	// acceptTimeout bounds the wait for a majority to accept an edit.
+	acceptTimeout = 4 * time.Second
+)
 
 // Config describes a control instance.
 type Config struct {
@@ -34,6 +40,15 @@
 	TLS    *tls.Config
 	Clock  cherviltide.Clock
 	Log    *zap.Logger
+	// Data is the folder for durable state.
+	Data  string
+	Files cherviltide.FileSystem
+	// Voters has all instances that keep the logs, this one included.
+	Voters []Voter
+	// New lets the first of Voters found a new system.
+	New bool
+	// NewClient returns a client with connections of its own.
+	NewClient func() *http.Client
 }
 
 // Controller is a control instance. Its state belongs to the goroutine that runs loop; others send it closures.
@@ -42,10 +57,20 @@
 	registrar   *registrar.Registrar
 	tracker     *tracker.Tracker
 	distributor *distributor.Distributor
+	// groups is complete before any goroutine starts and never changes.
+	groups        map[string]*group
+	configuration *group
+	membership    *group
+	// pending has the member events that were proposed and not applied yet.
+	pending map[string]bool
 	// position is the newest position of the membership log.
 	position uint64
+	// leasesAt is when the leases are checked next.
+	leasesAt cherviltide.Millis
+	started  time.Time
 	reports  map[string]messenger.AnnounceRequest
 	calls    chan func()
+	written  chan written
 }
 
 // New returns a controller that has not started.
@@ -55,27 +80,67 @@
 		registrar:   registrar.New(),
 		tracker:     tracker.New(),
 		distributor: distributor.New(),
+		groups:      map[string]*group{},
+		pending:     map[string]bool{},
+		started:     time.Now(),
 		reports:     map[string]messenger.AnnounceRequest{},
 		calls:       make(chan func()),
+		written:     make(chan written, 2),
 	}
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends. It fails when the data folder is in use or damaged, when a write fails, and when another
+// identity has taken the place of this one.
 func (c *Controller) Run(ctx context.Context) error {
+	if err := c.open(); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", c.config.Listen.String())
 	if err != nil {
-		return &Error{cherviltide.Fault{Op: "controller.Run", Kind: cherviltide.KindInternal, Err: err}}
+		return fault("controller.Run", cherviltide.KindInternal, err)
 	}
 	server := messenger.NewServer(c.mux(), c.config.TLS)
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	group := runner.NewGroup(ctx, 2)
+	group := runner.NewGroup(ctx, 4+2*len(c.config.Voters))
 	group.Go("loop", c.loop)
-	group.Go("serve", func(context.Context) error { return c.serve(server, listener) })
+	group.Go("serve", func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		return c.serve(server, listener)
+	})
+	for _, g := range c.groups {
+		group.Go("write", func(ctx context.Context) error { return g.write(ctx, c.written) })
+		for _, peer := range c.config.Voters {
+			if mailbox, ok := g.mailboxes[peer.Name]; ok {
+				group.Go("send", func(ctx context.Context) error { return c.sendTo(ctx, g, peer, mailbox) })
+			}
+		}
+	}
 	return group.Wait()
 }
 
+// open opens the groups.
+func (c *Controller) open() error {
+	var err error
+	if c.configuration, err = openGroup(c.config, groupConfiguration, c.registrar); err != nil {
+		return err
+	}
+	if c.membership, err = openGroup(c.config, groupMembership, c.tracker); err != nil {
+		return err
+	}
+	c.configuration.led, c.configuration.applied = func() {}, c.publish
+	c.membership.led, c.membership.applied = c.leadMembership, c.applyMembership
+	for _, g := range []*group{c.configuration, c.membership} {
+		c.groups[g.name] = g
+		for _, v := range c.config.Voters {
+			if v.Name != c.config.Name {
+				g.mailboxes[v.Name] = make(chan voter.Message, mailboxSize)
+			}
+		}
+	}
+	return nil
+}
+
 func (c *Controller) serve(server *http.Server, listener net.Listener) error {
 	var err error
 	if c.config.TLS == nil {
@@ -95,6 +160,7 @@
 	messenger.Apply.Handle(mux, c.apply)
 	messenger.Current.Handle(mux, c.current)
 	messenger.Status.Handle(mux, c.status)
+	messenger.Step.Handle(mux, c.step)
 	messenger.Follow.Handle(mux, c.distributor.Serve)
 	return mux
 }
@@ -109,10 +175,30 @@
 			return nil
 		case call := <-c.calls:
 			call()
+		case w := <-c.written:
+			w.group.voter.Stored(w.sequence, w.err)
 		case <-ticker.C:
-			c.record(c.tracker.Tick(c.config.Clock.Now()))
+			c.tick()
 		}
+		for _, g := range []*group{c.configuration, c.membership} {
+			if err := g.step(); err != nil {
+				c.config.Log.Error("GroupStopped", zap.String("Group", g.name), zap.Error(err))
+				return err
+			}
+		}
+	}
+}
+
+// tick tells the time to the voters, and checks the leases when this instance leads the membership.
+func (c *Controller) tick() {
+	monotonic := cherviltide.MillisOf(time.Since(c.started))
+	c.configuration.voter.Tick(monotonic)
+	c.membership.voter.Tick(monotonic)
+	if _, leads := c.membership.leads(); !leads || monotonic < c.leasesAt {
+		return
 	}
+	c.leasesAt = monotonic + leaseInterval
+	c.record(c.tracker.Tick(c.config.Clock.Now()))
 }
 
 // do runs f in the loop and waits for it.
@@ -121,7 +207,7 @@
 	select {
 	case c.calls <- func() { f(); close(done) }:
 	case <-ctx.Done():
-		return &Error{cherviltide.Fault{Op: "controller.do", Kind: cherviltide.KindUnavailable, Err: ctx.Err()}}
+		return fault("controller.do", cherviltide.KindUnavailable, ctx.Err())
 	}
 	<-done
 	return nil
--- a/controller/edits.go
+++ b/controller/edits.go
@@ -2,39 +2,107 @@
 
 import (
 	"context"
+	"time"
 
+	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/parser"
 	"cherviltide.example/cherviltide/registrar"
 )
 
+// apply accepts an edit at the leader; another instance passes it on.
 func (c *Controller) apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
 	if _, err := parser.Parse(req.Text); err != nil {
 		return nil, err
 	}
-	edit := registrar.Edit{ID: req.EditID, Operator: req.Operator, Base: req.Base, Text: req.Text, Time: c.config.Clock.Now()}
-	entry, err := registrar.Encode(edit)
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	r, err := c.routeTo(ctx, c.configuration)
 	if err != nil {
 		return nil, err
 	}
+	if r.here {
+		return c.accept(ctx, req)
+	}
+	if req.Forwarded || r.url == "" {
+		return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
+	}
+	passed := *req
+	passed.Forwarded = true
+	return forward(ctx, c, messenger.Apply, r.url, &passed)
+}
+
+// accept proposes an edit. Nothing is proposed before a majority has confirmed this instance, so a refusal without a
+// majority means that the edit was not accepted.
+func (c *Controller) accept(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+	if !c.confirmed(ctx, c.configuration) {
+		return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
+	}
+	edit := registrar.Edit{ID: req.EditID, Operator: req.Operator, Base: req.Base, Text: req.Text, Time: c.config.Clock.Now()}
+	answer := make(chan error, 1)
 	var number uint64
-	var refused error
-	err = c.do(ctx, func() {
-		c.registrar.Apply(0, entry)
-		number, refused = c.registrar.Result(edit)
-		c.publish()
+	err := c.do(ctx, func() {
+		c.propose(edit, func(n uint64, err error) { number = n; answer <- err })
 	})
-	if err == nil {
-		err = refused
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case err = <-answer:
+		return &messenger.ApplyResponse{Revision: number}, err
+	case <-ctx.Done():
+		return nil, fault("controller.apply", cherviltide.KindUnavailable, errUnknown)
 	}
-	return &messenger.ApplyResponse{Revision: number}, err
 }
 
-func (c *Controller) current(ctx context.Context, _ *messenger.CurrentRequest) (*messenger.CurrentResponse, error) {
-	res := &messenger.CurrentResponse{Confirmed: true}
-	err := c.do(ctx, func() {
+// propose calls done from the loop with the revision that the edit became or the reason of its refusal.
+func (c *Controller) propose(edit registrar.Edit, done func(uint64, error)) {
+	if c.registrar.Known(edit.ID) || edit.Base != c.registrar.Current().Number {
+		done(c.registrar.Result(edit))
+		return
+	}
+	entry, err := c.registrar.Encode(edit)
+	if err != nil {
+		done(0, err)
+		return
+	}
+	c.configuration.propose(entry, func(err error) {
+		if err != nil {
+			done(0, err)
+			return
+		}
+		done(c.registrar.Result(edit))
+	})
+}
+
+// current returns the accepted rules file. Without a majority it is what this instance has, and is not confirmed.
+func (c *Controller) current(ctx context.Context, req *messenger.CurrentRequest) (*messenger.CurrentResponse, error) {
+	r, err := c.routeTo(ctx, c.configuration)
+	if err != nil {
+		return nil, err
+	}
+	if r.url != "" && !req.Forwarded {
+		passed := messenger.CurrentRequest{Forwarded: true}
+		if res, err := forward(ctx, c, messenger.Current, r.url, &passed); err == nil {
+			return res, nil
+		}
+	}
+	res := &messenger.CurrentResponse{Confirmed: r.here && c.confirmed(ctx, c.configuration)}
+	err = c.do(ctx, func() {
 		current := c.registrar.Current()
 		res.Revision, res.Text = current.Number, current.Edit.Text
 	})
 	return res, err
 }
+
+// forwardTimeout bounds a request that is passed to the leader.
+const forwardTimeout = 3 * time.Second
+
+// forward passes a request to the leader on a connection of its own, since a pooled one may be silently dead.
+func forward[Req, Res any](ctx context.Context, c *Controller, p messenger.Procedure[Req, Res], url string, req *Req) (*Res, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	client := c.config.NewClient()
+	defer client.CloseIdleConnections()
+	return p.Call(ctx, client, url, req)
+}
--- /dev/null
+++ b/controller/error.go
@@ -0,0 +1,22 @@
+package controller
+
+import (
+	"errors"
+
+	"cherviltide.example/cherviltide"
+)
+
+// Error is a failure of the control process.
+type Error struct{ cherviltide.Fault }
+
+var (
+	errRemoved    = errors.New("another identity has taken the place of this one")
+	errLost       = errors.New("the entry was lost when the leader changed")
+	errGroup      = errors.New("there is no such group")
+	errNoMajority = errors.New("this instance has no majority of the control instances, nothing was accepted")
+	errUnknown    = errors.New("no majority answered in time; send the edit again with the same edit ID")
+)
+
+func fault(op string, kind cherviltide.ErrorKind, err error) error {
+	return &Error{cherviltide.Fault{Op: op, Kind: kind, Err: err}}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -69,6 +69,36 @@
 	Listen netip.AddrPort
 	// Data is the folder for durable state.
 	Data string
+	// Voters has all control instances that keep the logs, this one included. It is the same for all of them, in the
+	// same order. Empty means that this instance is the only one.
+	Voters []Voter
+	// NewSystem lets the first of Voters found a new system, once all others have shown empty folders. Without it an
+	// instance with an empty folder only joins an existing system.
+	NewSystem bool
+}
+
+// Voter is a control instance that keeps the logs.
+type Voter struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Check returns a fault of kind Invalid when the voters are not usable.
+func (c Control) Check() error {
+	if c.Data == "" {
+		return fault("loader.Check", fmt.Errorf("Data must name a folder"))
+	}
+	seen := map[string]bool{}
+	for _, v := range c.Voters {
+		if v.Name == "" || seen[v.Name] || !v.Address.IsValid() {
+			return fault("loader.Check", fmt.Errorf("voter %q must have a name of its own and an address", v.Name))
+		}
+		seen[v.Name] = true
+	}
+	if len(seen) > 0 && !seen[c.Name] {
+		return fault("loader.Check", fmt.Errorf("Voters must contain this instance, %q", c.Name))
+	}
+	return nil
 }
 
 // Read reads a settings file into settings, which must be a pointer to Entry, Agent or Control.
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -27,6 +27,8 @@
 	// OldestGeneration is the lowest generation at which the agent opened a flow that it still holds.
 	// It equals Generation when the agent holds no flow.
 	OldestGeneration uint64
+	// Forwarded is true when a control instance passes the request to the leader.
+	Forwarded bool
 }
 
 // AnnounceResponse grants a lease.
@@ -43,6 +45,8 @@
 	Base     uint64
 	Operator string
 	Text     string
+	// Forwarded is true when a control instance passes the request to the leader.
+	Forwarded bool
 }
 
 // ApplyResponse tells the revision that the edit became.
@@ -51,7 +55,10 @@
 }
 
 // CurrentRequest asks for the accepted rules file.
-type CurrentRequest struct{}
+type CurrentRequest struct {
+	// Forwarded is true when a control instance passes the request to the leader.
+	Forwarded bool
+}
 
 // CurrentResponse is the accepted rules file.
 type CurrentResponse struct {
@@ -62,7 +69,10 @@
 }
 
 // StatusRequest asks for the state of all members.
-type StatusRequest struct{}
+type StatusRequest struct {
+	// Forwarded is true when a control instance passes the request to the leader.
+	Forwarded bool
+}
 
 // StatusResponse lists the members as the instance knows them.
 type StatusResponse struct {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -46,7 +46,7 @@
 }
 
 // Encode returns the log entry of an edit.
-func Encode(e Edit) ([]byte, error) {
+func (r *Registrar) Encode(e Edit) ([]byte, error) {
 	return cbor.Marshal(e)
 }
 
