--- a/controller/group.go
+++ b/controller/group.go
@@ -58,8 +58,9 @@
 	reads     map[uint64]func(confirmed bool)
 	token     uint64
 	// ledTerm is the newest term in which this instance led; led is called once for each.
-	ledTerm uint64
-	led     func()
+	ledTerm  uint64
+	admitted bool
+	led      func()
 	// applied is called after entries were applied.
 	applied func()
 }
@@ -139,6 +140,7 @@
 			delete(g.reads, r.Token)
 			done(r.Confirmed)
 		}
+		g.noteAdmission()
 		g.noteLeadership()
 		if len(out.Committed)+len(out.Reads) == 0 && out.Restore == nil {
 			return nil
@@ -146,6 +148,13 @@
 	}
 }
 
+func (g *group) noteAdmission() {
+	if admitted := g.voter.Admitted(); admitted != g.admitted {
+		g.admitted = admitted
+		g.log.Info("Admitted", zap.String("Group", g.name), zap.Uint64("Identity", g.self.Number))
+	}
+}
+
 func (g *group) noteLeadership() {
 	term, leads := g.voter.Leads()
 	if leads && term != g.ledTerm {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -86,7 +86,7 @@
 // Check returns a fault of kind Invalid when the voters are not usable.
 func (c Control) Check() error {
 	if c.Data == "" {
-		return fault("loader.Check", fmt.Errorf("Data must name a folder"))
+		return fault("loader.Check", fmt.Errorf("no folder is set in Data"))
 	}
 	seen := map[string]bool{}
 	for _, v := range c.Voters {
@@ -96,7 +96,7 @@
 		seen[v.Name] = true
 	}
 	if len(seen) > 0 && !seen[c.Name] {
-		return fault("loader.Check", fmt.Errorf("Voters must contain this instance, %q", c.Name))
+		return fault("loader.Check", fmt.Errorf("this instance, %q, is missing in Voters", c.Name))
 	}
 	return nil
 }
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -184,6 +184,11 @@
 	return v.removed
 }
 
+// Admitted reports whether this identity was among committed voters.
+func (v *Voter) Admitted() bool {
+	return v.hard.Admitted
+}
+
 // Failed returns the error that stopped the voter, or nil.
 func (v *Voter) Failed() error {
 	return v.failed
