Store edits as line deltas and show the difference in a conflict

Change: an entry holds the lines that differ from its base with a checksum of the result. The registrar keeps the newest text and bounds the deltas by number and bytes.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,18 +4,36 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"cherviltide.example/cherviltide"
 )
 
+// MaxRevisions and MaxBytes bound the revisions that are kept, by number and by bytes of changed lines. An edit ID is
+// known as long as its revision is kept.
+const (
+	MaxRevisions = 20_000
+	MaxBytes     = 8 << 20
+)
+
+// decoding accepts entries with any number of lines; their size is bounded by the log.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1<<31 - 1}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return mode
+}()
+
 // Error is a refused edit.
 type Error struct{ cherviltide.Fault }
 
 var errReused = errors.New("edit ID was used before with another content")
 
-// Edit is an entry of the configuration log.
+// Edit is a change that an operator asks for.
 type Edit struct {
 	// ID is the same when an operator sends an edit again.
 	ID       string
@@ -33,11 +51,43 @@
 	Edit   Edit
 }
 
-// Registrar holds the accepted revisions. One goroutine uses it.
+// entry is an edit in the log and in a snapshot: the lines that differ from the revision before.
+type entry struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Operator string
+	Base     uint64
+	Time     cherviltide.Millis
+	Sum      uint64
+	Lines    []Span
+}
+
+// size returns the approximate number of bytes that the entry takes.
+func (e entry) size() int {
+	n := len(e.ID) + len(e.Operator)
+	for _, s := range e.Lines {
+		for _, line := range s.Add {
+			n += len(line)
+		}
+	}
+	return n
+}
+
+// state is the content of a snapshot.
+type state struct {
+	// First is the number of the revision before the oldest kept one, and Text the newest text.
+	First uint64
+	Text  string
+	Kept  []entry
+}
+
+// Registrar holds the accepted revisions: the newest text, and what each kept revision changed. One goroutine uses it.
 type Registrar struct {
-	// revisions has Number i+1 at index i.
-	revisions []Revision
-	byID      map[string]uint64
+	state state
+	// byID has the revision that each known edit became.
+	byID map[string]uint64
+	// bytes is the size of the kept entries.
+	bytes int
 }
 
 // New returns a registrar without revisions.
@@ -45,41 +95,75 @@
 	return &Registrar{byID: map[string]uint64{}}
 }
 
-// Encode returns the log entry of an edit.
+// Encode returns the log entry of an edit whose base is the current revision.
 func (r *Registrar) Encode(e Edit) ([]byte, error) {
-	return cbor.Marshal(e)
+	lines := difference(strings.Split(r.state.Text, "\n"), strings.Split(e.Text, "\n"))
+	return cbor.Marshal(entry{
+		ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Sum: xxhash.Sum64String(e.Text), Lines: lines,
+	})
+}
+
+func (r *Registrar) number() uint64 {
+	return r.state.First + uint64(len(r.state.Kept))
 }
 
 // Current returns the newest revision; its number is 0 when there is none.
 func (r *Registrar) Current() Revision {
-	if len(r.revisions) == 0 {
-		return Revision{}
+	if len(r.state.Kept) == 0 {
+		return Revision{Number: r.number(), Edit: Edit{Text: r.state.Text}}
+	}
+	e := r.state.Kept[len(r.state.Kept)-1]
+	return Revision{
+		Number: r.number(),
+		Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Text: r.state.Text},
 	}
-	return r.revisions[len(r.revisions)-1]
 }
 
 // Apply accepts an edit whose base is the current revision. Other edits change nothing.
-func (r *Registrar) Apply(_ uint64, entry []byte) {
-	var e Edit
-	if err := cbor.Unmarshal(entry, &e); err != nil {
+func (r *Registrar) Apply(_ uint64, data []byte) {
+	var e entry
+	if err := decoding.Unmarshal(data, &e); err != nil {
+		return
+	}
+	if _, known := r.byID[e.ID]; known || e.Base != r.number() {
 		return
 	}
-	if _, known := r.byID[e.ID]; known || e.Base != r.Current().Number {
+	lines, ok := patch(strings.Split(r.state.Text, "\n"), e.Lines)
+	text := strings.Join(lines, "\n")
+	if !ok || xxhash.Sum64String(text) != e.Sum {
 		return
 	}
-	revision := Revision{Number: e.Base + 1, Edit: e}
-	r.revisions = append(r.revisions, revision)
-	r.byID[e.ID] = revision.Number
+	r.state.Text = text
+	r.state.Kept = append(r.state.Kept, e)
+	r.byID[e.ID] = r.number()
+	r.bytes += e.size()
+	r.forget()
+}
+
+// forget drops the older half of the revisions when they exceed a bound. The newest one always stays.
+func (r *Registrar) forget() {
+	if len(r.state.Kept) <= MaxRevisions && r.bytes <= MaxBytes {
+		return
+	}
+	half := len(r.state.Kept) / 2
+	for _, e := range r.state.Kept[:half] {
+		delete(r.byID, e.ID)
+		r.bytes -= e.size()
+	}
+	r.state.First += uint64(half)
+	r.state.Kept = append([]entry(nil), r.state.Kept[half:]...)
 }
 
-// Result returns the revision that an edit became, or why it was refused.
+// Result returns the revision that an edit became, or a fault of kind Conflict that shows how its text differs from the
+// current one.
 func (r *Registrar) Result(e Edit) (uint64, error) {
 	number, known := r.byID[e.ID]
 	if !known {
-		return 0, fault("registrar.Result", cherviltide.KindConflict,
-			fmt.Errorf("base revision is %d, current revision is %d", e.Base, r.Current().Number))
+		return 0, fault("registrar.Result", cherviltide.KindConflict, fmt.Errorf(
+			"base revision is %d, current revision is %d; from the current file to the sent one:\n%s",
+			e.Base, r.number(), Difference(r.state.Text, e.Text)))
 	}
-	if r.revisions[number-1].Edit.Text != e.Text {
+	if r.state.Kept[number-r.state.First-1].Sum != xxhash.Sum64String(e.Text) {
 		return 0, fault("registrar.Result", cherviltide.KindConflict, errReused)
 	}
 	return number, nil
@@ -93,19 +177,20 @@
 
 // Snapshot returns the state in a form that Restore reads.
 func (r *Registrar) Snapshot() ([]byte, error) {
-	return cbor.Marshal(r.revisions)
+	return cbor.Marshal(r.state)
 }
 
 // Restore replaces the state by a snapshot.
 func (r *Registrar) Restore(_ uint64, snapshot []byte) error {
-	var revisions []Revision
-	if err := cbor.Unmarshal(snapshot, &revisions); err != nil {
+	var s state
+	if err := decoding.Unmarshal(snapshot, &s); err != nil {
 		return fault("registrar.Restore", cherviltide.KindDamaged, err)
 	}
-	r.revisions = revisions
-	r.byID = make(map[string]uint64, len(revisions))
-	for _, x := range revisions {
-		r.byID[x.Edit.ID] = x.Number
+	r.state, r.bytes = s, 0
+	r.byID = make(map[string]uint64, len(s.Kept))
+	for i, e := range s.Kept {
+		r.bytes += e.size()
+		r.byID[e.ID] = s.First + uint64(i) + 1
 	}
 	return nil
 }
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,57 @@
+package registrar
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a text that changes on its way through the log, and against edits that are lost by a snapshot.
+func TestDeltasReproduceEveryText(t *testing.T) {
+	const seed = 1
+	random := rand.New(rand.NewPCG(seed, 0))
+	r, lines := New(), []string{}
+	for number := uint64(1); number <= 300; number++ {
+		for range random.IntN(6) {
+			at := random.IntN(len(lines) + 1)
+			switch {
+			case random.IntN(3) > 0 || at == len(lines):
+				lines = append(lines[:at:at], append([]string{fmt.Sprint("line ", random.IntN(9))}, lines[at:]...)...)
+			default:
+				lines = append(lines[:at:at], lines[at+1:]...)
+			}
+		}
+		if random.IntN(50) == 0 {
+			lines = strings.Split(strings.Repeat("other\n", random.IntN(2*maxEdits)), "\n")
+		}
+		e := Edit{ID: fmt.Sprint(number), Base: number - 1, Text: strings.Join(lines, "\n")}
+		entry, err := r.Encode(e)
+		require.NoError(t, err)
+		r.Apply(number, entry)
+		r.Apply(number, entry)
+		got, err := r.Result(e)
+		require.NoError(t, err, "seed %d, revision %d", seed, number)
+		require.Equal(t, number, got)
+		require.Equal(t, e.Text, r.Current().Edit.Text)
+		snapshot, err := r.Snapshot()
+		require.NoError(t, err)
+		r = New()
+		require.NoError(t, r.Restore(number, snapshot))
+	}
+}
+
+// Guards against a conflict that hides what differs, and against an edit ID that passes with another content.
+func TestConflicts(t *testing.T) {
+	r := New()
+	entry, err := r.Encode(Edit{ID: "a", Text: "one\ntwo\nthree"})
+	require.NoError(t, err)
+	r.Apply(1, entry)
+	_, err = r.Result(Edit{ID: "b", Text: "one\n2\nthree"})
+	require.ErrorContains(t, err, "base revision is 0, current revision is 1")
+	require.ErrorContains(t, err, "@@ line 2\n-two\n+2")
+	_, err = r.Result(Edit{ID: "a", Text: "four"})
+	require.ErrorIs(t, err, errReused)
+}
