--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -61,14 +61,18 @@
 	Port      uint16
 	Control   []netip.AddrPort
 	Processes map[string]*Process
+	// Probes has the address of health, readiness and metrics of each process.
+	Probes    map[string]netip.AddrPort
 	issuer    *issuer.Issuer
 	client    *http.Client
 	entryPort []uint16
+	// callers has the identity of each service towards callers.
+	callers map[string]loader.TLS
 }
 
 // Start starts all processes of a plan, applies the rules and waits until every process has them in force.
 func Start(ctx context.Context, plan Plan) (*System, error) {
-	s := &System{Plan: plan, Processes: map[string]*Process{}, client: messenger.NewClient(nil)}
+	s := &System{Plan: plan, Processes: map[string]*Process{}, Probes: map[string]netip.AddrPort{}, callers: map[string]loader.TLS{}, client: messenger.NewClient(nil)}
 	var err error
 	if s.issuer, err = issuer.New(plan.Folder); err != nil {
 		return nil, errors.Trace(err)
@@ -162,12 +166,14 @@
 
 func (s *System) process(name string, number int) loader.Process {
 	domains := s.Plan.FailureDomains
+	s.Probes[name] = loopback(freePort())
 	return loader.Process{
 		Name:          name,
 		FailureDomain: domains[number%len(domains)],
 		Region:        "local",
 		Control:       s.Control,
 		PacketKey:     packetKey,
+		Probe:         s.Probes[name],
 	}
 }
 
@@ -217,6 +223,7 @@
 			return err
 		}
 		callers := loader.TLS{Certificate: certificate, Key: key, Authority: s.issuer.Authority()}
+		s.callers[v.Name] = callers
 		for i, speed := range v.Speeds {
 			if err := s.startTarget(v, i, speed, callers); err != nil {
 				return err
--- a/commands/control.go
+++ b/commands/control.go
@@ -12,18 +12,18 @@
 	"cherviltide.example/cherviltide/journaler"
 	"cherviltide.example/cherviltide/loader"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/prober"
+	"cherviltide.example/cherviltide/runner"
 )
 
 type controlCommand struct {
-	Settings string `arg:"required" help:"settings file (JSON)"`
+	Settings string   `arg:"required" help:"settings file (JSON)"`
+	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
 func (c *controlCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
 	var s loader.Control
-	if err := loader.Read(c.Settings, &s); err != nil {
-		return err
-	}
-	if err := s.Check(); err != nil {
+	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
 	}
 	server, err := serverTLS(s.Process)
@@ -46,5 +46,11 @@
 		config.Voters, config.New = []controller.Voter{{Name: s.Name}}, true
 	}
 	log.Info("ControlStarted", zap.String("Name", s.Name))
-	return controller.New(config).Run(ctx)
+	control := controller.New(config)
+	probe := prober.New(prober.Config{Listen: s.Probe, Ready: control.Ready})
+	control.Measure(probe)
+	group := runner.NewGroup(ctx, 2)
+	group.Go("control", control.Run)
+	group.Go("probe", probe.Run)
+	return group.Wait()
 }
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -15,12 +15,13 @@
 )
 
 type entryCommand struct {
-	Settings string `arg:"required" help:"settings file (JSON)"`
+	Settings string   `arg:"required" help:"settings file (JSON)"`
+	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
 func (c *entryCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
 	var s loader.Entry
-	if err := loader.Read(c.Settings, &s); err != nil {
+	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
 	}
 	key, err := s.Key()
@@ -34,13 +35,22 @@
 		return err
 	}
 	data, err = forwarder.Listen(forwarder.Config{
-		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View,
+		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View, Log: log,
 	})
 	if err != nil {
 		return err
 	}
 	log.Info("EntryStarted", zap.String("Name", s.Name))
-	return runGracefully(ctx, f, log, data.Run)
+	path, probe := newProbe(s.Process, f, data.InForce)
+	probe.Counters("Forwarder", &data.Counters)
+	for _, r := range forwarder.Reasons() {
+		probe.Metric("Forwarder.Dropped."+r.String(), func() any { return data.Counters.Dropped(r) })
+	}
+	return work{
+		Serve:    path.Watch(data.Run),
+		Support:  []func(context.Context) error{probe.Run},
+		Activity: func() uint64 { return data.Counters.Forwarded.Load() + data.Counters.Replied.Load() },
+	}.run(ctx, f, log)
 }
 
 func ports(list []loader.Port) []forwarder.Port {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -17,6 +17,7 @@
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/registrar"
+	"cherviltide.example/cherviltide/reporter"
 	"cherviltide.example/cherviltide/runner"
 	"cherviltide.example/cherviltide/tracker"
 	"cherviltide.example/cherviltide/voter"
@@ -49,6 +50,8 @@
 	New bool
 	// NewClient returns a client with connections of its own.
 	NewClient func() *http.Client
+	// inline makes the loop wait for disk writes, so that tests see the effect of a call when it returns.
+	inline bool
 }
 
 // Controller is a control instance. Its state belongs to the goroutine that runs loop; others send it closures.
@@ -61,32 +64,30 @@
 	groups        map[string]*group
 	configuration *group
 	membership    *group
-	// pending has the member events that were proposed and not applied yet.
-	pending map[string]bool
-	// position is the newest position of the membership log.
-	position uint64
 	// leasesAt is when the leases are checked next.
 	leasesAt cherviltide.Millis
 	started  time.Time
-	reports  map[string]messenger.AnnounceRequest
-	calls    chan func()
+	members  members
+	burn     *reporter.Merger
+	calls    chan call
 	written  chan written
 }
 
 // New returns a controller that has not started.
 func New(config Config) *Controller {
-	return &Controller{
+	c := &Controller{
 		config:      config,
 		registrar:   registrar.New(),
 		tracker:     tracker.New(),
 		distributor: distributor.New(),
 		groups:      map[string]*group{},
-		pending:     map[string]bool{},
 		started:     time.Now(),
-		reports:     map[string]messenger.AnnounceRequest{},
-		calls:       make(chan func()),
+		burn:        reporter.NewMerger(config.Clock.Now()),
+		calls:       make(chan call),
 		written:     make(chan written, 2),
 	}
+	c.members = newMembers(&memberLog{controller: c})
+	return c
 }
 
 // Run serves until ctx ends. It fails when the data folder is in use or damaged, when a write fails, and when another
@@ -128,8 +129,7 @@
 	if c.membership, err = openGroup(c.config, groupMembership, c.tracker); err != nil {
 		return err
 	}
-	c.configuration.led, c.configuration.applied = func() {}, c.publish
-	c.membership.led, c.membership.applied = c.leadMembership, c.applyMembership
+	c.configuration.applied, c.membership.applied = c.publish, c.publish
 	for _, g := range []*group{c.configuration, c.membership} {
 		c.groups[g.name] = g
 		for _, v := range c.config.Voters {
@@ -162,50 +162,67 @@
 	messenger.Status.Handle(mux, c.status)
 	messenger.Step.Handle(mux, c.step)
 	messenger.Follow.Handle(mux, c.distributor.Serve)
+	c.handleOperators(mux)
 	return mux
 }
 
+// call is work for the loop. done is closed after it and what follows from it were carried out.
+type call struct {
+	f    func()
+	done chan struct{}
+}
+
 // loop owns the state.
 func (c *Controller) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		done := make(chan struct{})
 		select {
 		case <-ctx.Done():
 			return nil
 		case call := <-c.calls:
-			call()
+			call.f()
+			done = call.done
 		case w := <-c.written:
 			w.group.voter.Stored(w.sequence, w.err)
 		case <-ticker.C:
 			c.tick()
 		}
-		for _, g := range []*group{c.configuration, c.membership} {
-			if err := g.step(); err != nil {
-				c.config.Log.Error("GroupStopped", zap.String("Group", g.name), zap.Error(err))
-				return err
-			}
+		err := c.stepGroups()
+		close(done)
+		if err != nil {
+			return err
 		}
 	}
 }
 
-// tick tells the time to the voters, and checks the leases when this instance leads the membership.
+func (c *Controller) stepGroups() error {
+	for _, g := range []*group{c.configuration, c.membership} {
+		if err := g.step(); err != nil {
+			c.config.Log.Error("GroupStopped", zap.String("Group", g.name), zap.Error(err))
+			return err
+		}
+	}
+	return nil
+}
+
+// tick tells the time to the voters, and looks after the members.
 func (c *Controller) tick() {
 	monotonic := cherviltide.MillisOf(time.Since(c.started))
 	c.configuration.voter.Tick(monotonic)
 	c.membership.voter.Tick(monotonic)
-	if _, leads := c.membership.leads(); !leads || monotonic < c.leasesAt {
-		return
+	if monotonic >= c.leasesAt {
+		c.leasesAt = monotonic + leaseInterval
+		c.tickMembers()
 	}
-	c.leasesAt = monotonic + leaseInterval
-	c.record(c.tracker.Tick(c.config.Clock.Now()))
 }
 
 // do runs f in the loop and waits for it.
 func (c *Controller) do(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	select {
-	case c.calls <- func() { f(); close(done) }:
+	case c.calls <- call{f: f, done: done}:
 	case <-ctx.Done():
 		return fault("controller.do", cherviltide.KindUnavailable, ctx.Err())
 	}
--- a/controller/edits.go
+++ b/controller/edits.go
@@ -22,7 +22,7 @@
 		return nil, err
 	}
 	if r.here {
-		return c.accept(ctx, req)
+		return c.acceptEdit(ctx, req)
 	}
 	if req.Forwarded || r.url == "" {
 		return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
@@ -32,9 +32,9 @@
 	return forward(ctx, c, messenger.Apply, r.url, &passed)
 }
 
-// accept proposes an edit. Nothing is proposed before a majority has confirmed this instance, so a refusal without a
+// acceptEdit proposes an edit. Nothing is proposed before a majority has confirmed this instance, so a refusal without a
 // majority means that the edit was not accepted.
-func (c *Controller) accept(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+func (c *Controller) acceptEdit(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
 	if !c.confirmed(ctx, c.configuration) {
 		return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
 	}
--- a/controller/group.go
+++ b/controller/group.go
@@ -49,6 +49,7 @@
 	voter   *voter.Voter
 	self    voter.ID
 	journal *journaler.Journal
+	inline  bool
 	machine cherviltide.StateMachine
 	// writes has room for the only write that can be under way.
 	writes    chan voter.Write
@@ -57,10 +58,9 @@
 	proposals map[uint64][]proposal
 	reads     map[uint64]func(confirmed bool)
 	token     uint64
-	// ledTerm is the newest term in which this instance led; led is called once for each.
+	// ledTerm is the newest term in which this instance led.
 	ledTerm  uint64
 	admitted bool
-	led      func()
 	// applied is called after entries were applied.
 	applied func()
 }
@@ -76,7 +76,7 @@
 		names = append(names, v.Name)
 	}
 	g := &group{
-		name: name, log: config.Log, self: self, journal: journal, machine: machine,
+		name: name, log: config.Log, self: self, journal: journal, inline: config.inline, machine: machine,
 		writes:    make(chan voter.Write, 1),
 		mailboxes: map[string]chan voter.Message{},
 		proposals: map[uint64][]proposal{},
@@ -123,7 +123,9 @@
 			return fault("controller.step", cherviltide.KindForbidden, fmt.Errorf(
 				"%w: group %s; empty its folder to join again", errRemoved, g.name))
 		}
-		if out.Write != nil {
+		if out.Write != nil && g.inline {
+			g.voter.Stored(out.Write.Sequence, g.journal.Write(*out.Write))
+		} else if out.Write != nil {
 			g.writes <- *out.Write
 		}
 		for _, m := range out.Messages {
@@ -142,7 +144,7 @@
 		}
 		g.noteAdmission()
 		g.noteLeadership()
-		if len(out.Committed)+len(out.Reads) == 0 && out.Restore == nil {
+		if len(out.Committed)+len(out.Reads) == 0 && out.Restore == nil && !(g.inline && out.Write != nil) {
 			return nil
 		}
 	}
@@ -160,7 +162,6 @@
 	if leads && term != g.ledTerm {
 		g.ledTerm = term
 		g.log.Info("Leads", zap.String("Group", g.name), zap.Uint64("Term", term))
-		g.led()
 	}
 }
 
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -27,14 +27,25 @@
 	// OldestGeneration is the lowest generation at which the agent opened a flow that it still holds.
 	// It equals Generation when the agent holds no flow.
 	OldestGeneration uint64
-	// Forwarded is true when a control instance passes the request to the leader.
+	// Started is when the process started, by its own clock.
+	Started cherviltide.Millis
+	// Counters are the process's requests since its start; they never shrink within an incarnation.
+	Counters []cherviltide.KindCounts
+	// Rate is the measured service rate in thousandths of a nominal slot; 0 when it is not known.
+	Rate uint32
+	// Forwarded is set when another control instance passes the announcement on. It is not passed on again.
 	Forwarded bool
 }
 
 // AnnounceResponse grants a lease.
 type AnnounceResponse struct {
-	// Lease is counted from the moment at which the request was sent.
+	// Lease is counted from the moment at which the request was sent. It is 0 when the announcement was not accepted.
 	Lease cherviltide.Millis
+	// Leave tells the member to finish what it has and to end, because an operator drains it.
+	Leave bool
+	// Expelled is set when the announced incarnation is dead or replaced; Incarnation is then the newest known one.
+	Expelled    bool
+	Incarnation uint64
 }
 
 // ApplyRequest asks control to accept a rules file.
@@ -70,7 +81,7 @@
 
 // StatusRequest asks for the state of all members.
 type StatusRequest struct {
-	// Forwarded is true when a control instance passes the request to the leader.
+	// Forwarded is set when another control instance passes the request on. It is not passed on again.
 	Forwarded bool
 }
 
@@ -80,38 +91,19 @@
 	Position  uint64
 	Confirmed bool
 	Members   []MemberStatus
+	// Held names the services and roles whose silent members are kept, because too many are silent at once.
+	Held []string
 }
 
 // MemberStatus is the state of one member.
 type MemberStatus struct {
-	Member          cherviltide.Member
-	State           cherviltide.MemberState
+	Member cherviltide.Member
+	State  cherviltide.MemberState
+	// RevisionSeen is what the member received, RevisionInForce what decided its last packet.
 	RevisionSeen    uint64
 	RevisionInForce uint64
-}
-
-// FollowRequest subscribes to configuration and membership.
-type FollowRequest struct {
-	Name string
-	// Revision and Position are what the follower holds already.
-	Revision uint64
-	Position uint64
-	// Service limits membership events to one service; empty means all.
-	Service string
-}
-
-// FollowUpdate is one message of a subscription. An empty update is a heartbeat.
-type FollowUpdate struct {
-	// Position is the newest membership position that this update brings the follower to.
-	Position uint64
-	// Events are in the order of their positions.
-	Events []cherviltide.PlacedEvent
-	// Rules is nil when the follower's revision is current.
-	Rules *RulesUpdate
-}
-
-// RulesUpdate carries an accepted rules file.
-type RulesUpdate struct {
-	Revision uint64
-	Text     string
+	// Generation is the generation of an agent's own table.
+	Generation uint64
+	// Lags is set when the member does not run the accepted revision.
+	Lags bool
 }
--- a/messenger/procedure.go
+++ b/messenger/procedure.go
@@ -7,6 +7,9 @@
 	"connectrpc.com/connect"
 )
 
+// compressMinimum is the size in bytes from which responses are compressed. Heartbeats grow under compression.
+const compressMinimum = 512
+
 // Procedure is a unary remote call with a request and a response type.
 type Procedure[Req, Res any] struct {
 	path string
@@ -20,8 +23,8 @@
 			return nil, encodeError(err)
 		}
 		return connect.NewResponse(res), nil
-	}, connect.WithCodec(codec{}))
-	mux.Handle(p.path, handler)
+	}, connect.WithCodec(codec{}), connect.WithCompressMinBytes(compressMinimum))
+	mux.Handle(p.path, restrict(handler, callers[p.path]))
 }
 
 // Call runs the procedure at the peer with the given base URL.
@@ -47,8 +50,8 @@
 			return encodeError(err)
 		}
 		return nil
-	}, connect.WithCodec(codec{}))
-	mux.Handle(s.path, handler)
+	}, connect.WithCodec(codec{}), connect.WithCompressMinBytes(compressMinimum))
+	mux.Handle(s.path, restrict(handler, callers[s.path]))
 }
 
 // Call opens the stream and passes each message to receive until the stream or ctx ends.
--- /dev/null
+++ b/picker/second.go
@@ -0,0 +1,23 @@
+package picker
+
+import "cherviltide.example/cherviltide"
+
+// Second returns the agent that inherits a flow's bucket when its owner goes, and false when there is none.
+func (t *Table) Second(key cherviltide.FlowKey) (cherviltide.Member, bool) {
+	r := t.row(key)
+	if r.second == none {
+		return cherviltide.Member{}, false
+	}
+	return t.targets[r.second].member, true
+}
+
+// Active returns the agents that are neither suspect nor leaving, in the order of their names.
+func (t *Table) Active() []cherviltide.Member {
+	var list []cherviltide.Member
+	for _, x := range t.targets {
+		if x.state == cherviltide.StateActive {
+			list = append(list, x.member)
+		}
+	}
+	return list
+}
--- a/registrar/delta.go
+++ b/registrar/delta.go
@@ -46,7 +46,7 @@
 			}
 			next[k] = x
 			if x >= len(a) && x-k >= len(b) {
-				return trace(reach, a, b, d)
+				return backtrack(reach, a, b, d)
 			}
 		}
 		reach = append(reach, next)
@@ -67,8 +67,8 @@
 	return k == -d || (k != d && reach[k-1] < reach[k+1])
 }
 
-// trace walks back along the path and returns its spans.
-func trace(reach []map[int]int, a, b []string, d int) []Span {
+// backtrack walks back along the path and returns its spans.
+func backtrack(reach []map[int]int, a, b []string, d int) []Span {
 	var spans []Span
 	x, y := len(a), len(b)
 	for ; d > 0; d-- {
@@ -120,6 +120,18 @@
 	return out, at == len(a)
 }
 
+// reverse returns the spans that turn the result of a patch of a back into a.
+func reverse(a []string, spans []Span) []Span {
+	out := make([]Span, 0, len(spans))
+	at := 0
+	for _, s := range spans {
+		at += s.Keep
+		out = append(out, Span{Keep: s.Keep, Drop: len(s.Add), Add: slices.Clone(a[at : at+s.Drop])})
+		at += s.Drop
+	}
+	return out
+}
+
 // Difference returns the lines that differ between two texts, with - before a line of the first one and + before a line
 // of the second, and the line number of the first text before each group. It shows at most 40 lines.
 func Difference(from, to string) string {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -51,7 +51,7 @@
 	Edit   Edit
 }
 
-// entry is an edit in the log and in a snapshot: the lines that differ from the revision before.
+// entry is an edit. In the log, Lines turns the revision before into this one; in the state it is the way back.
 type entry struct {
 	_        struct{} `cbor:",toarray"`
 	ID       string
@@ -128,12 +128,14 @@
 	if _, known := r.byID[e.ID]; known || e.Base != r.number() {
 		return
 	}
-	lines, ok := patch(strings.Split(r.state.Text, "\n"), e.Lines)
+	before := strings.Split(r.state.Text, "\n")
+	lines, ok := patch(before, e.Lines)
 	text := strings.Join(lines, "\n")
 	if !ok || xxhash.Sum64String(text) != e.Sum {
 		return
 	}
 	r.state.Text = text
+	e.Lines = reverse(before, e.Lines)
 	r.state.Kept = append(r.state.Kept, e)
 	r.byID[e.ID] = r.number()
 	r.bytes += e.size()
