--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -19,6 +19,9 @@
 var cases = []Case{
 	{"system-planned", systemPlanned},
 	{"system-crash", systemCrashed},
+	{"control-accept", controlAccept},
+	{"control-restart", controlRestart},
+	{"journal-replay", journalReplay},
 }
 
 // Run runs the case with the given name, or all cases when the name is empty.
