--- a/controller/operators.go
+++ b/controller/operators.go
@@ -24,19 +24,39 @@
 	return list, err
 }
 
-// leadsEdits reports whether a majority confirms that this instance leads the configuration.
-func (c *Controller) leadsEdits(ctx context.Context) bool {
+// newest returns a revision that a majority confirms as accepted, or false when none could be confirmed. What this
+// instance holds is current when it is not older.
+func (c *Controller) newest(ctx context.Context) (uint64, bool) {
 	r, err := c.routeTo(ctx, c.configuration)
-	return err == nil && r.here && c.confirmed(ctx, c.configuration)
+	if err != nil {
+		return 0, false
+	}
+	if r.here {
+		return 0, c.confirmed(ctx, c.configuration)
+	}
+	if r.url == "" {
+		return 0, false
+	}
+	res, err := forward(ctx, c, messenger.Current, r.url, &messenger.CurrentRequest{Forwarded: true})
+	if err != nil {
+		return 0, false
+	}
+	return res.Revision, res.Confirmed
+}
+
+// covers reports whether a history reaches a revision.
+func covers(list []registrar.Revision, revision uint64) bool {
+	return revision == 0 || (len(list) > 0 && list[len(list)-1].Number >= revision)
 }
 
 // rules compares files outside the loop, so that a long history delays no announcement.
 func (c *Controller) rules(ctx context.Context, _ *messenger.RulesRequest) (*messenger.RulesResponse, error) {
+	newest, confirmed := c.newest(ctx)
 	list, err := c.revisions(ctx)
 	if err != nil {
 		return nil, err
 	}
-	res := &messenger.RulesResponse{Confirmed: c.leadsEdits(ctx)}
+	res := &messenger.RulesResponse{Confirmed: confirmed && covers(list, newest)}
 	if len(list) > 0 {
 		res.Revision = list[len(list)-1].Number
 	}
@@ -50,11 +70,12 @@
 }
 
 func (c *Controller) history(ctx context.Context, req *messenger.HistoryRequest) (*messenger.HistoryResponse, error) {
+	newest, confirmed := c.newest(ctx)
 	list, err := c.revisions(ctx)
 	if err != nil {
 		return nil, err
 	}
-	res := &messenger.HistoryResponse{Confirmed: c.leadsEdits(ctx)}
+	res := &messenger.HistoryResponse{Confirmed: confirmed && covers(list, newest)}
 	for i := len(list) - 1; i >= 0; i-- {
 		if req.Newest > 0 && list[i].Number > req.Newest {
 			continue
--- a/voter/leader.go
+++ b/voter/leader.go
@@ -204,8 +204,11 @@
 		}
 		p.waiting, p.offset = false, min(int(m.Index), len(p.sending.Data))
 	case m.Reject:
-		p.waiting, p.sending = false, nil
-		p.next = max(min(p.next-1, m.Index+1), p.match+1)
+		next := max(min(p.next-1, m.Index+1), p.match+1)
+		if next == p.next {
+			return // A repeated refusal; the next heartbeat sends again.
+		}
+		p.waiting, p.sending, p.next = false, nil, next
 	case m.Index >= p.match:
 		v.matched(p, m.Index)
 	}
--- a/voter/schedule_test.go
+++ b/voter/schedule_test.go
@@ -435,3 +435,38 @@
 		})
 	}
 }
+
+// Guards against a voter that forces an election on a healthy group when it returns from a cut.
+func TestReturnAfterCutKeepsTheTerm(t *testing.T) {
+	for name, off := range map[string]switches{"pre-vote": {}, "no pre-vote": {preVote: true}} {
+		t.Run(name, func(t *testing.T) {
+			const seed = 5
+			g := newGroup(seed, 3, off, false)
+			wait := func(steps int) (leader *host, term uint64) {
+				for range steps {
+					g.step()
+				}
+				for _, h := range g.hosts {
+					if at, leads := h.voter.Leads(); leads && at >= term {
+						leader, term = h, at
+					}
+				}
+				return leader, term
+			}
+			before, term := wait(500)
+			require.NotNil(t, before)
+			away := g.hosts[0]
+			if away == before {
+				away = g.hosts[1]
+			}
+			for _, h := range g.hosts {
+				g.cuts[[2]string{h.id.Name, away.id.Name}], g.cuts[[2]string{away.id.Name, h.id.Name}] = true, true
+			}
+			wait(500)
+			clear(g.cuts)
+			_, after := wait(500)
+			require.Equal(t, off.preVote, after > term, "seed %d: term %d, then %d", seed, term, after)
+			require.NoError(t, g.bad)
+		})
+	}
+}
