--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -22,6 +22,9 @@
 	{"distribution-targets", distributionTargets},
 	{"distribution-services", distributionServices},
 	{"catch-up", catchUp},
+	{"control-accept", controlAccept},
+	{"control-restart", controlRestart},
+	{"journal-replay", journalReplay},
 }
 
 // Run runs the case with the given name, or all cases when the name is empty.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -20,13 +20,19 @@
 	"cherviltide.example/cherviltide/reporter"
 	"cherviltide.example/cherviltide/runner"
 	"cherviltide.example/cherviltide/tracker"
+	"cherviltide.example/cherviltide/voter"
 )
 
-// tickInterval is the time between two checks of the members' leases.
-const tickInterval = 250 * time.Millisecond
-
-// Error is a failure of the control process.
-type Error struct{ cherviltide.Fault }
+const (
+	// leaseInterval is the time between two checks of the members' leases.
+	leaseInterval cherviltide.Millis = 250
+	// tickInterval is the time between two ticks of the voters.
+	tickInterval = 20 * time.Millisecond
+	// confirmTimeout bounds the wait for a majority to confirm the leader.
+	confirmTimeout = time.Second
+	// acceptTimeout bounds the wait for a majority to accept an edit.
+	acceptTimeout = 4 * time.Second
+)
 
 // Config describes a control instance.
 type Config struct {
@@ -35,6 +41,17 @@
 	TLS    *tls.Config
 	Clock  cherviltide.Clock
 	Log    *zap.Logger
+	// Data is the folder for durable state.
+	Data  string
+	Files cherviltide.FileSystem
+	// Voters has all instances that keep the logs, this one included.
+	Voters []Voter
+	// New lets the first of Voters found a new system.
+	New bool
+	// NewClient returns a client with connections of its own.
+	NewClient func() *http.Client
+	// inline makes the loop wait for disk writes, so that tests see the effect of a call when it returns.
+	inline bool
 }
 
 // Controller is a control instance. Its state belongs to the goroutine that runs loop; others send it closures.
@@ -43,9 +60,17 @@
 	registrar   *registrar.Registrar
 	tracker     *tracker.Tracker
 	distributor *distributor.Distributor
-	members     members
-	burn        *reporter.Merger
-	calls       chan func()
+	// groups is complete before any goroutine starts and never changes.
+	groups        map[string]*group
+	configuration *group
+	membership    *group
+	// leasesAt is when the leases are checked next.
+	leasesAt cherviltide.Millis
+	started  time.Time
+	members  members
+	burn     *reporter.Merger
+	calls    chan call
+	written  chan written
 }
 
 // New returns a controller that has not started.
@@ -55,29 +80,67 @@
 		registrar:   registrar.New(),
 		tracker:     tracker.New(),
 		distributor: distributor.New(),
+		groups:      map[string]*group{},
+		started:     time.Now(),
 		burn:        reporter.NewMerger(config.Clock.Now()),
-		calls:       make(chan func()),
+		calls:       make(chan call),
+		written:     make(chan written, 2),
 	}
-	c.members = newMembers(&alone{commit: c.commitMember})
+	c.members = newMembers(&memberLog{controller: c})
 	return c
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends. It fails when the data folder is in use or damaged, when a write fails, and when another
+// identity has taken the place of this one.
 func (c *Controller) Run(ctx context.Context) error {
+	if err := c.open(); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", c.config.Listen.String())
 	if err != nil {
-		return &Error{cherviltide.Fault{Op: "controller.Run", Kind: cherviltide.KindInternal, Err: err}}
+		return fault("controller.Run", cherviltide.KindInternal, err)
 	}
 	server := messenger.NewServer(c.mux(), c.config.TLS)
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	group := runner.NewGroup(ctx, 2)
+	group := runner.NewGroup(ctx, 4+2*len(c.config.Voters))
 	group.Go("loop", c.loop)
-	group.Go("serve", func(context.Context) error { return c.serve(server, listener) })
+	group.Go("serve", func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		return c.serve(server, listener)
+	})
+	for _, g := range c.groups {
+		group.Go("write", func(ctx context.Context) error { return g.write(ctx, c.written) })
+		for _, peer := range c.config.Voters {
+			if mailbox, ok := g.mailboxes[peer.Name]; ok {
+				group.Go("send", func(ctx context.Context) error { return c.sendTo(ctx, g, peer, mailbox) })
+			}
+		}
+	}
 	return group.Wait()
 }
 
+// open opens the groups.
+func (c *Controller) open() error {
+	var err error
+	if c.configuration, err = openGroup(c.config, groupConfiguration, c.registrar); err != nil {
+		return err
+	}
+	if c.membership, err = openGroup(c.config, groupMembership, c.tracker); err != nil {
+		return err
+	}
+	c.configuration.applied, c.membership.applied = c.publish, c.publish
+	for _, g := range []*group{c.configuration, c.membership} {
+		c.groups[g.name] = g
+		for _, v := range c.config.Voters {
+			if v.Name != c.config.Name {
+				g.mailboxes[v.Name] = make(chan voter.Message, mailboxSize)
+			}
+		}
+	}
+	return nil
+}
+
 func (c *Controller) serve(server *http.Server, listener net.Listener) error {
 	var err error
 	if c.config.TLS == nil {
@@ -97,34 +160,71 @@
 	messenger.Apply.Handle(mux, c.apply)
 	messenger.Current.Handle(mux, c.current)
 	messenger.Status.Handle(mux, c.status)
+	messenger.Step.Handle(mux, c.step)
 	messenger.Follow.Handle(mux, c.distributor.Serve)
 	c.handleOperators(mux)
 	return mux
 }
 
+// call is work for the loop. done is closed after it and what follows from it were carried out.
+type call struct {
+	f    func()
+	done chan struct{}
+}
+
 // loop owns the state.
 func (c *Controller) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		done := make(chan struct{})
 		select {
 		case <-ctx.Done():
 			return nil
 		case call := <-c.calls:
-			call()
+			call.f()
+			done = call.done
+		case w := <-c.written:
+			w.group.voter.Stored(w.sequence, w.err)
 		case <-ticker.C:
-			c.tickMembers()
+			c.tick()
+		}
+		err := c.stepGroups()
+		close(done)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Controller) stepGroups() error {
+	for _, g := range []*group{c.configuration, c.membership} {
+		if err := g.step(); err != nil {
+			c.config.Log.Error("GroupStopped", zap.String("Group", g.name), zap.Error(err))
+			return err
 		}
 	}
+	return nil
+}
+
+// tick tells the time to the voters, and looks after the members.
+func (c *Controller) tick() {
+	monotonic := cherviltide.MillisOf(time.Since(c.started))
+	c.configuration.voter.Tick(monotonic)
+	c.membership.voter.Tick(monotonic)
+	if monotonic >= c.leasesAt {
+		c.leasesAt = monotonic + leaseInterval
+		c.tickMembers()
+	}
 }
 
 // do runs f in the loop and waits for it.
 func (c *Controller) do(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	select {
-	case c.calls <- func() { f(); close(done) }:
+	case c.calls <- call{f: f, done: done}:
 	case <-ctx.Done():
-		return &Error{cherviltide.Fault{Op: "controller.do", Kind: cherviltide.KindUnavailable, Err: ctx.Err()}}
+		return fault("controller.do", cherviltide.KindUnavailable, ctx.Err())
 	}
 	<-done
 	return nil
--- a/controller/operators_test.go
+++ b/controller/operators_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/clock"
+	"cherviltide.example/cherviltide/journaler"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/runner"
 )
@@ -20,11 +22,20 @@
 
 func started(t *testing.T) (*Controller, context.Context) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := New(Config{Clock: clock.NewManual(1_800_000_000_000), Log: zap.NewNop()})
+	c := New(Config{
+		Name: "control-1", Clock: clock.NewManual(1_800_000_000_000), Log: zap.NewNop(), Data: t.TempDir(),
+		Files: journaler.NewSystem(), Voters: []Voter{{Name: "control-1"}}, New: true, inline: true,
+	})
+	require.NoError(t, c.open())
 	ends := make(chan runner.End, 1)
 	runner.Start(ctx, "loop", ends, c.loop)
 	t.Cleanup(func() { cancel(); <-ends })
-	require.NoError(t, c.do(ctx, c.tickMembers))
+	require.Eventually(t, func() bool {
+		founded := false
+		require.NoError(t, c.do(ctx, func() { founded = c.tracker.Leads() && c.tracker.Base() > 0 }))
+		_, edits := c.configuration.leads()
+		return founded && edits
+	}, 10*time.Second, time.Millisecond)
 	return c, ctx
 }
 
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -62,6 +62,32 @@
 	Listen netip.AddrPort `setting:"required"`
 	// Data is the folder for durable state.
 	Data string `setting:"required"`
+	// Voters has all control instances that keep the logs, this one included. It is the same for all of them, in the
+	// same order. Empty means that this instance is the only one.
+	Voters []Voter
+	// NewSystem lets the first of Voters found a new system, once all others have shown empty folders. Without it an
+	// instance with an empty folder only joins an existing system.
+	NewSystem bool
+}
+
+// Voter is a control instance that keeps the logs.
+type Voter struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// checkVoters checks the list of voters of the instance with the given name.
+func (c *Control) checkVoters(problem func(name, format string, args ...any)) {
+	seen := map[string]bool{}
+	for _, v := range c.Voters {
+		if v.Name == "" || seen[v.Name] || !v.Address.IsValid() {
+			problem("Voters", "found %q at %s, expected a name of its own and an address", v.Name, v.Address)
+		}
+		seen[v.Name] = true
+	}
+	if len(seen) > 0 && !seen[c.Name] {
+		problem("Voters", "this instance, %q, is missing", c.Name)
+	}
 }
 
 // maxSlots bounds the requests that one target runs at once.
@@ -152,6 +178,7 @@
 
 func (c *Control) check(problem func(name, format string, args ...any)) {
 	c.Process.check(problem)
+	c.checkVoters(problem)
 	distinct(problem, "Probe", c.Probe, "Listen", c.Listen)
 }
 
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -56,6 +56,8 @@
 	Base     uint64
 	Operator string
 	Text     string
+	// Forwarded is true when a control instance passes the request to the leader.
+	Forwarded bool
 }
 
 // ApplyResponse tells the revision that the edit became.
@@ -64,7 +66,10 @@
 }
 
 // CurrentRequest asks for the accepted rules file.
-type CurrentRequest struct{}
+type CurrentRequest struct {
+	// Forwarded is true when a control instance passes the request to the leader.
+	Forwarded bool
+}
 
 // CurrentResponse is the accepted rules file.
 type CurrentResponse struct {
--- a/registrar/history.go
+++ b/registrar/history.go
@@ -1,14 +1,37 @@
 package registrar
 
 import (
+	"slices"
 	"strings"
 
 	"cherviltide.example/cherviltide/parser"
 )
 
-// History returns the accepted revisions, oldest first. The caller must not change them.
+// historyBytes bounds the texts that History rebuilds.
+const historyBytes = 32 << 20
+
+// History returns the newest revisions, oldest first. It goes back as far as the deltas are kept and the texts do not
+// exceed 32 MiB together; the newest revision is always there.
 func (r *Registrar) History() []Revision {
-	return r.revisions
+	var list []Revision
+	lines, size := strings.Split(r.state.Text, "\n"), 0
+	for i := len(r.state.Kept) - 1; i >= 0; i-- {
+		e := r.state.Kept[i]
+		text := strings.Join(lines, "\n")
+		if size += len(text); size > historyBytes && len(list) > 0 {
+			break
+		}
+		list = append(list, Revision{
+			Number: r.state.First + uint64(i) + 1,
+			Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Text: text},
+		})
+		var ok bool
+		if lines, ok = patch(lines, e.Lines); !ok {
+			break
+		}
+	}
+	slices.Reverse(list)
+	return list
 }
 
 // Origin tells which revision brought a rule that is still in the newest file.
