--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -19,6 +19,7 @@
 var cases = []Case{
 	{"system-planned", systemPlanned},
 	{"system-crash", systemCrashed},
+	{"admission", runAdmission},
 }
 
 // Run runs the case with the given name, or all cases when the name is empty.
