--- a/commands/entry.go
+++ b/commands/entry.go
@@ -43,6 +43,9 @@
 	log.Info("EntryStarted", zap.String("Name", s.Name))
 	path, probe := newProbe(s.Process, f, data.InForce)
 	probe.Counters("Forwarder", &data.Counters)
+	for _, r := range forwarder.Reasons() {
+		probe.Metric("Forwarder.Dropped."+r.String(), func() any { return data.Counters.Dropped(r) })
+	}
 	return work{
 		Serve:    path.Watch(data.Run),
 		Support:  []func(context.Context) error{probe.Run},
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -34,6 +34,15 @@
 	"WrongService", "Address", "SendFailed",
 }
 
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	list := make([]Reason, reasons)
+	for i := range list {
+		list[i] = Reason(i)
+	}
+	return list
+}
+
 // String returns the name of the reason.
 func (r Reason) String() string {
 	if r < 0 || r >= reasons {
