--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -95,11 +95,11 @@
 	a.core.Hint(load)
 }
 
-// Wait predicts how long a new request of a kind would wait for a slot.
-func (a *Admitter) Wait(kind cherviltide.Kind) cherviltide.Millis {
+// Busy reports whether a new request of a kind would be refused because it could not be complete in time.
+func (a *Admitter) Busy(kind cherviltide.Kind) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.core.Wait(a.clock.Now(), kind)
+	return a.core.Busy(a.clock.Now(), kind)
 }
 
 // Rate returns how many requests a second the target's slots complete; 0 before the first.
--- a/admitter/config.go
+++ b/admitter/config.go
@@ -9,6 +9,9 @@
 	// agedTurns is the number of starts by rank between two starts by age. It bounds what aged requests take from the
 	// urgent class to one start in seventeen.
 	agedTurns = 16
+	// neededFactor is how many times its expected time a request has to have left when it starts. With one expected time,
+	// more than a third of the requests that start last would end after their deadline.
+	neededFactor = 2
 )
 
 // Config describes the slots of one target.
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -117,7 +117,8 @@
 
 // Tick decides again at a later time, for requests whose deadline has come out of reach and for reserves that have ended.
 func (c *Core) Tick(now cherviltide.Millis) []Action {
-	return c.dispatch(now)
+	c.limit.pass(now)
+	return append(c.expire(now), c.dispatch(now)...)
 }
 
 // Hint takes the load that the target reports, where 1 means that it is full. It only slows the growth of the number of
@@ -139,7 +140,7 @@
 	if !waits && c.fits(now, kind.Class) {
 		return 0
 	}
-	return c.firstFree(now) + ahead/cherviltide.Millis(c.slotsFor(now, kind.Class))
+	return c.firstFree(now) + ahead/cherviltide.Millis(max(c.slotsFor(now, kind.Class), 1))
 }
 
 // firstFree predicts the time until the next running request ends.
@@ -155,6 +156,11 @@
 	return max(first, 0)
 }
 
+// Busy reports whether a new request of a kind would be refused because it could not be complete in time.
+func (c *Core) Busy(now cherviltide.Millis, kind cherviltide.Kind) bool {
+	return c.Wait(now, kind)+c.needed(now, Request{Kind: kind}) > kind.Deadline
+}
+
 // Load returns the numbers of running and waiting requests and of the slots in use now.
 func (c *Core) Load() (running, waiting, slots int) {
 	return len(c.running), len(c.waiting), c.limit.now
@@ -174,7 +180,7 @@
 	if r.Kind.Class == cherviltide.ClassBulky {
 		return 0
 	}
-	return c.speeds.expected(now, r.Kind)
+	return neededFactor * c.speeds.expected(now, r.Kind)
 }
 
 func (c *Core) count(class cherviltide.Class) int {
@@ -189,7 +195,10 @@
 
 // dispatch fills the free slots and refuses the waiting requests whose deadline is out of reach.
 func (c *Core) dispatch(now cherviltide.Millis) []Action {
-	actions := c.expire(now)
+	var actions []Action
+	if len(c.running) < c.limit.now {
+		actions = c.expire(now)
+	}
 	for {
 		i, aged := c.next(now)
 		if i < 0 {
@@ -220,14 +229,17 @@
 
 // next returns the index of the request that takes a free slot, or -1, and whether it goes before its rank by its age.
 func (c *Core) next(now cherviltide.Millis) (int, bool) {
+	if len(c.running) >= c.limit.now {
+		return -1, false
+	}
 	best := -1
 	for i, r := range c.waiting {
+		if c.turns >= agedTurns && now-r.Arrived >= c.config.Aging && c.fitsAged(now, r.Kind.Class) {
+			return i, true
+		}
 		if !c.fits(now, r.Kind.Class) {
 			continue
 		}
-		if c.turns >= agedTurns && now-r.Arrived >= c.config.Aging {
-			return i, true
-		}
 		if best < 0 || before(r, c.waiting[best]) {
 			best = i
 		}
@@ -260,18 +272,28 @@
 	return others < c.slotsFor(now, class)
 }
 
+// fitsAged reports whether a request that has waited long may take one more slot now. While only one slot is in use, the
+// reserve would leave none, so an aged request takes it; a bulky one never does.
+func (c *Core) fitsAged(now cherviltide.Millis, class cherviltide.Class) bool {
+	if c.limit.now == 1 && class != cherviltide.ClassBulky {
+		return true
+	}
+	return c.fits(now, class)
+}
+
 // slotsFor returns how many slots the requests that are not urgent may hold together, or all for the urgent class. The
-// reserve is kept while urgent requests arrive. A single slot is shared by rank, since a reserve would leave none.
+// reserve is kept while urgent requests arrive. A target with a single slot has none.
 func (c *Core) slotsFor(now cherviltide.Millis, class cherviltide.Class) int {
-	if class == cherviltide.ClassUrgent || now-c.urgentSeen >= c.config.ReserveHold {
+	if class == cherviltide.ClassUrgent || c.config.Slots == 1 || now-c.urgentSeen >= c.config.ReserveHold {
 		return c.limit.now
 	}
-	return max(c.limit.now-c.config.Reserve, 1)
+	return max(c.limit.now-c.config.Reserve, 0)
 }
 
-// bulkySlots leaves one slot to other requests. With a single slot, bulky requests run only while no urgent ones arrive.
+// bulkySlots leaves one slot to other requests. At a target with a single slot, bulky requests run only while no urgent
+// ones arrive.
 func (c *Core) bulkySlots(now cherviltide.Millis) int {
-	if c.limit.now > 1 {
+	if c.config.Slots > 1 {
 		return c.limit.now - 1
 	}
 	if now-c.urgentSeen < c.config.ReserveHold {
--- a/admitter/limit.go
+++ b/admitter/limit.go
@@ -7,6 +7,9 @@
 	growAfter = 4
 	// shrinkPause is the shortest time between two reductions, so that the answers to one overload count once.
 	shrinkPause cherviltide.Millis = 500
+	// growPause is the time without an overload after which one more slot is used in any case. Without it, a class that
+	// may not take the first slot would wait for completions that nobody makes.
+	growPause cherviltide.Millis = 1_000
 )
 
 // limit is the number of slots in use. It starts at one and grows with good completions, and it shrinks when the target
@@ -18,7 +21,9 @@
 	good  int
 	// shrunk is the time of the last reduction.
 	shrunk cherviltide.Millis
-	hinted bool
+	// changed is the time of the last change, or of the first look at the time.
+	changed cherviltide.Millis
+	hinted  bool
 }
 
 func newLimit(config Config) limit {
@@ -34,7 +39,7 @@
 		l.good = 0
 		if now-l.shrunk >= shrinkPause {
 			l.now = max(l.now-1, 1)
-			l.shrunk = now
+			l.shrunk, l.changed = now, now
 		}
 		return
 	}
@@ -47,7 +52,26 @@
 		needed *= 2
 	}
 	if l.good >= needed {
-		l.good = 0
-		l.now = min(l.now+1, l.slots)
+		l.grow(now)
 	}
 }
+
+// pass takes the time.
+func (l *limit) pass(now cherviltide.Millis) {
+	if l.changed == 0 {
+		l.changed = now
+	}
+	pause := growPause
+	if l.hinted {
+		pause *= 2
+	}
+	if now-l.changed >= pause {
+		l.grow(now)
+	}
+}
+
+func (l *limit) grow(now cherviltide.Millis) {
+	l.good = 0
+	l.changed = now
+	l.now = min(l.now+1, l.slots)
+}
--- a/admitter/speed.go
+++ b/admitter/speed.go
@@ -4,10 +4,11 @@
 
 const (
 	// recentShare and usualShare are the weights of a new completion in the two moving averages of a kind.
-	recentShare = 0.2
+	recentShare = 0.1
 	usualShare  = 0.02
-	// slowFactor is how many times its usual time a kind's recent time must reach for the target to count as slow.
-	slowFactor = 2.0
+	// slowFactor is how many times its usual time a kind's recent time must reach for the target to count as slow. With
+	// exponentially distributed times the recent average alone exceeds twice the usual one every few hundred requests.
+	slowFactor = 2.5
 	// slowMin is the number of completions before a kind's usual time means something.
 	slowMin = 20
 	// speedsLimit bounds the number of kinds that are watched.
@@ -39,8 +40,9 @@
 	}
 	v.count++
 	v.last = now
-	v.recent += recentShare * (float64(took) - v.recent)
-	v.usual += usualShare * (float64(took) - v.usual)
+	// The first completions count as a plain mean, so that the very first one does not bias the averages for long.
+	v.recent += max(recentShare, 1/float64(v.count)) * (float64(took) - v.recent)
+	v.usual += max(usualShare, 1/float64(v.count)) * (float64(took) - v.usual)
 	return kind.Class != cherviltide.ClassBulky && v.count >= slowMin && v.recent > slowFactor*max(v.usual, 1)
 }
 
--- a/commands/agent.go
+++ b/commands/agent.go
@@ -102,7 +102,7 @@
 // busy reports whether the target's queue would break the deadline of a kind.
 func busy(rules cherviltide.Rules, service string, slots *admitter.Admitter) bool {
 	for _, k := range rules.Kinds {
-		if k.Service == service && slots.Wait(k) > k.Deadline {
+		if k.Service == service && slots.Busy(k) {
 			return true
 		}
 	}
