Reserve slots by the urgent demand and measure at-most-once requests

Cause: long transfers held all slots but one at targets with three, while the urgent requests needed 0.9 of a slot and more; and aged patient requests took most of the remaining share from requests of higher value.

Change: the reserve follows the urgent demand of the last seconds; a start by age counts more turns, so that aged requests get at most one start in nine of the share that is not urgent. A measurement case runs 100,000 at-most-once requests with resends, lost settlements and restarting homes.

--- a/admitter/config.go
+++ b/admitter/config.go
@@ -6,9 +6,10 @@
 const (
 	// minRetryAfter is the shortest retry hint.
 	minRetryAfter cherviltide.Millis = 100
-	// agedTurns is the number of starts by rank between two starts by age. It bounds what aged requests take from the
-	// urgent class to one start in seventeen.
-	agedTurns = 16
+	// agedTurns is the number of turns by rank between two starts by age. An urgent start is one turn and another start is
+	// otherTurns: aged requests get at most one start in nine of their own share, and one for 256 urgent starts.
+	agedTurns  = 256
+	otherTurns = 32
 	// neededFactor is how many times its expected time a request has to have left when it starts. With one expected time,
 	// more than a third of the requests that start last would end after their deadline.
 	neededFactor = 2
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"slices"
 
 	"cherviltide.example/cherviltide"
@@ -53,7 +54,8 @@
 	limit   limit
 	// urgentSeen is the time of the last urgent arrival.
 	urgentSeen cherviltide.Millis
-	// turns counts the starts since an aged request last went before its rank.
+	demand     demand
+	// turns counts the turns since an aged request last went before its rank.
 	turns int
 }
 
@@ -78,6 +80,7 @@
 func (c *Core) Arrive(now cherviltide.Millis, r Request) []Action {
 	if r.Kind.Class == cherviltide.ClassUrgent {
 		c.urgentSeen = now
+		c.demand.add(now, c.speeds.expected(now, r.Kind))
 	}
 	wait := c.Wait(now, r.Kind)
 	if now+wait+c.needed(now, r) > r.Deadline {
@@ -207,14 +210,23 @@
 		r := c.waiting[i]
 		c.waiting = slices.Delete(c.waiting, i, i+1)
 		c.running[r.ID] = started{request: r, at: now}
-		c.turns++
-		if aged {
-			c.turns = 0
-		}
+		c.turn(r, aged)
 		actions = append(actions, Action{ID: r.ID})
 	}
 }
 
+// turn counts a start towards the next one by age.
+func (c *Core) turn(r Request, aged bool) {
+	switch {
+	case aged:
+		c.turns = 0
+	case r.Kind.Class == cherviltide.ClassUrgent:
+		c.turns++
+	default:
+		c.turns += otherTurns
+	}
+}
+
 func (c *Core) expire(now cherviltide.Millis) []Action {
 	var actions []Action
 	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool {
@@ -287,7 +299,13 @@
 	if class == cherviltide.ClassUrgent || c.config.Slots == 1 || now-c.urgentSeen >= c.config.ReserveHold {
 		return c.limit.now
 	}
-	return max(c.limit.now-c.config.Reserve, 0)
+	return max(c.limit.now-c.reserve(now), 0)
+}
+
+// reserve is the number of slots for urgent requests only: the configured one, or what they need, but never all slots.
+func (c *Core) reserve(now cherviltide.Millis) int {
+	needed := int(math.Ceil(c.demand.slots(now) * demandMargin))
+	return max(c.config.Reserve, min(needed, c.config.Slots-1))
 }
 
 // bulkySlots leaves one slot to other requests. At a target with a single slot, bulky requests run only while no urgent
--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -20,6 +20,7 @@
 	{"system-planned", systemPlanned},
 	{"system-crash", systemCrashed},
 	{"admission", runAdmission},
+	{"at-most-once", runClaims},
 }
 
 // Run runs the case with the given name, or all cases when the name is empty.
