Open no flow below a declared generation

Cause: an agent that stood in for a lagging owner, or took an offer of an older table, could open a flow just after it had announced that it holds none of that generation; the next Released event then made the tables forget it.

Change: a declaration and the opening of flows share one lock, such offers are declined, and a stand-in records the generation that its place in the table asks for.

--- a/holder/decision.go
+++ b/holder/decision.go
@@ -58,6 +58,9 @@
 	Full bool
 	// Busy is true when a new flow would wait too long here.
 	Busy bool
+	// Declared is the highest generation before which the agent has said that it holds no flow. A flow that counts as
+	// opened earlier would be forgotten by the tables.
+	Declared uint64
 	// Silent reports whether a candidate has left probes without an answer. A nil function means that none has.
 	Silent func(netip.AddrPort) bool
 }
@@ -141,7 +144,8 @@
 // owner opens the flow after it.
 func offered(s Situation) Step {
 	again := s.Note.Declined && s.Note.To == s.Sender
-	if again || s.Full || s.Busy {
+	opened := min(s.Header.Generation, s.Table.Generation())
+	if again || s.Full || s.Busy || opened < s.Declared {
 		note := Note{Kind: NoteDeclined, To: s.Sender}
 		if s.Note.Kind == NoteProber && s.Note.To == s.Sender {
 			note = s.Note
@@ -149,7 +153,7 @@
 		note.Declined = true
 		return Step{Action: ActionReturn, Flags: framer.FlagDeclined, Note: note}
 	}
-	return Step{Action: ActionOpen, Opened: min(s.Header.Generation, s.Table.Generation())}
+	return Step{Action: ActionOpen, Opened: opened}
 }
 
 // declined opens a flow that the second did not accept, provided that this agent is still the owner.
@@ -247,7 +251,7 @@
 		return Step{Action: ActionPass, To: s.Note.To, Flags: framer.FlagProbe}
 	}
 	if !owner(s, chain) {
-		return standIn(s, chain)
+		return standIn(s)
 	}
 	if mayOffer && s.Note.Kind == NoteOffered {
 		return offer(s.Note.To)
@@ -264,21 +268,19 @@
 
 // standIn opens a flow at an agent that no longer owns its bucket. Without a place in the chain nobody would find the
 // flow again, so the datagram is dropped and the caller's next one finds the owner's table up to date.
-func standIn(s Situation, chain []cherviltide.Member) Step {
+func standIn(s Situation) Step {
 	if s.Note.Kind == NoteOffered {
 		// The former second may still accept the offer that this agent made while it was the owner.
 		return Step{Action: ActionDrop}
 	}
-	for _, m := range chain {
-		if !same(m, s.Self) {
-			continue
-		}
-		if s.Full {
-			return Step{Action: ActionRefuse}
-		}
-		return Step{Action: ActionOpen}
+	opened, ok := s.Table.OpenedAt(s.Header.Flow, s.Self)
+	if !ok || opened < s.Declared {
+		return Step{Action: ActionDrop}
+	}
+	if s.Full {
+		return Step{Action: ActionRefuse}
 	}
-	return Step{Action: ActionDrop}
+	return Step{Action: ActionOpen, Opened: opened}
 }
 
 // offer passes a datagram to the second and remembers that the flow may be there.
--- a/holder/flow.go
+++ b/holder/flow.go
@@ -38,6 +38,8 @@
 type flows struct {
 	mu   sync.RWMutex
 	byID map[cherviltide.FlowKey]*flow
+	// declared is the highest generation that declare has returned; no flow is opened at a lower one.
+	declared uint64
 }
 
 func newFlows() *flows {
@@ -50,10 +52,14 @@
 	return s.byID[key]
 }
 
+// open adds a flow, or returns nil when it would break a declaration that was made since the decision.
 func (s *flows) open(key cherviltide.FlowKey, generation uint64) *flow {
 	f := &flow{key: key, text: key.Caller.String() + ">" + key.Virtual.String(), opened: generation}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if generation < s.declared {
+		return nil
+	}
 	s.byID[key] = f
 	return f
 }
@@ -86,12 +92,20 @@
 	return n
 }
 
-// oldest returns the lowest generation at which a held flow was opened, or the given one when there is none.
-func (s *flows) oldest(generation uint64) uint64 {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
+// declare returns the lowest generation at which a held flow was opened, or the given one when there is none. No flow is
+// opened at a lower generation afterwards.
+func (s *flows) declare(generation uint64) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, f := range s.byID {
 		generation = min(generation, f.opened)
 	}
+	s.declared = max(s.declared, generation)
 	return generation
 }
+
+func (s *flows) lastDeclared() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.declared
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -103,13 +103,14 @@
 	return h.flows.len()
 }
 
-// Generations returns the generation of the agent's table and the lowest one at which a held flow was opened.
+// Generations returns the generation of the agent's table and the lowest one at which a held flow was opened, for an
+// announcement. The agent opens no flow at a lower generation afterwards.
 func (h *Holder) Generations() (current, oldest uint64) {
 	table, ok := h.config.View().Tables[h.config.Self.Service]
 	if !ok {
 		return 0, 0
 	}
-	return table.Generation(), h.flows.oldest(table.Generation())
+	return table.Generation(), h.flows.declare(table.Generation())
 }
 
 // Run ends idle flows and probes the receiver until ctx ends.
--- a/holder/receive.go
+++ b/holder/receive.go
@@ -61,6 +61,7 @@
 	}
 	s.Note = h.notes.get(a.header.Flow, a.now)
 	s.Opening = opening(a.payload)
+	s.Declared = h.flows.lastDeclared()
 	s.Full = h.flows.len() >= a.table.Service().Connections
 	s.Busy = h.config.Busy()
 	s.Silent = func(to netip.AddrPort) bool { return h.silence.silent(to, a.now) }
@@ -78,7 +79,9 @@
 	h.Counters.count(step)
 	switch step.Action {
 	case ActionOpen:
-		a.flow = h.flows.open(a.header.Flow, step.Opened)
+		if a.flow = h.flows.open(a.header.Flow, step.Opened); a.flow == nil {
+			return nil, nil
+		}
 	case ActionPass:
 		if step.Flags == framer.FlagProbe && step.Position > 0 {
 			h.silence.probed(step.To, a.now)
