--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -25,6 +25,8 @@
 	{"control-accept", controlAccept},
 	{"control-restart", controlRestart},
 	{"journal-replay", journalReplay},
+	{"admission", runAdmission},
+	{"at-most-once", runClaims},
 }
 
 // Run runs the case with the given name, or all cases when the name is empty.
