Walk the history from the newest revision back

Cause: history of the newest few revisions read all older ones, and a registrar that keeps the newest text and deltas rebuilds older texts backwards.

Ruled out: rebuilding forwards from the oldest kept text, which would have to be kept as well and replayed for each question.

Change: Back yields a revision and the text before it, newest first, until the caller has enough. The tracer looks only at revisions since its last call.

Before and after: history with a limit of k reads k revisions instead of all.

Conclusion: questions about recent edits cost what they show.

--- a/controller/operators.go
+++ b/controller/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 
 	"cherviltide.example/cherviltide/messenger"
@@ -53,7 +52,7 @@
 	return o.tracer.Origins(h)
 }
 
-// history keeps the text of one revision at a time, since the texts of a long history do not fit into the memory.
+// history compares files outside the loop.
 func (c *Controller) history(ctx context.Context, req *messenger.HistoryRequest) (*messenger.HistoryResponse, error) {
 	h, err := c.past(ctx)
 	if err != nil {
@@ -64,18 +63,12 @@
 	if req.Newest > 0 {
 		newest = min(newest, req.Newest)
 	}
-	oldest := uint64(0)
-	if req.Limit > 0 && newest > uint64(req.Limit) {
-		oldest = newest - uint64(req.Limit) + 1
-	}
-	before := ""
-	h.Each(func(r registrar.Revision) {
-		if r.Number >= oldest && r.Number <= newest {
+	h.Back(func(r registrar.Revision, before string) bool {
+		if r.Number <= newest {
 			res.Revisions = append(res.Revisions, summary(before, r, req.WithText))
 		}
-		before = r.Edit.Text
+		return req.Limit <= 0 || len(res.Revisions) < req.Limit
 	})
-	slices.Reverse(res.Revisions)
 	return res, nil
 }
 
--- a/registrar/history.go
+++ b/registrar/history.go
@@ -25,10 +25,17 @@
 	return h.revisions[len(h.revisions)-1].Number
 }
 
-// Each calls f with each revision, oldest first.
-func (h History) Each(f func(Revision)) {
-	for _, r := range h.revisions {
-		f(r)
+// Back calls f with each kept revision and the text before it, newest first, until f returns false. It keeps the text of
+// one revision at a time.
+func (h History) Back(f func(r Revision, before string) bool) {
+	for i := len(h.revisions) - 1; i >= 0; i-- {
+		before := ""
+		if i > 0 {
+			before = h.revisions[i-1].Edit.Text
+		}
+		if !f(h.revisions[i], before) {
+			return
+		}
 	}
 }
 
@@ -46,66 +53,106 @@
 	Time     cherviltide.Millis
 }
 
-// Tracer finds the origins of rules. It keeps what it knows of the newest revision, so that a new revision costs one pass
-// over its lines instead of one over the whole history. Rules are the same when their canonical format is the same, so
-// moving or formatting a rule does not change its origin. One goroutine uses it.
-// The zero value knows no revision.
+// Tracer finds the origins of rules. It remembers those of the revision of the last call, so that a call looks only at the
+// revisions since. Rules are the same when their canonical format is the same, so moving or formatting a rule does not
+// change its origin. One goroutine uses it. The zero value remembers nothing.
 type Tracer struct {
 	number uint64
 	// origins has the rules of revision number in the order of their lines, byLine their index by canonical format.
 	origins []Origin
 	byLine  map[string]int
-	// canonical has the canonical format of each line of revision number; it is empty for lines without a rule.
+	// canonical has the canonical format of lines; it is empty for lines without a rule. It starts anew when it has
+	// more than canonicalLimit lines.
 	canonical map[string]string
 }
 
-// Origins returns the newest revision of all histories that it was given and the origin of each of its rules. The caller
-// must not change them. Rules that are older than the history have its first revision as their origin.
-func (t *Tracer) Origins(history History) (revision uint64, origins []Origin) {
-	history.Each(func(r Revision) {
-		if r.Number > t.number {
-			t.advance(r)
+// canonicalLimit bounds the lines whose canonical format is remembered; it is a multiple of the lines of a large file.
+const canonicalLimit = 100_000
+
+// Origins returns the newest revision of a history and the origin of each of its rules. The caller must not change them.
+// A rule that is older than the history has the history's oldest revision as its origin.
+func (t *Tracer) Origins(h History) (revision uint64, origins []Origin) {
+	if h.Newest() == t.number {
+		return t.number, t.origins
+	}
+	next := Tracer{number: h.Newest(), byLine: map[string]int{}, canonical: t.canonical}
+	if next.canonical == nil || len(next.canonical) > canonicalLimit {
+		next.canonical = map[string]string{}
+	}
+	open := map[string]bool{}
+	h.Back(func(r Revision, _ string) bool {
+		switch {
+		case r.Number == h.Newest():
+			next.start(r, open)
+		case r.Number == t.number:
+			next.inherit(t, open)
+			return false
+		default:
+			next.trace(r, open)
 		}
+		return len(open) > 0
 	})
+	*t = next
 	return t.number, t.origins
 }
 
-// advance replaces the state by that of the next revision.
-func (t *Tracer) advance(r Revision) {
-	next := Tracer{number: r.Number, byLine: map[string]int{}, canonical: map[string]string{}}
+// start takes the rules of the newest revision; all of them are open.
+func (t *Tracer) start(r Revision, open map[string]bool) {
 	for i, line := range strings.Split(r.Edit.Text, "\n") {
-		c, known := t.canonical[line]
-		if !known {
-			c = canonicalRule(line)
-		}
-		next.canonical[line] = c
-		if c == "" {
+		rule := t.rule(line)
+		if rule == "" {
 			continue
 		}
-		o := newOrigin(c, r)
-		if before, ok := t.byLine[c]; ok {
-			o = t.origins[before]
+		text, requester, _ := strings.Cut(rule, "#")
+		t.byLine[rule] = len(t.origins)
+		t.origins = append(t.origins, Origin{
+			Line: i + 1, Text: strings.TrimSpace(text), Requester: strings.TrimSpace(requester),
+			Revision: r.Number, EditID: r.Edit.ID, Operator: r.Edit.Operator, Time: r.Edit.Time,
+		})
+		open[rule] = true
+	}
+}
+
+// trace moves the origins of open rules back to an older revision that has them; the others are no longer open.
+func (t *Tracer) trace(r Revision, open map[string]bool) {
+	present := map[string]bool{}
+	for _, line := range strings.Split(r.Edit.Text, "\n") {
+		present[t.rule(line)] = true
+	}
+	for rule := range open {
+		if !present[rule] {
+			delete(open, rule)
+			continue
 		}
-		o.Line = i + 1
-		next.byLine[c] = len(next.origins)
-		next.origins = append(next.origins, o)
+		o := &t.origins[t.byLine[rule]]
+		o.Revision, o.EditID, o.Operator, o.Time = r.Number, r.Edit.ID, r.Edit.Operator, r.Edit.Time
 	}
-	*t = next
 }
 
-func newOrigin(rule string, r Revision) Origin {
-	text, requester, _ := strings.Cut(rule, "#")
-	return Origin{
-		Text: strings.TrimSpace(text), Requester: strings.TrimSpace(requester),
-		Revision: r.Number, EditID: r.Edit.ID, Operator: r.Edit.Operator, Time: r.Edit.Time,
+// inherit takes the origins of open rules from what an earlier call found.
+func (t *Tracer) inherit(earlier *Tracer, open map[string]bool) {
+	for rule := range open {
+		i, ok := earlier.byLine[rule]
+		if !ok {
+			continue
+		}
+		o := &t.origins[t.byLine[rule]]
+		line := o.Line
+		*o = earlier.origins[i]
+		o.Line = line
 	}
 }
 
-// canonicalRule returns the canonical format of a line, or "" when it holds no rule.
-func canonicalRule(line string) string {
+// rule returns the canonical format of a line, or "" when it holds no rule.
+func (t *Tracer) rule(line string) string {
+	c, known := t.canonical[line]
+	if known {
+		return c
+	}
 	formatted, err := parser.Format(line)
-	if err != nil || strings.HasPrefix(formatted, "#") {
-		return ""
+	if err == nil && !strings.HasPrefix(formatted, "#") {
+		c = strings.TrimSpace(formatted)
 	}
-	return strings.TrimSpace(formatted)
+	t.canonical[line] = c
+	return c
 }
