Require the role Control of the instances that operators call

Cause: after the role checks came in, TestOperatorTLS failed: its certificates named no role.

Ruled out: issuing certificates without a role in the test and expecting success; the refusal is right.

Change: operators' commands accept only servers whose certificate names the role Control. The test covers an operator, an agent, no role, two strange authorities, a server of another role and no certificate.

Before: 1 test failed. After: all tests of commands pass; 7 TLS cases.

Conclusion: an agent's certificate neither operates control nor stands in for it.

--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -203,23 +203,39 @@
 	require.NoError(t, err)
 	others, err := issuer.New(t.TempDir())
 	require.NoError(t, err)
-	certificate, key, err := ours.Issue("control", "control-1", net.IPv4(127, 0, 0, 1))
-	require.NoError(t, err)
-	config, err := certifier.Server(certifier.Files{Certificate: certificate, Key: key, Authority: ours.Authority()}, "h2")
-	require.NoError(t, err)
-	address := controlTLS(t, config, nil)
-	status := func(args ...string) int {
-		code, _, _ := run(append([]string{"status", "--timeout", "200ms", "--control", address}, args...)...)
-		return code
+	serve := func(role string) string {
+		certificate, key, err := ours.IssueRole("server", role, net.IPv4(127, 0, 0, 1))
+		require.NoError(t, err)
+		config, err := certifier.Server(certifier.Files{Certificate: certificate, Key: key, Authority: ours.Authority()}, "h2")
+		require.NoError(t, err)
+		return controlTLS(t, config, nil)
+	}
+	address, impostor := serve("Control"), serve("Agent")
+	cases := map[string]struct {
+		from, trusts  *issuer.Issuer
+		role, address string
+		want          int
+	}{
+		"operator":                {ours, ours, "Operator", address, ExitDone},
+		"agent":                   {ours, ours, "Agent", address, ExitFailed},
+		"no role":                 {ours, ours, "", address, ExitFailed},
+		"strange operator":        {others, ours, "Operator", address, ExitRefused},
+		"strange control":         {ours, others, "Operator", address, ExitRefused},
+		"agent plays control":     {ours, ours, "Operator", impostor, ExitRefused},
+		"operator without a file": {nil, ours, "", address, ExitRefused},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			args := []string{"status", "--timeout", "200ms", "--control", c.address}
+			if c.from != nil {
+				certificate, key, err := c.from.IssueRole("rita", c.role)
+				require.NoError(t, err)
+				args = append(args, "--certificate", certificate, "--key", key, "--authority", c.trusts.Authority())
+			}
+			code, _, errOut := run(args...)
+			require.Equal(t, c.want, code, errOut)
+		})
 	}
-	mine, mineKey, err := ours.Issue("rita", "rita")
-	require.NoError(t, err)
-	theirs, theirsKey, err := others.Issue("eve", "eve")
-	require.NoError(t, err)
-	require.Equal(t, ExitDone, status("--certificate", mine, "--key", mineKey, "--authority", ours.Authority()))
-	require.Equal(t, ExitRefused, status("--certificate", mine, "--key", mineKey, "--authority", others.Authority()))
-	require.Equal(t, ExitRefused, status("--certificate", theirs, "--key", theirsKey, "--authority", ours.Authority()))
-	require.Equal(t, ExitRefused, status(), "no certificate")
 }
 
 // TestMetricsAreDocumented guards against counters without a meaning and a unit in docs/metrics.md.
--- a/commands/remote.go
+++ b/commands/remote.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
+	tls = certifier.RequireRole(tls, cherviltide.RoleControl)
 	return &session{client: messenger.NewClient(tls), bases: controlURLs(r.Control, tls), timeout: r.Timeout}, nil
 }
 
