--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -75,7 +75,7 @@
 
 // Start starts all processes of a plan, applies the rules and waits until every process has them in force.
 func Start(ctx context.Context, plan Plan) (*System, error) {
-	s := &System{Plan: plan, Processes: map[string]*Process{}, Probes: map[string]netip.AddrPort{}, callers: map[string]loader.TLS{}, client: messenger.NewClient(nil)}
+	s := &System{Plan: plan, Processes: map[string]*Process{}, callers: map[string]loader.TLS{}, client: messenger.NewClient(nil)}
 	var err error
 	if s.issuer, err = issuer.New(plan.Folder); err != nil {
 		return nil, errors.Trace(err)
@@ -169,6 +169,9 @@
 
 func (s *System) process(name string, number int) loader.Process {
 	domains := s.Plan.FailureDomains
+	if s.Probes == nil {
+		s.Probes = map[string]netip.AddrPort{}
+	}
 	s.Probes[name] = loopback(freePort())
 	return loader.Process{
 		Name:          name,
@@ -184,9 +187,16 @@
 	for range s.Plan.Controls {
 		s.Control = append(s.Control, loopback(freePort()))
 	}
+	var voters []loader.Voter
+	for i, listen := range s.Control {
+		voters = append(voters, loader.Voter{Name: fmt.Sprintf("control-%d", i+1), Address: listen})
+	}
 	for i, listen := range s.Control {
-		name := fmt.Sprintf("control-%d", i+1)
-		settings := loader.Control{Process: s.process(name, i), Listen: listen, Data: filepath.Join(s.Plan.Folder, name)}
+		name := voters[i].Name
+		settings := loader.Control{
+			Process: s.process(name, i), Listen: listen, Data: filepath.Join(s.Plan.Folder, name),
+			Voters: voters, NewSystem: true,
+		}
 		if err := s.startRole("control", name, settings); err != nil {
 			return err
 		}
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -242,11 +243,18 @@
 func TestMetricsAreDocumented(t *testing.T) {
 	text, err := os.ReadFile(filepath.Join("..", "docs", "metrics.md"))
 	require.NoError(t, err)
-	for prefix, counters := range map[string]any{"Forwarder": forwarder.Counters{}, "Holder": holder.Counters{}} {
-		for _, f := range reflect.VisibleFields(reflect.TypeOf(counters)) {
-			if f.IsExported() && len(f.Index) == 1 {
-				require.Contains(t, string(text), "`"+prefix+"."+f.Name+"`")
+	var names []string
+	for _, r := range forwarder.Reasons() {
+		names = append(names, "Forwarder.Dropped."+r.String())
+	}
+	for prefix, kind := range map[string]reflect.Type{"Forwarder": reflect.TypeFor[forwarder.Counters](), "Holder": reflect.TypeFor[holder.Counters]()} {
+		for _, f := range reflect.VisibleFields(kind) {
+			if f.IsExported() {
+				names = append(names, prefix+"."+f.Name)
 			}
 		}
 	}
+	for _, name := range names {
+		require.True(t, strings.Contains(string(text), "`"+name+"`"), "docs/metrics.md does not describe %s", name)
+	}
 }
--- a/controller/members.go
+++ b/controller/members.go
@@ -23,8 +23,8 @@
 	errRole     = errors.New("the member has another role than the caller's certificate")
 )
 
-// membershipLog is the log of the membership group as the control goroutine sees it. Its committed entries come back in
-// order through commitMember, on the control goroutine.
+// membershipLog is the log of the membership group as the control goroutine sees it. Its committed entries come back
+// in order through the tracker's Apply, on the control goroutine, and are then published.
 type membershipLog interface {
 	// Record proposes an entry without waiting for it. The entry may be lost; the tracker then proposes it again.
 	Record(entry []byte)
@@ -37,23 +37,6 @@
 	Leader() (base string, client *http.Client)
 }
 
-// alone is the membership log of a single instance; it is kept in memory.
-type alone struct {
-	index  uint64
-	commit func(index uint64, entry []byte)
-}
-
-func (a *alone) Record(entry []byte) {
-	a.index++
-	a.commit(a.index, entry)
-}
-
-func (a *alone) Leads() bool { return true }
-
-func (a *alone) Current() bool { return true }
-
-func (a *alone) Leader() (string, *http.Client) { return "", nil }
-
 // members is the controller's part of membership beside the tracker. It belongs to the control goroutine.
 type members struct {
 	log membershipLog
@@ -69,12 +52,6 @@
 	return members{log: log, reports: map[string]messenger.AnnounceRequest{}}
 }
 
-// commitMember applies a committed entry of the membership log.
-func (c *Controller) commitMember(index uint64, entry []byte) {
-	c.tracker.Apply(index, entry)
-	c.publish()
-}
-
 // record proposes member events.
 func (c *Controller) record(events []cherviltide.MemberEvent) {
 	for _, e := range events {
--- a/controller/operators.go
+++ b/controller/operators.go
@@ -25,13 +25,19 @@
 	return h, err
 }
 
+// leadsEdits reports whether a majority confirms that this instance leads the configuration.
+func (c *Controller) leadsEdits(ctx context.Context) bool {
+	r, err := c.routeTo(ctx, c.configuration)
+	return err == nil && r.here && c.confirmed(ctx, c.configuration)
+}
+
 // rules compares files outside the loop, so that a long history delays no announcement.
 func (c *Controller) rules(ctx context.Context, _ *messenger.RulesRequest) (*messenger.RulesResponse, error) {
 	h, err := c.past(ctx)
 	if err != nil {
 		return nil, err
 	}
-	res := &messenger.RulesResponse{Confirmed: true}
+	res := &messenger.RulesResponse{Confirmed: c.leadsEdits(ctx)}
 	var list []registrar.Origin
 	res.Revision, list = c.origins.of(h)
 	for _, o := range list {
@@ -58,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	res := &messenger.HistoryResponse{Confirmed: true}
+	res := &messenger.HistoryResponse{Confirmed: c.leadsEdits(ctx)}
 	newest := h.Newest()
 	if req.Newest > 0 {
 		newest = min(newest, req.Newest)
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -51,6 +51,7 @@
 			require.NoError(t, loader.Read(filepath.Join(name, "control.json"), &control))
 			require.Equal(t, c.slots, agent.Slots)
 			require.Len(t, control.Control, len(c.domains))
+			require.Len(t, control.Voters, len(c.domains))
 			require.Contains(t, c.domains, entry.FailureDomain)
 			_, known := rules.Service(agent.Service)
 			require.True(t, known)
--- a/registrar/history.go
+++ b/registrar/history.go
@@ -7,33 +7,40 @@
 	"cherviltide.example/cherviltide/parser"
 )
 
-// History is the accepted revisions up to one time. It is immutable, so it may be read while the registrar goes on.
+// History is the kept revisions up to one time. It is immutable, so it may be read while the registrar goes on.
 type History struct {
-	revisions []Revision
+	// first is the number of the revision before the oldest kept one, and text the newest text.
+	first uint64
+	text  string
+	kept  []entry
 }
 
 // History returns the accepted revisions that the registrar keeps.
 func (r *Registrar) History() History {
-	return History{revisions: r.revisions[:len(r.revisions):len(r.revisions)]}
+	return History{first: r.state.First, text: r.state.Text, kept: r.state.Kept[:len(r.state.Kept):len(r.state.Kept)]}
 }
 
 // Newest returns the number of the newest revision; it is 0 when there is none.
 func (h History) Newest() uint64 {
-	if len(h.revisions) == 0 {
-		return 0
-	}
-	return h.revisions[len(h.revisions)-1].Number
+	return h.first + uint64(len(h.kept))
 }
 
 // Back calls f with each kept revision and the text before it, newest first, until f returns false. It keeps the text of
 // one revision at a time.
 func (h History) Back(f func(r Revision, before string) bool) {
-	for i := len(h.revisions) - 1; i >= 0; i-- {
-		before := ""
-		if i > 0 {
-			before = h.revisions[i-1].Edit.Text
+	text, lines := h.text, strings.Split(h.text, "\n")
+	for i := len(h.kept) - 1; i >= 0; i-- {
+		e := h.kept[i]
+		r := Revision{
+			Number: h.first + uint64(i) + 1,
+			Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Text: text},
+		}
+		var ok bool
+		if lines, ok = patch(lines, e.Lines); !ok {
+			return
 		}
-		if !f(h.revisions[i], before) {
+		text = strings.Join(lines, "\n")
+		if !f(r, text) {
 			return
 		}
 	}
--- a/registrar/history_test.go
+++ b/registrar/history_test.go
@@ -43,7 +43,7 @@
 
 // accept makes a revision.
 func accept(t *testing.T, r *Registrar, e Edit) {
-	entry, err := Encode(e)
+	entry, err := r.Encode(e)
 	require.NoError(t, err)
 	r.Apply(0, entry)
 	_, err = r.Result(e)
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -169,6 +169,11 @@
 	return v.hard.Term, v.role == leader && v.failed == nil
 }
 
+// Current reports whether this voter leads, or has heard from a leader within the longest election timeout.
+func (v *Voter) Current() bool {
+	return v.failed == nil && (v.role == leader || v.now-v.heard < 2*ElectionTimeout)
+}
+
 // Applied returns the index of the last entry that Take has returned.
 func (v *Voter) Applied() uint64 {
 	return v.applied
@@ -184,6 +189,11 @@
 	return v.removed
 }
 
+// Admitted reports whether this identity was among committed voters.
+func (v *Voter) Admitted() bool {
+	return v.hard.Admitted
+}
+
 // Failed returns the error that stopped the voter, or nil.
 func (v *Voter) Failed() error {
 	return v.failed
