--- a/bench/launcher/control_test.go
+++ b/bench/launcher/control_test.go
@@ -204,7 +204,7 @@
 	for i := range 3 {
 		c.kill(i)
 		c.restart(i, true)
-		c.logged(i, `"Admitted"`, 2*2)
+		c.logged(i, `"Event":"Admitted"`, 2*2)
 		c.has(i, newest)
 	}
 	require.Equal(t, newest+1, c.edit(0, 1, 2))
--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -75,7 +75,7 @@
 
 // Start starts all processes of a plan, applies the rules and waits until every process has them in force.
 func Start(ctx context.Context, plan Plan) (*System, error) {
-	s := &System{Plan: plan, Processes: map[string]*Process{}, Probes: map[string]netip.AddrPort{}, callers: map[string]loader.TLS{}, client: messenger.NewClient(nil)}
+	s := &System{Plan: plan, Processes: map[string]*Process{}, callers: map[string]loader.TLS{}, client: messenger.NewClient(nil)}
 	var err error
 	if s.issuer, err = issuer.New(plan.Folder); err != nil {
 		return nil, errors.Trace(err)
@@ -169,6 +169,9 @@
 
 func (s *System) process(name string, number int) loader.Process {
 	domains := s.Plan.FailureDomains
+	if s.Probes == nil {
+		s.Probes = map[string]netip.AddrPort{}
+	}
 	s.Probes[name] = loopback(freePort())
 	return loader.Process{
 		Name:          name,
--- a/bench/measurer/claims.go
+++ b/bench/measurer/claims.go
@@ -17,8 +17,8 @@
 	claimRequests = 50_000
 	claimAgents   = 7
 	claimLease    = cherviltide.Millis(5_000)
-	// changeInterval is the time between two restarts of agents, in milliseconds of virtual time.
-	changeInterval = cherviltide.Millis(20_000)
+	// homeChangeInterval is the time between two restarts of agents, in milliseconds of virtual time.
+	homeChangeInterval = cherviltide.Millis(20_000)
 )
 
 // claimWorld runs at-most-once requests at agents whose views of the membership lag.
@@ -169,9 +169,9 @@
 
 // pass lets time go by, in which agents restart and learn of each other unevenly.
 func (w *claimWorld) pass(span cherviltide.Millis) {
-	before := w.now / changeInterval
+	before := w.now / homeChangeInterval
 	w.now += span
-	if w.now/changeInterval != before {
+	if w.now/homeChangeInterval != before {
 		w.restart(w.random.IntN(claimAgents))
 	}
 	w.sync(w.agents[w.random.IntN(claimAgents)])
@@ -196,7 +196,7 @@
 			Doubled: Of(w.doubled), NotRunButRan: Of(w.refusedRan), WrongCustomer: Of(w.wrong),
 			Note: fmt.Sprintf("%d requests in %d s of virtual time, each sent one to three times, 2%% of executions not settled, "+
 				"5%% shed, one of %d agents restarted every %d s; %d keys whose last sending was refused had run before",
-				2*claimRequests, (w.now-1_000_000)/1_000, claimAgents, changeInterval/1_000, w.keyRefusedRan),
+				2*claimRequests, (w.now-1_000_000)/1_000, claimAgents, homeChangeInterval/1_000, w.keyRefusedRan),
 		})
 	}
 	return nil
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -203,27 +204,38 @@
 	require.NoError(t, err)
 	others, err := issuer.New(t.TempDir())
 	require.NoError(t, err)
-	certificate, key, err := ours.IssueRole("control-1", "Control", net.IPv4(127, 0, 0, 1))
-	require.NoError(t, err)
-	config, err := certifier.Server(certifier.Files{Certificate: certificate, Key: key, Authority: ours.Authority()}, "h2")
-	require.NoError(t, err)
-	address := controlTLS(t, config, nil)
-	status := func(args ...string) int {
-		code, _, _ := run(append([]string{"status", "--timeout", "200ms", "--control", address}, args...)...)
-		return code
-	}
-	mine, mineKey, err := ours.IssueRole("rita", "Operator")
-	require.NoError(t, err)
-	theirs, theirsKey, err := others.IssueRole("eve", "Operator")
-	require.NoError(t, err)
-	require.Equal(t, ExitDone, status("--certificate", mine, "--key", mineKey, "--authority", ours.Authority()))
-	require.Equal(t, ExitRefused, status("--certificate", mine, "--key", mineKey, "--authority", others.Authority()))
-	require.Equal(t, ExitRefused, status("--certificate", theirs, "--key", theirsKey, "--authority", ours.Authority()))
-	require.Equal(t, ExitRefused, status(), "no certificate")
-	for _, role := range []string{"Entry", "Agent", "Customer"} {
-		certificate, key, err := ours.IssueRole("process-"+role, role)
+	serve := func(role string) string {
+		certificate, key, err := ours.IssueRole("server", role, net.IPv4(127, 0, 0, 1))
 		require.NoError(t, err)
-		require.Equal(t, ExitFailed, status("--certificate", certificate, "--key", key, "--authority", ours.Authority()), role)
+		config, err := certifier.Server(certifier.Files{Certificate: certificate, Key: key, Authority: ours.Authority()}, "h2")
+		require.NoError(t, err)
+		return controlTLS(t, config, nil)
+	}
+	address, impostor := serve("Control"), serve("Agent")
+	cases := map[string]struct {
+		from, trusts  *issuer.Issuer
+		role, address string
+		want          int
+	}{
+		"operator":                {ours, ours, "Operator", address, ExitDone},
+		"agent":                   {ours, ours, "Agent", address, ExitFailed},
+		"no role":                 {ours, ours, "", address, ExitFailed},
+		"strange operator":        {others, ours, "Operator", address, ExitRefused},
+		"strange control":         {ours, others, "Operator", address, ExitRefused},
+		"agent plays control":     {ours, ours, "Operator", impostor, ExitRefused},
+		"operator without a file": {nil, ours, "", address, ExitRefused},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			args := []string{"status", "--timeout", "200ms", "--control", c.address}
+			if c.from != nil {
+				certificate, key, err := c.from.IssueRole("rita", c.role)
+				require.NoError(t, err)
+				args = append(args, "--certificate", certificate, "--key", key, "--authority", c.trusts.Authority())
+			}
+			code, _, errOut := run(args...)
+			require.Equal(t, c.want, code, errOut)
+		})
 	}
 }
 
@@ -231,11 +243,18 @@
 func TestMetricsAreDocumented(t *testing.T) {
 	text, err := os.ReadFile(filepath.Join("..", "docs", "metrics.md"))
 	require.NoError(t, err)
-	for prefix, counters := range map[string]any{"Forwarder": forwarder.Counters{}, "Holder": holder.Counters{}} {
-		for _, f := range reflect.VisibleFields(reflect.TypeOf(counters)) {
-			if f.IsExported() && len(f.Index) == 1 {
-				require.Contains(t, string(text), "`"+prefix+"."+f.Name+"`")
+	var names []string
+	for _, r := range forwarder.Reasons() {
+		names = append(names, "Forwarder.Dropped."+r.String())
+	}
+	for prefix, kind := range map[string]reflect.Type{"Forwarder": reflect.TypeFor[forwarder.Counters](), "Holder": reflect.TypeFor[holder.Counters]()} {
+		for _, f := range reflect.VisibleFields(kind) {
+			if f.IsExported() {
+				names = append(names, prefix+"."+f.Name)
 			}
 		}
 	}
+	for _, name := range names {
+		require.True(t, strings.Contains(string(text), "`"+name+"`"), "docs/metrics.md does not describe %s", name)
+	}
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -69,6 +69,7 @@
 	started  time.Time
 	members  members
 	burn     *reporter.Merger
+	origins  origins
 	calls    chan call
 	written  chan written
 }
--- a/controller/operators.go
+++ b/controller/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/parser"
@@ -17,11 +18,11 @@
 	messenger.Report.Handle(mux, c.report)
 }
 
-// revisions returns the accepted revisions, oldest first.
-func (c *Controller) revisions(ctx context.Context) ([]registrar.Revision, error) {
-	var list []registrar.Revision
-	err := c.do(ctx, func() { list = c.registrar.History() })
-	return list, err
+// past returns the accepted revisions.
+func (c *Controller) past(ctx context.Context) (registrar.History, error) {
+	var h registrar.History
+	err := c.do(ctx, func() { h = c.registrar.History() })
+	return h, err
 }
 
 // newest returns a revision that a majority confirms as accepted, or false when none could be confirmed. What this
@@ -44,51 +45,52 @@
 	return res.Revision, res.Confirmed
 }
 
-// covers reports whether a history reaches a revision.
-func covers(list []registrar.Revision, revision uint64) bool {
-	return revision == 0 || (len(list) > 0 && list[len(list)-1].Number >= revision)
-}
-
 // rules compares files outside the loop, so that a long history delays no announcement.
 func (c *Controller) rules(ctx context.Context, _ *messenger.RulesRequest) (*messenger.RulesResponse, error) {
 	newest, confirmed := c.newest(ctx)
-	list, err := c.revisions(ctx)
+	h, err := c.past(ctx)
 	if err != nil {
 		return nil, err
 	}
-	res := &messenger.RulesResponse{Confirmed: confirmed && covers(list, newest)}
-	if len(list) > 0 {
-		res.Revision = list[len(list)-1].Number
-	}
-	for _, o := range registrar.Origins(list) {
-		res.Rules = append(res.Rules, messenger.RuleOrigin{
-			Line: o.Line, Text: o.Text, Requester: o.Requester, Revision: o.Revision.Number,
-			EditID: o.Revision.Edit.ID, Operator: o.Revision.Edit.Operator, Time: o.Revision.Edit.Time,
-		})
+	res := &messenger.RulesResponse{Confirmed: confirmed && h.Newest() >= newest}
+	var list []registrar.Origin
+	res.Revision, list = c.origins.of(h)
+	for _, o := range list {
+		res.Rules = append(res.Rules, messenger.RuleOrigin(o))
 	}
 	return res, nil
 }
 
+// origins is a tracer that several calls of operators share. The zero value is ready.
+type origins struct {
+	mu     sync.Mutex
+	tracer registrar.Tracer
+}
+
+func (o *origins) of(h registrar.History) (uint64, []registrar.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.tracer.Origins(h)
+}
+
+// history compares files outside the loop.
 func (c *Controller) history(ctx context.Context, req *messenger.HistoryRequest) (*messenger.HistoryResponse, error) {
-	newest, confirmed := c.newest(ctx)
-	list, err := c.revisions(ctx)
+	accepted, confirmed := c.newest(ctx)
+	h, err := c.past(ctx)
 	if err != nil {
 		return nil, err
 	}
-	res := &messenger.HistoryResponse{Confirmed: confirmed && covers(list, newest)}
-	for i := len(list) - 1; i >= 0; i-- {
-		if req.Newest > 0 && list[i].Number > req.Newest {
-			continue
-		}
-		if req.Limit > 0 && len(res.Revisions) >= req.Limit {
-			break
-		}
-		before := ""
-		if i > 0 {
-			before = list[i-1].Edit.Text
-		}
-		res.Revisions = append(res.Revisions, summary(before, list[i], req.WithText))
+	newest := h.Newest()
+	res := &messenger.HistoryResponse{Confirmed: confirmed && newest >= accepted}
+	if req.Newest > 0 {
+		newest = min(newest, req.Newest)
 	}
+	h.Back(func(r registrar.Revision, before string) bool {
+		if r.Number <= newest {
+			res.Revisions = append(res.Revisions, summary(before, r, req.WithText))
+		}
+		return req.Limit <= 0 || len(res.Revisions) < req.Limit
+	})
 	return res, nil
 }
 
