Measure placement against its baselines

Cause: no figure compared the table with modulo hashing, plain consistent hashing and history without offers.

A flow counts as broken when some entry no longer delivers its datagrams to its holder. The imbalance is taken after three turnovers of the flows.

--- a/bench/measurer/cluster.go
+++ b/bench/measurer/cluster.go
@@ -1,6 +1,7 @@
 package measurer
 
 import (
+	"fmt"
 	"net/netip"
 
 	"cherviltide.example/cherviltide"
@@ -44,7 +45,9 @@
 	flows map[cherviltide.FlowKey]uint64
 	// notes do not expire.
 	notes map[cherviltide.FlowKey]holder.Note
-	up    bool
+	// silent has the addresses that did not answer the last datagram.
+	silent map[netip.AddrPort]bool
+	up     bool
 	// declared is the highest generation that the agent has declared in a Released event.
 	declared uint64
 }
@@ -86,7 +89,7 @@
 	m.Service, m.Role = c.service.Name, cherviltide.RoleAgent
 	c.record(cherviltide.MemberEvent{Type: cherviltide.EventJoined, Member: m})
 	a := &modelAgent{member: m, home: c, at: c.last(), flows: map[cherviltide.FlowKey]uint64{}, up: true}
-	a.notes = map[cherviltide.FlowKey]holder.Note{}
+	a.notes, a.silent = map[cherviltide.FlowKey]holder.Note{}, map[netip.AddrPort]bool{}
 	c.agents = append(c.agents, a)
 	c.network[m.Address] = a
 	return a
@@ -159,6 +162,7 @@
 			return delivery{agent: at, opened: step.Action == holder.ActionOpen, hops: int(h.Hops)}
 		case holder.ActionPass:
 			h.Generation = at.table().Generation()
+			at.silent[step.To] = c.network.find(step.To) == nil
 			sender, at = at.member.Address, c.network.find(step.To)
 		case holder.ActionReturn:
 			sender, at = at.member.Address, c.network.find(sender)
@@ -177,6 +181,7 @@
 	step := holder.Decide(holder.Situation{
 		Self: at.member, Table: at.table(), Header: h, Sender: sender, Note: at.notes[h.Flow],
 		Held: held, Opening: opening, Busy: c.busy(at),
+		Silent: func(to netip.AddrPort) bool { return at.silent[to] },
 	})
 	if step.Forget {
 		delete(at.notes, h.Flow)
@@ -233,3 +238,19 @@
 	at.flows[key] = table.Generation()
 	return delivery{agent: at, opened: true}
 }
+
+// modelMember returns a member with an address that depends on its number.
+func modelMember(name int, incarnation uint64, weight uint32) cherviltide.Member {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(name)}), 7000)
+	return cherviltide.Member{
+		Name: fmt.Sprintf("agent-%02d", name), Incarnation: incarnation, Weight: weight, Address: address,
+	}
+}
+
+// modelKey returns the key of a flow by its number.
+func modelKey(n int) cherviltide.FlowKey {
+	return cherviltide.FlowKey{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 4000),
+		Virtual: netip.MustParseAddrPort("10.9.9.9:443"),
+	}
+}
--- a/bench/measurer/cluster_test.go
+++ b/bench/measurer/cluster_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -53,13 +52,6 @@
 	return h
 }
 
-func modelMember(name int, incarnation uint64, weight uint32) cherviltide.Member {
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(name)}), 7000)
-	return cherviltide.Member{
-		Name: fmt.Sprintf("agent-%02d", name), Incarnation: incarnation, Weight: weight, Address: address,
-	}
-}
-
 func modelService() cherviltide.Service {
 	return cherviltide.Service{Name: "chart-store", ID: cherviltide.ServiceIDOf("chart-store"), Buckets: 16}
 }
@@ -82,7 +74,7 @@
 		h.end(t)
 	case 5, 6:
 		h.nextKey++
-		h.packet(h.anyEntry(t), flowKey(h.nextKey), true)
+		h.packet(h.anyEntry(t), modelKey(h.nextKey), true)
 	default:
 		if keys := h.open(); len(keys) > 0 {
 			h.packet(h.anyEntry(t), rapid.SampledFrom(keys).Draw(t, "flow"), rapid.Bool().Draw(t, "opening"))
@@ -121,8 +113,8 @@
 func (h *history) open() []cherviltide.FlowKey {
 	var list []cherviltide.FlowKey
 	for n := 1; n <= h.nextKey; n++ {
-		if _, ok := h.holders[flowKey(n)]; ok {
-			list = append(list, flowKey(n))
+		if _, ok := h.holders[modelKey(n)]; ok {
+			list = append(list, modelKey(n))
 		}
 	}
 	return list
@@ -226,13 +218,6 @@
 	}
 }
 
-func flowKey(n int) cherviltide.FlowKey {
-	return cherviltide.FlowKey{
-		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 4000),
-		Virtual: netip.MustParseAddrPort("10.9.9.9:443"),
-	}
-}
-
 // run returns the first violation in a random history, or an empty text.
 func run(t *rapid.T, table *picker.Table, lag lag, careless bool) string {
 	h := newHistory(table, lag)
@@ -321,7 +306,7 @@
 			if rapid.Bool().Draw(t, "follow") {
 				c.catchUp()
 			}
-			d := c.send(rapid.IntRange(0, 1).Draw(t, "entry"), flowKey(i), true)
+			d := c.send(rapid.IntRange(0, 1).Draw(t, "entry"), modelKey(i), true)
 			if d.agent != nil && d.agent.home != c {
 				crossed++
 			}
--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -19,6 +19,12 @@
 var cases = []Case{
 	{"system-planned", systemPlanned},
 	{"system-crash", systemCrashed},
+	{"placement-add", placementAdd},
+	{"placement-drain", placementDrain},
+	{"placement-crash", placementCrash},
+	{"placement-double-crash", placementDoubleCrash},
+	{"placement-entry-loss", placementEntryLoss},
+	{"placement-lagging-entries", placementLaggingEntries},
 }
 
 // Run runs the case with the given name, or all cases when the name is empty.
--- a/picker/baseline.go
+++ b/picker/baseline.go
@@ -27,6 +27,11 @@
 	return m.members[key.Hash()%uint64(len(m.members))], true
 }
 
+// Members returns the targets that take new flows.
+func (m *Modulo) Members() []cherviltide.Member {
+	return m.members
+}
+
 // Consistent places a flow by weighted rendezvous hashing of the flow itself. It has no buckets, capacities or history.
 type Consistent struct {
 	targets []target
