--- a/picker/row.go
+++ b/picker/row.go
@@ -9,8 +9,7 @@
 // a probe, and each probe and its return take two of the 250 hops of a datagram.
 const maxHistory = 100
 
-// row is a placement that one or more buckets share. A service with few targets has few distinct rows, so a table needs
-// two bytes for each bucket besides them.
+// row is a placement that one or more buckets share.
 type row struct {
 	// owner is none only when the service has no live target.
 	owner uint16
@@ -88,38 +87,91 @@
 		slices.ContainsFunc(r.history, func(f former) bool { return f.target == target })
 }
 
-// key returns a text that is equal for equal rows only.
-func (r row) key() string {
-	b := binary.BigEndian.AppendUint16(nil, r.owner)
-	b = binary.BigEndian.AppendUint16(b, r.second)
-	for _, f := range r.history {
-		b = binary.BigEndian.AppendUint16(b, f.target)
-		b = binary.BigEndian.AppendUint64(b, f.left)
-	}
-	return string(b)
+// compactRow is a row as a table stores it. A service with few targets has few distinct rows and histories, so a table
+// needs two bytes for each bucket besides them.
+type compactRow struct {
+	owner, second uint16
+	// history is an index in the histories of the rowSet.
+	history uint16
 }
 
-// rowSet collects the rows of a table's buckets, each distinct row once, in the order of the buckets.
+// rowSet has the rows of a table's buckets.
 type rowSet struct {
-	rows    []row
+	// rows are distinct, in the order in which the buckets use them first.
+	rows []compactRow
+	// histories are distinct.
+	histories [][]former
+	// buckets has the index of each bucket's row.
 	buckets []uint16
-	byKey   map[string]uint16
 }
 
-func newRowSet(buckets int) *rowSet {
-	return &rowSet{buckets: make([]uint16, 0, buckets), byKey: map[string]uint16{}}
+// at returns the row with the given index.
+func (s *rowSet) at(i uint16) row {
+	r := s.rows[i]
+	return row{owner: r.owner, second: r.second, history: s.histories[r.history]}
+}
+
+// rowBuilder builds a rowSet, bucket after bucket.
+type rowBuilder struct {
+	set         rowSet
+	byRow       map[compactRow]uint16
+	byHistory   map[string]uint16
+	historyText []byte
+}
+
+func newRowBuilder(buckets int) *rowBuilder {
+	return &rowBuilder{
+		set:   rowSet{buckets: make([]uint16, 0, buckets)},
+		byRow: map[compactRow]uint16{}, byHistory: map[string]uint16{},
+	}
+}
+
+// add sets the row of the next bucket and returns its index.
+func (b *rowBuilder) add(r row) uint16 {
+	c := compactRow{owner: r.owner, second: r.second, history: b.intern(r.history)}
+	i, ok := b.byRow[c]
+	if !ok {
+		i = uint16(len(b.set.rows))
+		b.set.rows = append(b.set.rows, c)
+		b.byRow[c] = i
+	}
+	b.set.buckets = append(b.set.buckets, i)
+	return i
+}
+
+// repeat sets the row of the next bucket to one that add has returned.
+func (b *rowBuilder) repeat(i uint16) {
+	b.set.buckets = append(b.set.buckets, i)
 }
 
-// add appends the row of the next bucket.
-func (s *rowSet) add(r row) uint16 {
-	key := r.key()
-	i, ok := s.byKey[key]
+// intern returns the index of a history.
+func (b *rowBuilder) intern(history []former) uint16 {
+	text := b.historyText[:0]
+	for _, f := range history {
+		text = binary.BigEndian.AppendUint16(text, f.target)
+		text = binary.BigEndian.AppendUint64(text, f.left)
+	}
+	b.historyText = text
+	i, ok := b.byHistory[string(text)]
 	if !ok {
-		i = uint16(len(s.rows))
-		r.history = slices.Clip(r.history)
-		s.rows = append(s.rows, r)
-		s.byKey[key] = i
+		i = uint16(len(b.set.histories))
+		b.set.histories = append(b.set.histories, exact(history))
+		b.byHistory[string(text)] = i
 	}
-	s.buckets = append(s.buckets, i)
 	return i
 }
+
+// build returns the set in memory of its exact size.
+func (b *rowBuilder) build() rowSet {
+	return rowSet{rows: exact(b.set.rows), histories: exact(b.set.histories), buckets: b.set.buckets}
+}
+
+// exact returns a copy without spare capacity; nil stays nil.
+func exact[T any](list []T) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	out := make([]T, len(list))
+	copy(out, list)
+	return out
+}
--- a/picker/snapshot.go
+++ b/picker/snapshot.go
@@ -140,20 +140,19 @@
 
 // derivable reports whether the targets alone determine the rows.
 func (t *Table) derivable() bool {
-	if slices.ContainsFunc(t.rows, func(r row) bool { return len(r.history) > 0 }) {
+	if slices.ContainsFunc(t.histories, func(h []former) bool { return len(h) > 0 }) {
 		return false
 	}
 	fresh := New(t.service)
 	fresh.targets = t.targets
 	fresh.place(nil)
-	return slices.Equal(fresh.buckets, t.buckets) && slices.EqualFunc(fresh.rows, t.rows, func(a, b row) bool {
-		return a.owner == b.owner && a.second == b.second
-	})
+	return slices.Equal(fresh.buckets, t.buckets) && slices.Equal(fresh.rows, t.rows)
 }
 
 func (t *Table) encodeRows() ([]snapshotRow, []byte) {
 	list := make([]snapshotRow, len(t.rows))
-	for i, r := range t.rows {
+	for i := range t.rows {
+		r := t.at(uint16(i))
 		list[i] = snapshotRow{Owner: r.owner, Second: r.second}
 		for _, f := range r.history {
 			list[i].History = append(list[i].History, snapshotFormer{Target: f.target, Left: f.left})
@@ -192,18 +191,18 @@
 }
 
 func (t *Table) decodeRows(s snapshot) error {
-	t.rows = make([]row, len(s.Rows))
+	rows := make([]row, len(s.Rows))
 	known := func(i uint16) bool { return i == none || int(i) < len(t.targets) }
 	for i, r := range s.Rows {
 		if !known(r.Owner) || !known(r.Second) || len(r.History) > maxHistory {
 			return errIndex
 		}
-		t.rows[i] = row{owner: r.Owner, second: r.Second}
+		rows[i] = row{owner: r.Owner, second: r.Second}
 		for _, f := range r.History {
 			if int(f.Target) >= len(t.targets) {
 				return errIndex
 			}
-			t.rows[i].history = append(t.rows[i].history, former{target: f.Target, left: f.Left})
+			rows[i].history = append(rows[i].history, former{target: f.Target, left: f.Left})
 		}
 	}
 	width := 1
@@ -213,15 +212,17 @@
 	if len(s.Buckets) != width*len(t.buckets) {
 		return errIndex
 	}
+	builder := newRowBuilder(len(t.buckets))
 	for b := range t.buckets {
 		i := uint16(s.Buckets[b*width])
 		if width == 2 {
 			i = binary.BigEndian.Uint16(s.Buckets[b*2:])
 		}
-		if int(i) >= len(t.rows) {
+		if int(i) >= len(rows) {
 			return errIndex
 		}
-		t.buckets[b] = i
+		builder.add(rows[i])
 	}
+	t.rowSet = builder.build()
 	return nil
 }
--- a/picker/snapshot_test.go
+++ b/picker/snapshot_test.go
@@ -24,8 +24,7 @@
 		a, _ := original.Snapshot()
 		b, _ := restored.Snapshot()
 		require.Equal(t, a, b)
-		require.Equal(t, original.rows, restored.rows)
-		require.Equal(t, original.buckets, restored.buckets)
+		require.Equal(t, original.rowSet, restored.rowSet)
 	})
 }
 
--- a/picker/table.go
+++ b/picker/table.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync/atomic"
 
 	"cherviltide.example/cherviltide"
@@ -24,10 +23,8 @@
 	targets []target
 	// dead has the incarnations that died last, newest last.
 	dead []tombstone
-	// rows are distinct, in the order in which the buckets use them first.
-	rows []row
-	// buckets has the index of each bucket's row.
-	buckets []uint16
+	// rowSet has the placement of the buckets.
+	rowSet
 	// forgetful tables keep no history. They exist for comparison.
 	forgetful bool
 	// digest caches the result of Digest; 0 means that it is not known.
@@ -39,8 +36,11 @@
 	service.Buckets = min(max(service.Buckets, 1), MaxBuckets)
 	return &Table{
 		service: service,
-		rows:    []row{{owner: none, second: none}},
-		buckets: make([]uint16, service.Buckets),
+		rowSet: rowSet{
+			rows:      []compactRow{{owner: none, second: none}},
+			histories: [][]former{nil},
+			buckets:   make([]uint16, service.Buckets),
+		},
 	}
 }
 
@@ -131,8 +131,8 @@
 	return 0, false
 }
 
-func (t *Table) row(key cherviltide.FlowKey) *row {
-	return &t.rows[t.buckets[key.Hash()%uint64(len(t.buckets))]]
+func (t *Table) row(key cherviltide.FlowKey) row {
+	return t.at(t.buckets[key.Hash()%uint64(len(t.buckets))])
 }
 
 func (t *Table) clone() *Table {
@@ -141,8 +141,7 @@
 		generation: t.generation,
 		targets:    t.targets,
 		dead:       t.dead,
-		rows:       t.rows,
-		buckets:    t.buckets,
+		rowSet:     t.rowSet,
 		forgetful:  t.forgetful,
 	}
 }
@@ -150,20 +149,27 @@
 // place computes the owner and the second of each bucket and moves their predecessors into the history.
 func (t *Table) place(moved []uint16) {
 	old, buckets := make([]row, len(t.rows)), t.buckets
-	for i, r := range t.rows {
-		old[i] = r.moved(moved)
+	for i := range t.rows {
+		old[i] = t.at(uint16(i)).moved(moved)
 	}
 	a := newAssigner(t.targets, func(bucket int) *row { return &old[buckets[bucket]] })
 	a.assign(len(buckets))
-	set := newRowSet(len(buckets))
+	// Buckets with the same row before the event and the same owner and second after it have the same row again.
+	type change struct{ old, owner, second uint16 }
+	known, builder := map[change]uint16{}, newRowBuilder(len(buckets))
 	for b, i := range buckets {
-		r := old[i].succeeded(a.owners[b], a.seconds[b], t.generation)
+		c := change{old: i, owner: a.owners[b], second: a.seconds[b]}
+		if n, ok := known[c]; ok {
+			builder.repeat(n)
+			continue
+		}
+		r := old[i].succeeded(c.owner, c.second, t.generation)
 		if t.forgetful {
 			r.history = nil
 		}
-		set.add(r)
+		known[c] = builder.add(r)
 	}
-	t.rows, t.buckets = set.rows, set.buckets
+	t.rowSet = builder.build()
 }
 
 // release drops the history entries of a member that are not newer than the declared generation. It returns the
@@ -174,18 +180,19 @@
 		return previous
 	}
 	changed := false
-	rows := slices.Clone(t.rows)
-	for n, r := range rows {
+	rows := make([]row, len(t.rows))
+	for n := range t.rows {
+		r := t.at(uint16(n))
 		rows[n] = r.released(uint16(i), e.Generation)
 		changed = changed || len(rows[n].history) != len(r.history)
 	}
 	if !changed {
 		return previous
 	}
-	set := newRowSet(len(t.buckets))
+	builder := newRowBuilder(len(t.buckets))
 	for _, n := range t.buckets {
-		set.add(rows[n])
+		builder.add(rows[n])
 	}
-	t.rows, t.buckets = set.rows, set.buckets
+	t.rowSet = builder.build()
 	return t
 }
--- a/picker/table_test.go
+++ b/picker/table_test.go
@@ -17,7 +17,7 @@
 		for _, e := range events(t) {
 			next := table.WithEvent(e.Position, e.Event)
 			for b := range next.buckets {
-				checkRow(t, next, next.rows[next.buckets[b]])
+				checkRow(t, next, next.at(next.buckets[b]))
 				checkSuccession(t, table, next, b, e.Event)
 			}
 			table = next
@@ -39,7 +39,7 @@
 // checkSuccession checks that the candidates of a bucket before an event are candidates after it, unless the event ended
 // them.
 func checkSuccession(t require.TestingT, before, after *Table, b int, e cherviltide.MemberEvent) {
-	was, is := before.rows[before.buckets[b]], after.rows[after.buckets[b]]
+	was, is := before.at(before.buckets[b]), after.at(after.buckets[b])
 	for i, x := range before.targets {
 		n, alive := after.search(x.member.Name)
 		if !was.names(uint16(i)) || !alive || after.targets[n].member.Incarnation != x.member.Incarnation {
@@ -86,7 +86,7 @@
 		}
 		next := table.WithEvent(uint64(i+1), e)
 		for b := range next.buckets {
-			checkRow(t, next, next.rows[next.buckets[b]])
+			checkRow(t, next, next.at(next.buckets[b]))
 			checkSuccession(t, table, next, b, e)
 		}
 		table = next
--- a/picker/target.go
+++ b/picker/target.go
@@ -110,7 +110,7 @@
 			moved[old]++
 		}
 	}
-	t.targets = slices.Insert(slices.Clone(t.targets), i, newTarget(t.service.Name, m))
+	t.targets = exact(slices.Insert(slices.Clone(t.targets), i, newTarget(t.service.Name, m)))
 	return moved, true
 }
 
@@ -126,7 +126,7 @@
 	if len(t.dead) > maxTombstones {
 		t.dead = t.dead[1:]
 	}
-	t.targets = slices.Delete(slices.Clone(t.targets), i, i+1)
+	t.targets = exact(slices.Delete(slices.Clone(t.targets), i, i+1))
 	return moved
 }
 
