--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -27,6 +27,12 @@
 	{"journal-replay", journalReplay},
 	{"admission", runAdmission},
 	{"at-most-once", runClaims},
+	{"placement-add", placementAdd},
+	{"placement-drain", placementDrain},
+	{"placement-crash", placementCrash},
+	{"placement-double-crash", placementDoubleCrash},
+	{"placement-entry-loss", placementEntryLoss},
+	{"placement-lagging-entries", placementLaggingEntries},
 }
 
 // Run runs the case with the given name, or all cases when the name is empty.
