--- a/bench/launcher/deployments.go
+++ b/bench/launcher/deployments.go
@@ -15,7 +15,7 @@
 func MeghnaSky(folder, binary, bench string) Plan {
 	return Plan{
 		Folder: folder, Binary: binary, Bench: bench,
-		Controls: 1, Entries: 3, Seed: 1,
+		Controls: 3, Entries: 3, Seed: 1,
 		FailureDomains: []string{"salt-lake", "rajarhat", "howrah"},
 		Customer:       "air-bengal",
 		Services: []ServicePlan{{
@@ -32,7 +32,7 @@
 func KautionshueterSued(folder, binary, bench string) Plan {
 	return Plan{
 		Folder: folder, Binary: binary, Bench: bench,
-		Controls: 1, Entries: 3, Seed: 1,
+		Controls: 3, Entries: 3, Seed: 1,
 		FailureDomains: []string{"muc-a", "muc-b", "nue-a"},
 		Customer:       "tenant-portal",
 		Services: []ServicePlan{{
