--- a/picker/table.go
+++ b/picker/table.go
@@ -60,6 +60,7 @@
 	next := t.clone()
 	service.Name, service.ID, service.Buckets = t.service.Name, t.service.ID, t.service.Buckets
 	next.service = service
+	next.digest.Store(t.digest.Load())
 	return next
 }
 
