Leave an offered flow to the agent that searches for it

Change: the rule of the lower address holds between agents that both search; an offer goes to the one that does.

--- a/holder/decision.go
+++ b/holder/decision.go
@@ -138,6 +138,10 @@
 	if owner(s, chain) {
 		return false
 	}
+	if s.Header.Flags == framer.FlagOffered {
+		// This agent searches for nothing itself, so the one that searches decides about the offered flow.
+		return true
+	}
 	return len(chain) > 0 && s.Note.To == chain[0].Address || s.Note.To.Compare(s.Self.Address) < 0
 }
 
