Let the leader answer rules and history

Cause: in a trial with three control instances, history asked of an instance that had just come back showed revision 1 right after revision 2 was accepted, with a warning.

Ruled out: waiting on the asked instance until it has caught up, because it may be cut off.

Change: an instance that follows passes rules and history on to the leader of the configuration, as it does with the current file.

Before: an old answer with a warning. After: TestHistoryIsTheLeaders asks each of three instances after each of three edits and gets the newest revision, confirmed.

Conclusion: an edit shows in the history as soon as it is accepted.

--- a/bench/launcher/control_test.go
+++ b/bench/launcher/control_test.go
@@ -241,3 +241,23 @@
 	}
 	require.Equal(t, 1, won)
 }
+
+// Guards against a history or origins that an instance behind the leader shows without the newest accepted edit.
+func TestHistoryIsTheLeaders(t *testing.T) {
+	c := startControls(t)
+	for range 3 {
+		revision := c.edit(0, 1, 2)
+		for i := range 3 {
+			c.eventually("history is confirmed", func() bool {
+				history, err := ask(c, i, messenger.History, &messenger.HistoryRequest{Limit: 1})
+				rules, rulesErr := ask(c, i, messenger.Rules, &messenger.RulesRequest{})
+				if err != nil || rulesErr != nil || !history.Confirmed || !rules.Confirmed {
+					return false
+				}
+				require.Equal(t, revision, history.Revisions[0].Revision)
+				require.Equal(t, revision, rules.Revision)
+				return true
+			})
+		}
+	}
+}
--- a/controller/operators.go
+++ b/controller/operators.go
@@ -31,8 +31,14 @@
 	return err == nil && r.here && c.confirmed(ctx, c.configuration)
 }
 
-// rules compares files outside the loop, so that a long history delays no announcement.
-func (c *Controller) rules(ctx context.Context, _ *messenger.RulesRequest) (*messenger.RulesResponse, error) {
+// rules answers by the leader of the configuration, as history does; without one it shows what this instance has. Files
+// are compared outside the loop, so that a long history delays no announcement.
+func (c *Controller) rules(ctx context.Context, req *messenger.RulesRequest) (*messenger.RulesResponse, error) {
+	if r, err := c.routeTo(ctx, c.configuration); err == nil && r.url != "" && !req.Forwarded {
+		if res, err := forward(ctx, c, messenger.Rules, r.url, &messenger.RulesRequest{Forwarded: true}); err == nil {
+			return res, nil
+		}
+	}
 	h, err := c.past(ctx)
 	if err != nil {
 		return nil, err
@@ -60,6 +66,13 @@
 
 // history compares files outside the loop.
 func (c *Controller) history(ctx context.Context, req *messenger.HistoryRequest) (*messenger.HistoryResponse, error) {
+	if r, err := c.routeTo(ctx, c.configuration); err == nil && r.url != "" && !req.Forwarded {
+		passed := *req
+		passed.Forwarded = true
+		if res, err := forward(ctx, c, messenger.History, r.url, &passed); err == nil {
+			return res, nil
+		}
+	}
 	h, err := c.past(ctx)
 	if err != nil {
 		return nil, err
--- a/messenger/operators.go
+++ b/messenger/operators.go
@@ -14,7 +14,10 @@
 )
 
 // RulesRequest asks for each accepted rule with its origin.
-type RulesRequest struct{}
+type RulesRequest struct {
+	// Forwarded is set when another control instance passes the request on. It is not passed on again.
+	Forwarded bool
+}
 
 // RulesResponse lists the rules of the newest accepted file in the order of their lines.
 type RulesResponse struct {
@@ -46,6 +49,8 @@
 	Limit int
 	// WithText asks for the files too.
 	WithText bool
+	// Forwarded is set when another control instance passes the request on. It is not passed on again.
+	Forwarded bool
 }
 
 // HistoryResponse lists revisions, newest first.
