Give the forwarding test a data folder

Cause: the test starts an instance without a folder, and control keeps its logs on disk since the replicated log. Change: the test names a temporary folder and the operating system's file system. What it checks is unchanged. Measured: the controller tests pass; before, they ended with a nil file system.

--- a/controller/members_test.go
+++ b/controller/members_test.go
@@ -14,6 +14,7 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/clock"
+	"cherviltide.example/cherviltide/journaler"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/tracker"
 )
@@ -35,7 +36,10 @@
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	require.NoError(t, listener.Close())
-	c := New(Config{Name: "control", Listen: address, Clock: clock.NewSystem(), Log: zap.NewNop()})
+	c := New(Config{
+		Name: "control", Listen: address, Clock: clock.NewSystem(), Log: zap.NewNop(), Data: t.TempDir(),
+		Files: journaler.NewSystem(), Voters: []Voter{{Name: "control"}}, New: true,
+	})
 	if log != nil {
 		c.members.log = log
 	}
