Run the launcher's processes under mutual TLS

Cause: certificates with roles were proved in process only. Change: each process of a launched system gets a certificate for its role.

--- a/bench/launcher/controls.go
+++ b/bench/launcher/controls.go
@@ -13,7 +13,7 @@
 func StartControls(plan Plan) (*System, error) {
 	s := &System{
 		Plan: plan, Processes: map[string]*Process{}, Probes: map[string]netip.AddrPort{},
-		callers: map[string]loader.TLS{}, client: messenger.NewClient(nil),
+		callers: map[string]loader.TLS{}, client: messenger.NewClient(nil), scheme: messenger.Scheme(nil),
 	}
 	if err := s.startControls(); err != nil {
 		s.Stop()
--- /dev/null
+++ b/bench/launcher/identity.go
@@ -0,0 +1,39 @@
+package launcher
+
+import (
+	"net"
+
+	"github.com/juju/errors"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/certifier"
+	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/messenger"
+)
+
+// identify gives the launcher an operator's certificate.
+func (s *System) identify() error {
+	operator, err := s.identity("operator", cherviltide.RoleOperator)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	config, err := certifier.Client(certifier.Files(operator), "h2")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.client = messenger.NewClient(certifier.RequireRole(config, cherviltide.RoleControl))
+	s.scheme = messenger.Scheme(config)
+	return nil
+}
+
+// identity issues the certificate of a process. A system without an authority runs without TLS.
+func (s *System) identity(name string, role cherviltide.Role) (loader.TLS, error) {
+	if s.issuer == nil {
+		return loader.TLS{}, nil
+	}
+	certificate, key, err := s.issuer.IssueRole("process-"+name, string(role), net.IPv4(127, 0, 0, 1))
+	if err != nil {
+		return loader.TLS{}, errors.Trace(err)
+	}
+	return loader.TLS{Certificate: certificate, Key: key, Authority: s.issuer.Authority()}, nil
+}
--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -65,9 +65,11 @@
 	Control   []netip.AddrPort
 	Processes map[string]*Process
 	// Probes has the address of health, readiness and metrics of each process.
-	Probes    map[string]netip.AddrPort
-	issuer    *issuer.Issuer
-	client    *http.Client
+	Probes map[string]netip.AddrPort
+	issuer *issuer.Issuer
+	client *http.Client
+	// scheme is https:// when the processes have certificates.
+	scheme    string
 	entryPort []uint16
 	// callers has the identity of each service towards callers.
 	callers map[string]loader.TLS
@@ -75,11 +77,14 @@
 
 // Start starts all processes of a plan, applies the rules and waits until every process has them in force.
 func Start(ctx context.Context, plan Plan) (*System, error) {
-	s := &System{Plan: plan, Processes: map[string]*Process{}, callers: map[string]loader.TLS{}, client: messenger.NewClient(nil)}
+	s := &System{Plan: plan, Processes: map[string]*Process{}, callers: map[string]loader.TLS{}}
 	var err error
 	if s.issuer, err = issuer.New(plan.Folder); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if err := s.identify(); err != nil {
+		return nil, errors.Trace(err)
+	}
 	s.Port = freePort()
 	steps := []func() error{s.startControls, s.startEntries, s.startServices, s.startFabric}
 	for _, step := range steps {
@@ -125,7 +130,7 @@
 	var err error
 	for _, a := range s.Control {
 		var res *messenger.StatusResponse
-		if res, err = messenger.Status.Call(ctx, s.client, "http://"+a.String(), &messenger.StatusRequest{}); err == nil {
+		if res, err = messenger.Status.Call(ctx, s.client, s.scheme+a.String(), &messenger.StatusRequest{}); err == nil {
 			return res, nil
 		}
 	}
@@ -167,7 +172,11 @@
 	return n
 }
 
-func (s *System) process(name string, number int) loader.Process {
+func (s *System) process(name string, number int, role cherviltide.Role) (loader.Process, error) {
+	identity, err := s.identity(name, role)
+	if err != nil {
+		return loader.Process{}, errors.Trace(err)
+	}
 	domains := s.Plan.FailureDomains
 	if s.Probes == nil {
 		s.Probes = map[string]netip.AddrPort{}
@@ -180,7 +189,8 @@
 		Control:       s.Control,
 		PacketKey:     packetKey,
 		Probe:         s.Probes[name],
-	}
+		TLS:           identity,
+	}, nil
 }
 
 func (s *System) startControls() error {
@@ -193,8 +203,12 @@
 	}
 	for i, listen := range s.Control {
 		name := voters[i].Name
+		process, err := s.process(name, i, cherviltide.RoleControl)
+		if err != nil {
+			return err
+		}
 		settings := loader.Control{
-			Process: s.process(name, i), Listen: listen, Data: filepath.Join(s.Plan.Folder, name),
+			Process: process, Listen: listen, Data: filepath.Join(s.Plan.Folder, name),
 			Voters: voters, NewSystem: true,
 		}
 		if err := s.startRole("control", name, settings); err != nil {
@@ -209,8 +223,12 @@
 		port := freePort()
 		s.entryPort = append(s.entryPort, port)
 		name := fmt.Sprintf("entry-%d", i+1)
+		process, err := s.process(name, i, cherviltide.RoleEntry)
+		if err != nil {
+			return err
+		}
 		settings := loader.Entry{
-			Process:  s.process(name, i),
+			Process:  process,
 			Listen:   netip.IPv4Unspecified(),
 			Ports:    []loader.Port{{Listen: port, Virtual: s.Port}},
 			Internal: loopback(freePort()),
@@ -248,8 +266,12 @@
 		return err
 	}
 	s.Processes["target-"+name] = p
+	process, err := s.process(name, i, cherviltide.RoleAgent)
+	if err != nil {
+		return err
+	}
 	return s.startRole("agent", name, loader.Agent{
-		Process:   s.process(name, i),
+		Process:   process,
 		Service:   v.Name,
 		Data:      loopback(freePort()),
 		Peer:      loopback(freePort()),
@@ -313,7 +335,7 @@
 	for {
 		var err error
 		for _, a := range s.Control {
-			if _, err = messenger.Apply.Call(ctx, s.client, "http://"+a.String(), req); err == nil {
+			if _, err = messenger.Apply.Call(ctx, s.client, s.scheme+a.String(), req); err == nil {
 				return nil
 			}
 		}
