Bound an at-most-once home by the age of its membership view

Cause: a home counted its lease from announcements, which go on while its stream of membership is stale. Such a home could grant a key whose new home had already waited out the old one's lease. Change: the leader's answer names its membership position; the lease that the claimer uses is renewed only when the agent's view has reached it. Ruled out: using the stream's heartbeat, whose sender may itself be stale. Conclusion: closes the gap by construction; not run across processes.

--- a/commands/claims.go
+++ b/commands/claims.go
@@ -47,17 +47,9 @@
 	}), nil
 }
 
-// leaseholder tells until when the process's lease holds.
-type leaseholder interface {
-	LeaseUntil() cherviltide.Millis
-}
-
-// leaseLeft returns for how long the agent may act as a home. Without a known lease it refuses all claims.
-func leaseLeft(f any, clock cherviltide.Clock) cherviltide.Millis {
-	if l, ok := f.(leaseholder); ok {
-		return max(l.LeaseUntil()-clock.Now(), 0)
-	}
-	return 0
+// leaseLeft returns for how long the agent may act as a home.
+func leaseLeft(f *follower.Follower, clock cherviltide.Clock) cherviltide.Millis {
+	return max(f.CurrentUntil()-clock.Now(), 0)
 }
 
 // servePeers answers other agents on the peer address until ctx ends.
--- a/controller/members.go
+++ b/controller/members.go
@@ -171,7 +171,7 @@
 	if !c.tracker.Alive(req.Member) {
 		return &messenger.AnnounceResponse{}
 	}
-	return &messenger.AnnounceResponse{Lease: tracker.Lease, Leave: c.mustLeave(req)}
+	return &messenger.AnnounceResponse{Lease: tracker.Lease, Leave: c.mustLeave(req), Position: c.tracker.Position()}
 }
 
 // leader returns how to reach the leader of the membership group.
--- a/follower/announce.go
+++ b/follower/announce.go
@@ -104,6 +104,9 @@
 	}
 	if res.Lease > 0 {
 		f.lease.renew(sent, res.Lease)
+		if f.View().Position >= res.Position {
+			f.current.renew(sent, res.Lease)
+		}
 	}
 	return nil
 }
@@ -114,6 +117,7 @@
 	m.Incarnation = max(known+1, uint64(time.Now().UnixNano()))
 	f.member.Store(&m)
 	f.lease.renew(time.Time{}, 0)
+	f.current.renew(time.Time{}, 0)
 	f.config.Log.Warn("Expelled", zap.Uint64("NewIncarnation", m.Incarnation))
 	f.signal()
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -44,6 +44,8 @@
 	// wake interrupts the wait between two announcements.
 	wake  chan struct{}
 	lease lease
+	// current is the lease as far as the view included all that the leader had applied when it granted it.
+	current lease
 	// drained is closed once, when control tells the process to leave.
 	drained   chan struct{}
 	drainOnce sync.Once
--- a/follower/lease.go
+++ b/follower/lease.go
@@ -33,8 +33,19 @@
 // hold. The lease is counted from the sending of the announcement, by a monotonic clock, so a step of the wall clock does
 // not prolong it; callers ask again each time instead of keeping the result.
 func (f *Follower) LeaseUntil() cherviltide.Millis {
-	now := time.Now()
-	left := f.lease.left(now)
+	return f.lease.until(time.Now())
+}
+
+// CurrentUntil is like LeaseUntil, but an announcement counts only when the view had reached the position of the leader
+// that answered it. A process that decides alone by its view, such as the home of at-most-once keys, stops at this time:
+// its announcements may go on while its stream of membership is stale.
+func (f *Follower) CurrentUntil() cherviltide.Millis {
+	return f.current.until(time.Now())
+}
+
+// until returns the end of the lease by the process's clock, or 0.
+func (l *lease) until(now time.Time) cherviltide.Millis {
+	left := l.left(now)
 	if left == 0 {
 		return 0
 	}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -46,6 +46,8 @@
 	// Expelled is set when the announced incarnation is dead or replaced; Incarnation is then the newest known one.
 	Expelled    bool
 	Incarnation uint64
+	// Position is the newest membership position that the leader had applied when it answered.
+	Position uint64
 }
 
 // ApplyRequest asks control to accept a rules file.
