--- a/admitter/core.go
+++ b/admitter/core.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"slices"
 
 	"cherviltide.example/cherviltide"
@@ -53,7 +54,8 @@
 	limit   limit
 	// urgentSeen is the time of the last urgent arrival.
 	urgentSeen cherviltide.Millis
-	// turns counts the starts since an aged request last went before its rank.
+	demand     demand
+	// turns counts the turns since an aged request last went before its rank.
 	turns int
 }
 
@@ -78,6 +80,7 @@
 func (c *Core) Arrive(now cherviltide.Millis, r Request) []Action {
 	if r.Kind.Class == cherviltide.ClassUrgent {
 		c.urgentSeen = now
+		c.demand.add(now, c.speeds.expected(now, r.Kind))
 	}
 	wait := c.Wait(now, r.Kind)
 	if now+wait+c.needed(now, r) > r.Deadline {
@@ -117,7 +120,8 @@
 
 // Tick decides again at a later time, for requests whose deadline has come out of reach and for reserves that have ended.
 func (c *Core) Tick(now cherviltide.Millis) []Action {
-	return c.dispatch(now)
+	c.limit.pass(now)
+	return append(c.expire(now), c.dispatch(now)...)
 }
 
 // Hint takes the load that the target reports, where 1 means that it is full. It only slows the growth of the number of
@@ -139,7 +143,7 @@
 	if !waits && c.fits(now, kind.Class) {
 		return 0
 	}
-	return c.firstFree(now) + ahead/cherviltide.Millis(c.slotsFor(now, kind.Class))
+	return c.firstFree(now) + ahead/cherviltide.Millis(max(c.slotsFor(now, kind.Class), 1))
 }
 
 // firstFree predicts the time until the next running request ends.
@@ -155,6 +159,11 @@
 	return max(first, 0)
 }
 
+// Busy reports whether a new request of a kind would be refused because it could not be complete in time.
+func (c *Core) Busy(now cherviltide.Millis, kind cherviltide.Kind) bool {
+	return c.Wait(now, kind)+c.needed(now, Request{Kind: kind}) > kind.Deadline
+}
+
 // Load returns the numbers of running and waiting requests and of the slots in use now.
 func (c *Core) Load() (running, waiting, slots int) {
 	return len(c.running), len(c.waiting), c.limit.now
@@ -174,7 +183,7 @@
 	if r.Kind.Class == cherviltide.ClassBulky {
 		return 0
 	}
-	return c.speeds.expected(now, r.Kind)
+	return neededFactor * c.speeds.expected(now, r.Kind)
 }
 
 func (c *Core) count(class cherviltide.Class) int {
@@ -189,7 +198,10 @@
 
 // dispatch fills the free slots and refuses the waiting requests whose deadline is out of reach.
 func (c *Core) dispatch(now cherviltide.Millis) []Action {
-	actions := c.expire(now)
+	var actions []Action
+	if len(c.running) < c.limit.now {
+		actions = c.expire(now)
+	}
 	for {
 		i, aged := c.next(now)
 		if i < 0 {
@@ -198,14 +210,23 @@
 		r := c.waiting[i]
 		c.waiting = slices.Delete(c.waiting, i, i+1)
 		c.running[r.ID] = started{request: r, at: now}
-		c.turns++
-		if aged {
-			c.turns = 0
-		}
+		c.turn(r, aged)
 		actions = append(actions, Action{ID: r.ID})
 	}
 }
 
+// turn counts a start towards the next one by age.
+func (c *Core) turn(r Request, aged bool) {
+	switch {
+	case aged:
+		c.turns = 0
+	case r.Kind.Class == cherviltide.ClassUrgent:
+		c.turns++
+	default:
+		c.turns += otherTurns
+	}
+}
+
 func (c *Core) expire(now cherviltide.Millis) []Action {
 	var actions []Action
 	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool {
@@ -220,14 +241,17 @@
 
 // next returns the index of the request that takes a free slot, or -1, and whether it goes before its rank by its age.
 func (c *Core) next(now cherviltide.Millis) (int, bool) {
+	if len(c.running) >= c.limit.now {
+		return -1, false
+	}
 	best := -1
 	for i, r := range c.waiting {
+		if c.turns >= agedTurns && now-r.Arrived >= c.config.Aging && c.fitsAged(now, r.Kind.Class) {
+			return i, true
+		}
 		if !c.fits(now, r.Kind.Class) {
 			continue
 		}
-		if c.turns >= agedTurns && now-r.Arrived >= c.config.Aging {
-			return i, true
-		}
 		if best < 0 || before(r, c.waiting[best]) {
 			best = i
 		}
@@ -260,18 +284,34 @@
 	return others < c.slotsFor(now, class)
 }
 
+// fitsAged reports whether a request that has waited long may take one more slot now. While only one slot is in use, the
+// reserve would leave none, so an aged request takes it; a bulky one never does.
+func (c *Core) fitsAged(now cherviltide.Millis, class cherviltide.Class) bool {
+	if c.limit.now == 1 && class != cherviltide.ClassBulky {
+		return true
+	}
+	return c.fits(now, class)
+}
+
 // slotsFor returns how many slots the requests that are not urgent may hold together, or all for the urgent class. The
-// reserve is kept while urgent requests arrive. A single slot is shared by rank, since a reserve would leave none.
+// reserve is kept while urgent requests arrive. A target with a single slot has none.
 func (c *Core) slotsFor(now cherviltide.Millis, class cherviltide.Class) int {
-	if class == cherviltide.ClassUrgent || now-c.urgentSeen >= c.config.ReserveHold {
+	if class == cherviltide.ClassUrgent || c.config.Slots == 1 || now-c.urgentSeen >= c.config.ReserveHold {
 		return c.limit.now
 	}
-	return max(c.limit.now-c.config.Reserve, 1)
+	return max(c.limit.now-c.reserve(now), 0)
+}
+
+// reserve is the number of slots for urgent requests only: the configured one, or what they need, but never all slots.
+func (c *Core) reserve(now cherviltide.Millis) int {
+	needed := int(math.Ceil(c.demand.slots(now) * demandMargin))
+	return max(c.config.Reserve, min(needed, c.config.Slots-1))
 }
 
-// bulkySlots leaves one slot to other requests. With a single slot, bulky requests run only while no urgent ones arrive.
+// bulkySlots leaves one slot to other requests. At a target with a single slot, bulky requests run only while no urgent
+// ones arrive.
 func (c *Core) bulkySlots(now cherviltide.Millis) int {
-	if c.limit.now > 1 {
+	if c.config.Slots > 1 {
 		return c.limit.now - 1
 	}
 	if now-c.urgentSeen < c.config.ReserveHold {
--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -19,6 +19,14 @@
 var cases = []Case{
 	{"system-planned", systemPlanned},
 	{"system-crash", systemCrashed},
+	{"distribution-targets", distributionTargets},
+	{"distribution-services", distributionServices},
+	{"catch-up", catchUp},
+	{"control-accept", controlAccept},
+	{"control-restart", controlRestart},
+	{"journal-replay", journalReplay},
+	{"admission", runAdmission},
+	{"at-most-once", runClaims},
 }
 
 // Run runs the case with the given name, or all cases when the name is empty.
--- a/controller/operators.go
+++ b/controller/operators.go
@@ -25,10 +25,24 @@
 	return h, err
 }
 
-// leadsEdits reports whether a majority confirms that this instance leads the configuration.
-func (c *Controller) leadsEdits(ctx context.Context) bool {
+// newest returns a revision that a majority confirms as accepted, or false when none could be confirmed. What this
+// instance holds is current when it is not older.
+func (c *Controller) newest(ctx context.Context) (uint64, bool) {
 	r, err := c.routeTo(ctx, c.configuration)
-	return err == nil && r.here && c.confirmed(ctx, c.configuration)
+	if err != nil {
+		return 0, false
+	}
+	if r.here {
+		return 0, c.confirmed(ctx, c.configuration)
+	}
+	if r.url == "" {
+		return 0, false
+	}
+	res, err := forward(ctx, c, messenger.Current, r.url, &messenger.CurrentRequest{Forwarded: true})
+	if err != nil {
+		return 0, false
+	}
+	return res.Revision, res.Confirmed
 }
 
 // rules answers by the leader of the configuration, as history does; without one it shows what this instance has. Files
@@ -39,11 +53,12 @@
 			return res, nil
 		}
 	}
+	newest, confirmed := c.newest(ctx)
 	h, err := c.past(ctx)
 	if err != nil {
 		return nil, err
 	}
-	res := &messenger.RulesResponse{Confirmed: c.leadsEdits(ctx)}
+	res := &messenger.RulesResponse{Confirmed: confirmed && h.Newest() >= newest}
 	var list []registrar.Origin
 	res.Revision, list = c.origins.of(h)
 	for _, o := range list {
@@ -73,12 +88,13 @@
 			return res, nil
 		}
 	}
+	accepted, confirmed := c.newest(ctx)
 	h, err := c.past(ctx)
 	if err != nil {
 		return nil, err
 	}
-	res := &messenger.HistoryResponse{Confirmed: c.leadsEdits(ctx)}
 	newest := h.Newest()
+	res := &messenger.HistoryResponse{Confirmed: confirmed && newest >= accepted}
 	if req.Newest > 0 {
 		newest = min(newest, req.Newest)
 	}
--- a/holder/flow.go
+++ b/holder/flow.go
@@ -46,6 +46,8 @@
 type flows struct {
 	mu   sync.RWMutex
 	byID map[cherviltide.FlowKey]*flow
+	// declared is the highest generation that declare has returned; no flow is opened at a lower one.
+	declared uint64
 }
 
 func newFlows() *flows {
@@ -58,10 +60,15 @@
 	return s.byID[key]
 }
 
+// open adds a flow, or returns nil when it would break a declaration that was made since the decision. Generation 0 stands
+// for a flow that datagrams reach by its connection IDs; it breaks none.
 func (s *flows) open(key cherviltide.FlowKey, generation uint64) *flow {
 	f := newFlow(key, generation)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if generation != 0 && generation < s.declared {
+		return nil
+	}
 	s.byID[key] = f
 	return f
 }
@@ -94,12 +101,20 @@
 	return n
 }
 
-// oldest returns the lowest generation at which a held flow was opened, or the given one when there is none.
-func (s *flows) oldest(generation uint64) uint64 {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
+// declare returns the lowest generation at which a held flow was opened, or the given one when there is none. No flow is
+// opened at a lower generation afterwards.
+func (s *flows) declare(generation uint64) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, f := range s.byID {
 		generation = min(generation, f.opened)
 	}
+	s.declared = max(s.declared, generation)
 	return generation
 }
+
+func (s *flows) lastDeclared() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.declared
+}
