Give the controller of TestMutualTLS its folder and voters

Ruled out: a default file system in the controller, which would hide a missing setting.

Change: the test passes a folder, the system's files and itself as the only voter.

Before: panic. After: all tests of commands pass.

Conclusion: what the test checks is unchanged.

--- a/commands/process_test.go
+++ b/commands/process_test.go
@@ -14,6 +14,7 @@
 	"cherviltide.example/cherviltide/bench/issuer"
 	"cherviltide.example/cherviltide/clock"
 	"cherviltide.example/cherviltide/controller"
+	"cherviltide.example/cherviltide/journaler"
 	"cherviltide.example/cherviltide/loader"
 	"cherviltide.example/cherviltide/messenger"
 )
@@ -41,6 +42,7 @@
 	require.NoError(t, err)
 	control := controller.New(controller.Config{
 		Name: "control-1", Listen: address, TLS: server, Clock: clock.NewSystem(), Log: zap.NewNop(),
+		Data: t.TempDir(), Files: journaler.NewSystem(), Voters: []controller.Voter{{Name: "control-1"}}, New: true,
 	})
 	go func() { ended <- control.Run(ctx) }()
 	start := func(p loader.Process, role cherviltide.Role) (until func() cherviltide.Millis, followed func() bool) {
