--- /dev/null
+++ b/follower/lease_test.go
@@ -0,0 +1,47 @@
+package follower
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"cherviltide.example/cherviltide/messenger"
+)
+
+// Guards against a home of at-most-once keys that goes on with a stale view because its announcements still succeed. The
+// plain lease, which is renewed in both cases, is what the check would see with the mechanism off.
+func TestLeaseOfStaleView(t *testing.T) {
+	cases := map[string]struct {
+		leader, view uint64
+		current      bool
+	}{
+		"view at the leader's position": {leader: 7, view: 7, current: true},
+		"view past it":                  {leader: 7, view: 8, current: true},
+		"stale view":                    {leader: 8, view: 7, current: false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			mux := http.NewServeMux()
+			messenger.Announce.Handle(mux, func(context.Context, *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
+				return &messenger.AnnounceResponse{Lease: 3_600_000, Position: c.leader}, nil
+			})
+			server := httptest.NewUnstartedServer(mux)
+			server.Config = messenger.NewServer(mux, nil)
+			server.Start()
+			defer server.Close()
+			f := New(Config{Control: []string{server.URL}, Report: func(*messenger.AnnounceRequest) {}, Log: zap.NewNop()})
+			view := *NewView()
+			view.Position = c.view
+			f.view.Store(&view)
+			require.NoError(t, f.announce(t.Context(), messenger.NewClient(nil), server.URL))
+			require.NotZero(t, f.LeaseUntil())
+			require.Equal(t, c.current, f.CurrentUntil() != 0)
+			require.Zero(t, f.current.left(time.Now().Add(2*time.Hour)))
+		})
+	}
+}
