Give operators' commands in process tests an identity

Cause: the launcher's processes require certificates; three tests called them without one and got exit codes 4 and 5. Change: the launcher keeps the operator's identity, and the tests pass it.

--- a/bench/launcher/identity.go
+++ b/bench/launcher/identity.go
@@ -17,6 +17,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	s.Operator = operator
 	config, err := certifier.Client(certifier.Files(operator), "h2")
 	if err != nil {
 		return errors.Trace(err)
--- a/bench/launcher/operators_test.go
+++ b/bench/launcher/operators_test.go
@@ -24,7 +24,8 @@
 func operate(ctx context.Context, t *testing.T, s *launcher.System, want int, args ...string) string {
 	t.Helper()
 	var out, errOut bytes.Buffer
-	args = append(args, "--control", s.Control[0].String())
+	o := s.Operator
+	args = append(args, "--certificate", o.Certificate, "--key", o.Key, "--authority", o.Authority, "--control", s.Control[0].String())
 	require.Equal(t, want, commands.Run(ctx, args, &out, &errOut), "%v: %s", args, errOut.String())
 	return out.String()
 }
--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -66,8 +66,10 @@
 	Processes map[string]*Process
 	// Probes has the address of health, readiness and metrics of each process.
 	Probes map[string]netip.AddrPort
-	issuer *issuer.Issuer
-	client *http.Client
+	// Operator is the identity for operators' commands.
+	Operator loader.TLS
+	issuer   *issuer.Issuer
+	client   *http.Client
 	// scheme is https:// when the processes have certificates.
 	scheme    string
 	entryPort []uint16
