--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -51,6 +52,31 @@
 	return res, errors.Trace(err)
 }
 
+// Post sends an at-most-once request and returns the answer's status and outcome.
+func (c *Caller) Post(ctx context.Context, url, key, body string) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	req.Header.Set("Idempotency-Key", key)
+	res, err := c.client.Do(req)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	n, err := io.Copy(io.Discard, res.Body)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	return Answer{
+		Status:   res.StatusCode,
+		Target:   res.Header.Get(responder.HeaderTarget),
+		Customer: res.Header.Get(responder.HeaderCustomer),
+		Outcome:  res.Header.Get("Cherviltide-Outcome"),
+		Bytes:    int(n),
+	}, nil
+}
+
 // Get fetches size bytes of a path below base.
 func (c *Caller) Get(ctx context.Context, base, path string, size int) (Answer, error) {
 	started := time.Now()
--- a/bench/launcher/demo.go
+++ b/bench/launcher/demo.go
@@ -26,7 +26,8 @@
 		Services: []ServicePlan{{
 			Name: "advisory-desk", Address: netip.MustParseAddr("127.8.1.1"), Slots: 2,
 			Speeds: []time.Duration{fast, fast, slow},
-			Rules:  "Kind advisory-desk fetch Path /advisories/ Class Urgent Priority 1 Deadline 2s Objective 99.9 # requested by demo\n",
+			Rules: "Kind advisory-desk fetch Path /advisories/ Class Urgent Priority 1 Deadline 2s Objective 99.9 # requested by demo\n" +
+				"Kind advisory-desk acknowledge Method POST Path /acknowledgements/ Class Urgent Priority 1 Deadline 2s AtMostOnce true Objective 99.9 # requested by demo\n",
 		}, {
 			Name: "chart-store", Address: netip.MustParseAddr("127.8.2.1"), Slots: 2,
 			Speeds: []time.Duration{fast, slow},
--- a/bench/launcher/faults.go
+++ b/bench/launcher/faults.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/bench/responder"
 	"cherviltide.example/cherviltide/messenger"
 )
 
@@ -60,6 +64,35 @@
 	})
 }
 
+// Runs returns how often a key has run, by name of the agent of each target on which it has.
+func (s *System) Runs(ctx context.Context, key string) (map[string]int, error) {
+	runs := map[string]int{}
+	for name, address := range s.Targets {
+		url := "http://" + address.String() + responder.RunsPath + "?key=" + key
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		n, err := strconv.Atoi(string(body))
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if n > 0 {
+			runs[name] = n
+		}
+	}
+	return runs, nil
+}
+
 // AddTarget starts a further target of a service with its agent.
 func (s *System) AddTarget(service ServicePlan, number int, speed time.Duration) error {
 	return s.startTarget(service, number, speed, s.callers[service.Name])
--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -66,6 +66,8 @@
 	Processes map[string]*Process
 	// Probes has the address of health, readiness and metrics of each process.
 	Probes map[string]netip.AddrPort
+	// Targets has the address of each target by the name of its agent.
+	Targets map[string]netip.AddrPort
 	// Operator is the identity for operators' commands.
 	Operator loader.TLS
 	issuer   *issuer.Issuer
@@ -79,7 +81,7 @@
 
 // Start starts all processes of a plan, applies the rules and waits until every process has them in force.
 func Start(ctx context.Context, plan Plan) (*System, error) {
-	s := &System{Plan: plan, Processes: map[string]*Process{}, callers: map[string]loader.TLS{}}
+	s := &System{Plan: plan, Processes: map[string]*Process{}, callers: map[string]loader.TLS{}, Targets: map[string]netip.AddrPort{}}
 	var err error
 	if s.issuer, err = issuer.New(plan.Folder); err != nil {
 		return nil, errors.Trace(err)
@@ -268,6 +270,7 @@
 		return err
 	}
 	s.Processes["target-"+name] = p
+	s.Targets[name] = target
 	process, err := s.process(name, i, cherviltide.RoleAgent)
 	if err != nil {
 		return err
--- a/bench/responder/responder.go
+++ b/bench/responder/responder.go
@@ -31,6 +31,9 @@
 // LoadPath is the path of the endpoint that reports the load: running requests relative to slots.
 const LoadPath = "/load"
 
+// RunsPath is the path of the endpoint that tells how often the key in the query parameter "key" has run.
+const RunsPath = "/runs"
+
 // Fault is what a target does wrong with a request. The query parameter "fault" has the same values.
 type Fault string
 
@@ -119,6 +122,10 @@
 		r.load(w)
 		return
 	}
+	if req.URL.Path == RunsPath {
+		_, _ = w.Write([]byte(strconv.Itoa(r.Runs(req.URL.Query().Get("key")))))
+		return
+	}
 	fault := Fault(req.URL.Query().Get("fault"))
 	if fault == FaultNone {
 		fault = r.config.Fault
--- a/proxier/claim.go
+++ b/proxier/claim.go
@@ -43,6 +43,7 @@
 	if err != nil {
 		return x.refuse(http.StatusRequestEntityTooLarge, "BodySize", "the body is too large or incomplete", 0)
 	}
+	x.firstSending = x.r.Header.Get(HeaderFirst) == "true"
 	x.claim = &claimer.Claim{Key: key, Digest: digest(x.r, body), Run: x.id, Until: x.kind.Deadline + 2*maxSettle}
 	x.body = body
 	x.r.ContentLength = int64(len(body))
@@ -79,12 +80,23 @@
 	case claimer.StateUnknown:
 		x.unknown(http.StatusConflict, "KeyUnknown", "the effect of an earlier request with this key is unknown")
 	default:
-		// A home that took over knows nothing of requests that its predecessor granted, so the text is about this one only.
-		x.refuse(claimStatus(v.Reason), string(v.Reason), "this request did not run; an earlier one with the same key may have", retryHint)
+		p.refuseClaim(x, v.Reason)
 	}
 	return false
 }
 
+// refuseClaim gives the outcome of a request that its key's home refused. A home that took over, or has forgotten the key,
+// refuses the same key for good, so the caller would try another key. That is safe only after a first sending: an earlier
+// one may have run under the former home.
+func (p *Proxier) refuseClaim(x *exchange, reason claimer.Reason) {
+	forgotten := reason == claimer.ReasonTakeover || reason == claimer.ReasonOld
+	if forgotten && !x.firstSending {
+		x.unknown(http.StatusConflict, string(reason), "this request did not run; whether an earlier one with the same key ran is unknown")
+		return
+	}
+	x.refuse(claimStatus(reason), string(reason), "this request did not run; an earlier one with the same key may have", retryHint)
+}
+
 func claimStatus(reason claimer.Reason) int {
 	switch reason {
 	case claimer.ReasonReused:
--- a/proxier/exchange.go
+++ b/proxier/exchange.go
@@ -36,6 +36,8 @@
 	// claim and body are set for at-most-once requests.
 	claim *claimer.Claim
 	body  []byte
+	// firstSending is true when the caller says that it has not sent the key before.
+	firstSending bool
 	// attempt is above 0 from the grant of the claim to its settlement.
 	attempt uint32
 }
--- a/proxier/metadata.go
+++ b/proxier/metadata.go
@@ -28,6 +28,9 @@
 	HeaderShed = "Cherviltide-Shed"
 	// HeaderKey is the key of an at-most-once request.
 	HeaderKey = "Idempotency-Key"
+	// HeaderFirst is true when the caller has not sent the key of an at-most-once request before. A key whose home has
+	// changed is then refused as not run; without the header its effect is unknown.
+	HeaderFirst = "Cherviltide-First-Sending"
 	// reservedPrefix marks the headers that only cherviltide sets.
 	reservedPrefix = "cherviltide-"
 )
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"net/http"
@@ -323,6 +324,31 @@
 	require.Equal(t, 1, b.responder.Runs(refused))
 }
 
+// Guards against a resent key that is refused as not run by a home that took over: the former home may have run it, and the
+// caller would send the same lodgement under a new key.
+func TestKeyFromBeforeTakeover(t *testing.T) {
+	b := newBed(t)
+	c := b.caller("alpha")
+	cases := map[string]struct {
+		header  http.Header
+		outcome cherviltide.Outcome
+	}{
+		"sent before":   {http.Header{}, cherviltide.OutcomeUnknown},
+		"first sending": {http.Header{HeaderFirst: {"true"}}, cherviltide.OutcomeRefused},
+	}
+	for name, want := range cases {
+		t.Run(name, func(t *testing.T) {
+			id := uuid.Must(uuid.NewV7())
+			binary.BigEndian.PutUint32(id[:], binary.BigEndian.Uint32(id[:])-2) // 2 times 65.5 s earlier
+			want.header.Set(HeaderKey, id.String())
+			r := b.do(c, http.MethodPost, "/l/x", "one", want.header)
+			require.Equal(t, string(want.outcome), r.header.Get(HeaderOutcome))
+			require.Equal(t, "KeyTakeover", r.header.Get(HeaderReason))
+			require.Zero(t, b.responder.Runs(id.String()))
+		})
+	}
+}
+
 // FuzzMetadata guards against request metadata that panics or gets past the checks.
 func FuzzMetadata(f *testing.F) {
 	f.Add("Cherviltide-Customer", "alpha", "100", "0197f3a0-0000-7000-8000-000000000000")
