--- a/holder/agreement_test.go
+++ b/holder/agreement_test.go
@@ -167,6 +167,12 @@
 	t.Logf("%d of %d runs opened the flow", opened, agreementSeeds)
 }
 
+// TestOneHolderSeed55388 is the first schedule, of 100,000, in which a flow is opened twice. It is listed in KNOWN-RED.txt.
+func TestOneHolderSeed55388(t *testing.T) {
+	draw := rapid.Custom(func(t *rapid.T) *network { return drive(t, false) })
+	require.LessOrEqual(t, draw.Example(55388).opened, 1)
+}
+
 // TestOneHolderNeedsNotes shows that the agreement test fails when agents keep no notes.
 func TestOneHolderNeedsNotes(t *testing.T) {
 	draw := rapid.Custom(func(t *rapid.T) *network { return drive(t, true) })
