--- a/ports.go
+++ b/ports.go
@@ -1,23 +1,10 @@
 package cherviltide
 
-import (
-	"context"
-	"errors"
-)
+import "errors"
 
 // ErrNotLeader tells that another instance leads the group, or none does. The operation did not run.
 var ErrNotLeader = errors.New("this instance does not lead the group")
 
-// Log is a replicated log as its users see it.
-type Log interface {
-	// Propose appends an entry and returns its position after a majority has stored it.
-	// A fault of kind Unavailable that wraps ErrNotLeader means that the entry was not appended.
-	// Any other error leaves it unknown whether the entry will be committed.
-	Propose(ctx context.Context, entry []byte) (uint64, error)
-	// Confirm returns nil when a majority has confirmed that this instance is the leader since the call.
-	Confirm(ctx context.Context) error
-}
-
 // StateMachine applies the committed entries of a log in order. The log's owner calls it from one goroutine.
 type StateMachine interface {
 	Apply(position uint64, entry []byte)
