--- a/controller/members_test.go
+++ b/controller/members_test.go
@@ -31,7 +31,8 @@
 func (e *elsewhere) Leader() (string, *http.Client) { return e.leader, e.client }
 
 // serve runs a control instance and returns its base URL. It leads unless it has another log.
-func serve(t *testing.T, log membershipLog) string {
+func serve(t testing.TB, log membershipLog) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
--- a/controller/operators_test.go
+++ b/controller/operators_test.go
@@ -31,9 +31,11 @@
 	runner.Start(ctx, "loop", ends, c.loop)
 	t.Cleanup(func() { cancel(); <-ends })
 	require.Eventually(t, func() bool {
-		founded := false
-		require.NoError(t, c.do(ctx, func() { founded = c.tracker.Leads() && c.tracker.Base() > 0 }))
-		_, edits := c.configuration.leads()
+		founded, edits := false, false
+		require.NoError(t, c.do(ctx, func() {
+			founded = c.tracker.Leads() && c.tracker.Base() > 0
+			_, edits = c.configuration.leads()
+		}))
 		return founded && edits
 	}, 10*time.Second, time.Millisecond)
 	return c, ctx
