Refuse connections beyond the limit with CONNECTION_REFUSED

Cause: an agent that held as many flows as its service allows dropped first packets, so callers waited 5 s for their handshake's timeout. Change: the first packet reaches the transport as refused, which answers at once; the flow is not held. Before: the handshake timed out. After: TestFullAgentRefusesConnections gets CONNECTION_REFUSED.

--- a/holder/flow.go
+++ b/holder/flow.go
@@ -12,6 +12,8 @@
 type flow struct {
 	key  cherviltide.FlowKey
 	text string
+	// refused is true when the agent accepts no connection of the flow, which it then does not hold.
+	refused bool
 	// opened is the generation that the flow counts as opened at.
 	opened uint64
 	// entry is the entry that last delivered a datagram of the flow.
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -142,6 +142,12 @@
 	}
 }
 
+// Accepts reports whether the agent accepts a connection from the flow with the given remote address.
+func (h *Holder) Accepts(remote net.Addr) bool {
+	f, ok := remote.(*flow)
+	return ok && !f.refused
+}
+
 // Ended records that a connection of the flow has closed. The last one releases the flow: a caller may open a second
 // connection from the same address, and its datagrams belong to the same flow.
 func (h *Holder) Ended(remote net.Addr) {
--- a/holder/receive.go
+++ b/holder/receive.go
@@ -91,6 +91,13 @@
 	case ActionReturn:
 		h.send(a, step, a.header.Generation, a.sender)
 		return nil, nil
+	case ActionRefuse:
+		// The transport answers a first packet with CONNECTION_REFUSED, so that the caller need not wait for a timeout.
+		if !opening(a.payload) {
+			return nil, nil
+		}
+		a.flow = newFlow(a.header.Flow, 0)
+		a.flow.refused = true
 	case ActionReset:
 		// The flow is not held: the caller opens another connection after the reset.
 		a.flow = newFlow(a.header.Flow, 0)
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -39,12 +39,16 @@
 	maxAnswerBody = 64 << 10
 )
 
+var errFull = errors.New("the agent accepts no further connection")
+
 // Error is a failure to serve callers.
 type Error struct{ cherviltide.Fault }
 
 // PacketConn is the agent's data path.
 type PacketConn interface {
 	net.PacketConn
+	// Accepts reports whether a new connection may be opened; others are refused at once.
+	Accepts(remote net.Addr) bool
 	// Started records a connection of a flow. Each one is followed by Ended.
 	Started(remote net.Addr)
 	// Ended releases the flow of a closed connection.
@@ -114,10 +118,7 @@
 	if p.config.ResetKey != [32]byte{} {
 		transport.StatelessResetKey = (*quic.StatelessResetKey)(&p.config.ResetKey)
 	}
-	listener, err := transport.ListenEarly(p.config.TLS, &quic.Config{
-		MaxIdleTimeout:          idleTimeout,
-		DisablePathMTUDiscovery: true,
-	})
+	listener, err := transport.ListenEarly(p.config.TLS, quicConfig(conn))
 	if err != nil {
 		return &Error{cherviltide.Fault{Op: "proxier.Run", Kind: cherviltide.KindInternal, Err: err}}
 	}
@@ -143,6 +144,19 @@
 	return errors.Join(err, listener.Close(), transport.Close())
 }
 
+// quicConfig returns the configuration of connections. The connections that conn does not accept are refused.
+func quicConfig(conn PacketConn) *quic.Config {
+	accepted := &quic.Config{MaxIdleTimeout: idleTimeout, DisablePathMTUDiscovery: true}
+	config := accepted.Clone()
+	config.GetConfigForClient = func(info *quic.ClientInfo) (*quic.Config, error) {
+		if !conn.Accepts(info.RemoteAddr) {
+			return nil, errFull
+		}
+		return accepted, nil
+	}
+	return config
+}
+
 // drain sends GOAWAY on all connections, which rejects new requests, waits for those in progress and closes the
 // connections. Callers keep idle connections open, so waiting for them to close would delay the end.
 func (p *Proxier) drain(ctx context.Context) error {
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -14,6 +14,7 @@
 	"testing"
 
 	"github.com/google/uuid"
+	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -30,13 +31,16 @@
 // plainConn is a data path without agents: each packet of the socket belongs to this proxier.
 type plainConn struct {
 	*net.UDPConn
-	refused *atomic.Bool
+	refused, full *atomic.Bool
 }
 
 func (plainConn) Started(net.Addr) {}
-func (plainConn) Ended(net.Addr)   {}
-func (plainConn) Tag() uint32      { return 1 }
-func (c plainConn) Refuse()        { c.refused.Store(true) }
+func (c plainConn) Accepts(net.Addr) bool {
+	return !c.full.Load()
+}
+func (plainConn) Ended(net.Addr) {}
+func (plainConn) Tag() uint32    { return 1 }
+func (c plainConn) Refuse()      { c.refused.Store(true) }
 
 type result struct {
 	kind    string
@@ -74,9 +78,11 @@
 	results recorder
 	// refused is true once new connections are left to other agents.
 	refused atomic.Bool
-	stop    context.CancelFunc
-	done    chan error
-	url     string
+	// full makes the data path accept no further connection.
+	full atomic.Bool
+	stop context.CancelFunc
+	done chan error
+	url  string
 }
 
 func (b *bed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -122,7 +128,7 @@
 	})
 	ctx, cancel := context.WithCancel(b.t.Context())
 	b.stop = cancel
-	go func() { b.done <- p.Run(ctx, plainConn{conn, &b.refused}) }()
+	go func() { b.done <- p.Run(ctx, plainConn{conn, &b.refused, &b.full}) }()
 	b.t.Cleanup(func() { cancel(); _ = conn.Close() })
 }
 
@@ -289,6 +295,15 @@
 	require.NoError(t, <-b.done)
 }
 
+// Guards against a caller that waits for a timeout when the agent holds as many connections as it may.
+func TestFullAgentRefusesConnections(t *testing.T) {
+	b := newBed(t)
+	b.full.Store(true)
+	var refused *quic.TransportError
+	require.ErrorAs(t, b.do(b.caller("alpha"), http.MethodGet, "/a/x", "", nil).err, &refused)
+	require.Equal(t, quic.ConnectionRefused, refused.ErrorCode)
+}
+
 // Guards against an at-most-once request that runs twice, answers another customer, or runs after it was refused.
 func TestAtMostOnce(t *testing.T) {
 	b := newBed(t)
