Give each process of a launched system ports of its own

Cause: the launcher picked about 45 random ports before any process opened them, so about one start in twenty gave one port to two processes (45 picks of 22,000). Starts failed with a control instance that was not there, or an agent that never announced itself; four such failures were seen. Ruled out: load, and ports taken by outgoing connections, which lie above. A process test makes all open connections to control silent and then applies an edit.

--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -81,6 +81,7 @@
 // membershipRows has the faults of membership and distribution.
 var membershipRows = []row{
 	{"open stream goes silent for good", "distribution", "I8", "follower", "TestSilentStream", "", "", passes},
+	{"all open connections to control go silent for good", "edit", "I8", processes, "TestSilentConnectionsToControl", "1", "", passes},
 	{"hundreds of changes missed", "restart of a follower", "I8", "follower", "TestMissedChanges", "", "", passes},
 	{"follower's state differs", "distribution", "I8", "follower", "TestDivergence", "", "the same test without digests", passes},
 	{"control lost or behind", "distribution", "I8", "follower", "TestRevisionNeverLower", "", "", passes},
@@ -96,10 +97,10 @@
 
 // unproved lists what no test shows yet.
 var unproved = []row{
-	{fault: "silent cut between real processes", step: "edit, distribution", invariant: "I8", result: notProved + "; in process only"},
+	{fault: "silent cut between control processes", step: "edit", invariant: "I8", result: notProved + "; the schedules of voter cover cuts, the processes are killed and frozen"},
 	{fault: "region cut off for an hour", step: "membership", invariant: "I1, I8", result: notProved + "; one region is built"},
 	{fault: "failure domain lost", step: "each step", invariant: "I1", result: notProved},
-	{fault: "download of minutes", step: "planned stop", invariant: "I1, I7", result: notProved + "; the longest download lasts seconds"},
+	{fault: "download of minutes", step: "planned stop", invariant: "I1, I7", result: "not part of CI; `CHERVILTIDE_DOWNLOAD_TIME=150s go test ./bench/launcher -run TestDownloadSurvivesChanges`"},
 	{fault: "entry and agent killed together", step: "at-most-once", invariant: "I5", result: notProved + "; singly only"},
 	{fault: "new requests on old flows of a leaving agent", step: "request", invariant: "I6", result: "refused as not run; not handed to peers"},
 }
--- a/bench/launcher/path_test.go
+++ b/bench/launcher/path_test.go
@@ -46,10 +46,17 @@
 
 // startSystem runs the demo's plan for one test.
 func startSystem(t *testing.T) *launcher.System {
+	t.Helper()
+	return startPlan(t, func(*launcher.Plan) {})
+}
+
+// startPlan runs the demo's plan with a change.
+func startPlan(t *testing.T, change func(*launcher.Plan)) *launcher.System {
 	t.Helper()
 	folder, err := buildOnce()
 	require.NoError(t, err, folder)
 	plan := launcher.DemoPlan(t.TempDir(), filepath.Join(folder, "cherviltide"), filepath.Join(folder, "cherviltide-bench"))
+	change(&plan)
 	system, err := launcher.Start(t.Context(), plan)
 	require.NoError(t, err)
 	t.Cleanup(system.Stop)
--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -28,8 +27,6 @@
 	packetKey    = "000102030405060708090a0b0c0d0e0f"
 	startTimeout = 15 * time.Second
 	pollInterval = 50 * time.Millisecond
-	// firstPort and lastPort bound the ports of the processes.
-	firstPort, lastPort = 10_000, 32_000
 )
 
 // Plan describes a system.
@@ -45,6 +42,8 @@
 	FailureDomains []string
 	Customer       string
 	Seed           uint64
+	// Reach returns the address at which entries and agents reach a control instance; nil means its own.
+	Reach func(control netip.AddrPort) (netip.AddrPort, error)
 }
 
 // ServicePlan describes a service and its targets.
@@ -181,6 +180,10 @@
 	if err != nil {
 		return loader.Process{}, errors.Trace(err)
 	}
+	reach, err := s.reach(role)
+	if err != nil {
+		return loader.Process{}, errors.Trace(err)
+	}
 	domains := s.Plan.FailureDomains
 	if s.Probes == nil {
 		s.Probes = map[string]netip.AddrPort{}
@@ -190,13 +193,29 @@
 		Name:          name,
 		FailureDomain: domains[number%len(domains)],
 		Region:        "local",
-		Control:       s.Control,
+		Control:       reach,
 		PacketKey:     packetKey,
 		Probe:         s.Probes[name],
 		TLS:           identity,
 	}, nil
 }
 
+// reach returns the addresses of the control instances for a process.
+func (s *System) reach(role cherviltide.Role) ([]netip.AddrPort, error) {
+	if s.Plan.Reach == nil || role == cherviltide.RoleControl {
+		return s.Control, nil
+	}
+	var list []netip.AddrPort
+	for _, control := range s.Control {
+		address, err := s.Plan.Reach(control)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		list = append(list, address)
+	}
+	return list, nil
+}
+
 func (s *System) startControls() error {
 	for range s.Plan.Controls {
 		s.Control = append(s.Control, loopback(freePort()))
@@ -355,22 +374,3 @@
 func loopback(port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 }
-
-// freePort returns a port that is free for TCP and UDP on all addresses at the time of the call. It lies below the range
-// from which the operating system gives ports to outgoing connections, so that none of them takes it before its process.
-func freePort() uint16 {
-	for {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		listener, err := net.Listen("tcp4", fmt.Sprintf(":%d", port))
-		if err != nil {
-			continue
-		}
-		conn, err := net.ListenPacket("udp4", fmt.Sprintf(":%d", port))
-		_ = listener.Close()
-		if err != nil {
-			continue
-		}
-		_ = conn.Close()
-		return uint16(port)
-	}
-}
