Name the pace of the download test without the prefix of settings

Cause: with CHERVILTIDE_DOWNLOAD_TIME set, every process refused its environment, since settings with that prefix must be known, and no control instance started. Change: the variable is DOWNLOAD_TIME.

--- a/bench/launcher/path_test.go
+++ b/bench/launcher/path_test.go
@@ -160,10 +160,11 @@
 	}
 }
 
-// downloadTime returns how long the rest of a download is to take: CHERVILTIDE_DOWNLOAD_TIME, or as fast as it comes.
+// downloadTime returns how long the rest of a download is to take: DOWNLOAD_TIME, or as fast as it comes. The name has not
+// the prefix of settings, since the processes refuse unknown settings in the environment.
 func downloadTime(t *testing.T) time.Duration {
 	t.Helper()
-	text := os.Getenv("CHERVILTIDE_DOWNLOAD_TIME")
+	text := os.Getenv("DOWNLOAD_TIME")
 	if text == "" {
 		return 0
 	}
