Build launched systems in one place and name the seed of an agent

Cause: Start and StartControls each built a system and left out different maps, so process filled one in when it was missing; a test counted the members that the system counts; a tag and a target's seed hashed the name separately although Tagged relies on them being equal. Change: newSystem, an exported Members, and one seedOf for both. Ruled out: folding the refusal of a leaving agent into Situation.Held, since datagrams of a handshake in progress need the true value.

--- a/bench/launcher/controls.go
+++ b/bench/launcher/controls.go
@@ -1,20 +1,15 @@
 package launcher
 
 import (
-	"net/netip"
-
 	"github.com/juju/errors"
 
-	"cherviltide.example/cherviltide/loader"
 	"cherviltide.example/cherviltide/messenger"
 )
 
 // StartControls starts the control instances of a plan and nothing else. It does not wait for them.
 func StartControls(plan Plan) (*System, error) {
-	s := &System{
-		Plan: plan, Processes: map[string]*Process{}, Probes: map[string]netip.AddrPort{},
-		callers: map[string]loader.TLS{}, client: messenger.NewClient(nil), scheme: messenger.Scheme(nil),
-	}
+	s := newSystem(plan)
+	s.client, s.scheme = messenger.NewClient(nil), messenger.Scheme(nil)
 	if err := s.startControls(); err != nil {
 		s.Stop()
 		return nil, errors.Trace(err)
--- a/bench/launcher/demo.go
+++ b/bench/launcher/demo.go
@@ -51,7 +51,7 @@
 		return errors.Annotatef(err, "logs are in %s", folder)
 	}
 	defer system.Stop()
-	_, _ = fmt.Fprintf(out, "%d processes run; revision 1 is in force at %d members\n", len(system.Processes), system.members())
+	_, _ = fmt.Fprintf(out, "%d processes run; revision 1 is in force at %d members\n", len(system.Processes), system.Members())
 	if err := call(ctx, out, system); err != nil {
 		return errors.Annotatef(err, "logs are in %s", folder)
 	}
--- a/bench/launcher/silent_test.go
+++ b/bench/launcher/silent_test.go
@@ -37,7 +37,7 @@
 	for _, link := range links {
 		silenced += link.Silence()
 	}
-	members := s.Plan.Entries + len(s.Plan.Services[advisory].Speeds) + len(s.Plan.Services[charts].Speeds)
+	members := s.Members()
 	require.GreaterOrEqual(t, silenced, members, "connections that went silent")
 	path := filepath.Join(t.TempDir(), "rules")
 	require.NoError(t, os.WriteFile(path, []byte(s.Rules()+"Customer padma-charter Services advisory-desk # asked by Farhan Ali\n"), 0o600))
--- a/bench/launcher/system.go
+++ b/bench/launcher/system.go
@@ -78,9 +78,20 @@
 	callers map[string]loader.TLS
 }
 
+// newSystem returns a system without processes.
+func newSystem(plan Plan) *System {
+	return &System{
+		Plan:      plan,
+		Processes: map[string]*Process{},
+		Probes:    map[string]netip.AddrPort{},
+		Targets:   map[string]netip.AddrPort{},
+		callers:   map[string]loader.TLS{},
+	}
+}
+
 // Start starts all processes of a plan, applies the rules and waits until every process has them in force.
 func Start(ctx context.Context, plan Plan) (*System, error) {
-	s := &System{Plan: plan, Processes: map[string]*Process{}, callers: map[string]loader.TLS{}, Targets: map[string]netip.AddrPort{}}
+	s := newSystem(plan)
 	var err error
 	if s.issuer, err = issuer.New(plan.Folder); err != nil {
 		return nil, errors.Trace(err)
@@ -100,7 +111,7 @@
 		s.Stop()
 		return nil, errors.Trace(err)
 	}
-	if err := s.WaitInForce(ctx, 1, s.members()); err != nil {
+	if err := s.WaitInForce(ctx, 1, s.Members()); err != nil {
 		s.Stop()
 		return nil, errors.Trace(err)
 	}
@@ -167,7 +178,8 @@
 	return n
 }
 
-func (s *System) members() int {
+// Members returns the number of entries and agents that the plan starts.
+func (s *System) Members() int {
 	n := s.Plan.Entries
 	for _, v := range s.Plan.Services {
 		n += len(v.Speeds)
@@ -185,9 +197,6 @@
 		return loader.Process{}, errors.Trace(err)
 	}
 	domains := s.Plan.FailureDomains
-	if s.Probes == nil {
-		s.Probes = map[string]netip.AddrPort{}
-	}
 	s.Probes[name] = loopback(freePort())
 	return loader.Process{
 		Name:          name,
--- a/picker/tag.go
+++ b/picker/tag.go
@@ -8,13 +8,22 @@
 
 // TagOf returns the tag of the agent with the given name. It stays the same after a restart.
 func TagOf(name string) uint32 {
-	return uint32(xxhash.Sum64String(name))
+	return tagOf(seedOf(name))
+}
+
+// seedOf returns the hash of an agent's name, on which its scores and its tag depend.
+func seedOf(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+func tagOf(seed uint64) uint32 {
+	return uint32(seed)
 }
 
 // Tagged returns the live agent of the service with the given tag.
 func (t *Table) Tagged(tag uint32) (cherviltide.Member, bool) {
 	for i := range t.targets {
-		if uint32(t.targets[i].seed) == tag {
+		if tagOf(t.targets[i].seed) == tag {
 			return t.targets[i].member, true
 		}
 	}
--- a/picker/target.go
+++ b/picker/target.go
@@ -5,8 +5,6 @@
 	"strings"
 	"unique"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cherviltide.example/cherviltide"
 )
 
@@ -37,7 +35,7 @@
 	m.Role = cherviltide.RoleAgent
 	m.Region = unique.Make(m.Region).Value()
 	m.FailureDomain = unique.Make(m.FailureDomain).Value()
-	return target{member: m, state: cherviltide.StateActive, seed: xxhash.Sum64String(m.Name)}
+	return target{member: m, state: cherviltide.StateActive, seed: seedOf(m.Name)}
 }
 
 // search returns the index of the target with the given name, or where it belongs.
