--- a/commands/agent.go
+++ b/commands/agent.go
@@ -18,11 +18,10 @@
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/proxier"
 	"cherviltide.example/cherviltide/reporter"
+	"cherviltide.example/cherviltide/supervisor"
 )
 
 const (
-	// nominalRate is the number of requests a second that one nominal slot completes.
-	nominalRate = 100
 	// maxRate bounds the reported rate.
 	maxRate = 1_000_000
 )
@@ -93,15 +92,15 @@
 	probe.Counters("Holder", &data.Counters)
 	probe.Metric("Holder.Flows", func() any { return data.Flows() })
 	probe.Metric("Requests", func() any { return counter.Snapshot() })
-	return work{
+	return supervisor.Work{
 		Serve:   path.Watch(func(ctx context.Context) error { return server.Run(ctx, data) }),
 		Support: []func(context.Context) error{path.Watch(data.Run), slots.Run, claims.Run, peers, probe.Run},
-	}.run(ctx, f, log)
+	}.Run(ctx, f, log)
 }
 
 // rate is the target's measured service rate in thousandths of a nominal slot; 0 when it is not known.
 func rate(slots *admitter.Admitter) uint32 {
-	return uint32(min(slots.Rate()*1000/nominalRate, maxRate))
+	return uint32(min(slots.Rate()*1000/cherviltide.NominalRate, maxRate))
 }
 
 // busy reports whether the target's queue would break the deadline of a kind.
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -10,6 +10,8 @@
 
 	"github.com/alexflint/go-arg"
 	"go.uber.org/zap"
+
+	"cherviltide.example/cherviltide/platform"
 )
 
 // command is a subcommand that runs a daemon.
@@ -25,21 +27,22 @@
 }
 
 type arguments struct {
-	Entry    *entryCommand    `arg:"subcommand:entry" help:"forward callers' datagrams to agents"`
-	Agent    *agentCommand    `arg:"subcommand:agent" help:"serve callers beside a target"`
-	Control  *controlCommand  `arg:"subcommand:control" help:"keep configuration and membership"`
-	Check    *checkCommand    `arg:"subcommand:check" help:"list all problems of a rules file"`
-	Format   *formatCommand   `arg:"subcommand:format" help:"print a rules file in the canonical format"`
-	Diff     *diffCommand     `arg:"subcommand:diff" help:"compare the accepted rules with a file"`
-	Apply    *applyCommand    `arg:"subcommand:apply" help:"put a rules file in force"`
-	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"make a new revision with the content of an old one"`
-	Rules    *rulesCommand    `arg:"subcommand:rules" help:"show each accepted rule and who asked for it"`
-	History  *historyCommand  `arg:"subcommand:history" help:"show accepted revisions, newest first"`
-	Status   *statusCommand   `arg:"subcommand:status" help:"show members and the revision each has in force"`
-	Drain    *drainCommand    `arg:"subcommand:drain" help:"make a member finish its work and end"`
-	Report   *reportCommand   `arg:"subcommand:report" help:"show the service-level report"`
-	Settings *settingsCommand `arg:"subcommand:settings" help:"check a settings file and print it in full"`
-	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
+	Entry    *entryCommand     `arg:"subcommand:entry" help:"forward callers' datagrams to agents"`
+	Agent    *agentCommand     `arg:"subcommand:agent" help:"serve callers beside a target"`
+	Control  *controlCommand   `arg:"subcommand:control" help:"keep configuration and membership"`
+	Platform *platform.Command `arg:"subcommand:platform" help:"run a daemon with the settings of the operators' platform"`
+	Check    *checkCommand     `arg:"subcommand:check" help:"list all problems of a rules file"`
+	Format   *formatCommand    `arg:"subcommand:format" help:"print a rules file in the canonical format"`
+	Diff     *diffCommand      `arg:"subcommand:diff" help:"compare the accepted rules with a file"`
+	Apply    *applyCommand     `arg:"subcommand:apply" help:"put a rules file in force"`
+	Rollback *rollbackCommand  `arg:"subcommand:rollback" help:"make a new revision with the content of an old one"`
+	Rules    *rulesCommand     `arg:"subcommand:rules" help:"show each accepted rule and who asked for it"`
+	History  *historyCommand   `arg:"subcommand:history" help:"show accepted revisions, newest first"`
+	Status   *statusCommand    `arg:"subcommand:status" help:"show members and the revision each has in force"`
+	Drain    *drainCommand     `arg:"subcommand:drain" help:"make a member finish its work and end"`
+	Report   *reportCommand    `arg:"subcommand:report" help:"show the service-level report"`
+	Settings *settingsCommand  `arg:"subcommand:settings" help:"check a settings file and print it in full"`
+	Version  *versionCommand   `arg:"subcommand:version" help:"print the version"`
 }
 
 // Epilogue documents the exit codes in the help.
@@ -64,7 +67,7 @@
 		err = errors.New("missing subcommand")
 	}
 	if err == nil {
-		err = execute(ctx, parser.Subcommand(), console{Out: out, Err: errOut})
+		err = a.execute(ctx, parser.Subcommand(), console{Out: out, Err: errOut})
 	} else {
 		err = &usageError{err}
 	}
@@ -80,7 +83,7 @@
 	return exitCode(err)
 }
 
-func execute(ctx context.Context, subcommand any, console console) error {
+func (a arguments) execute(ctx context.Context, subcommand any, console console) error {
 	if c, ok := subcommand.(operatorCommand); ok {
 		return c.operate(ctx, console)
 	}
@@ -90,7 +93,10 @@
 	}
 	// Packages without a logger of their own report to the global one.
 	zap.ReplaceGlobals(log)
-	return subcommand.(command).run(ctx, console.Out, log)
+	if c, ok := subcommand.(command); ok {
+		return c.run(ctx, console.Out, log)
+	}
+	return a.Platform.Run(ctx, log)
 }
 
 func help(parser *arg.Parser, out io.Writer) int {
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -12,6 +12,7 @@
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/loader"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/supervisor"
 )
 
 type entryCommand struct {
@@ -46,11 +47,11 @@
 	for _, r := range forwarder.Reasons() {
 		probe.Metric("Forwarder.Dropped."+r.String(), func() any { return data.Counters.Dropped(r) })
 	}
-	return work{
+	return supervisor.Work{
 		Serve:    path.Watch(data.Run),
 		Support:  []func(context.Context) error{probe.Run},
 		Activity: func() uint64 { return data.Counters.Forwarded.Load() + data.Counters.Replied.Load() },
-	}.run(ctx, f, log)
+	}.Run(ctx, f, log)
 }
 
 func ports(list []loader.Port) []forwarder.Port {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -16,6 +16,7 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/parser"
 	"cherviltide.example/cherviltide/registrar"
 	"cherviltide.example/cherviltide/reporter"
 	"cherviltide.example/cherviltide/runner"
@@ -44,8 +45,16 @@
 	// Data is the folder for durable state.
 	Data  string
 	Files cherviltide.FileSystem
-	// Voters has all instances that keep the logs, this one included.
+	// Voters has the instances that keep the logs, this one included; when Open is set, those that found the system.
 	Voters []Voter
+	// Open admits voters that Voters does not list, and lets them take the place of silent ones. The name of each voter
+	// is then its address, and URL returns the base URL for a name.
+	Open bool
+	URL  func(name string) string
+	// Parse reads rules from the operators' configuration; nil means the rules file.
+	Parse cherviltide.RulesParser
+	// Mount adds handlers of its own to the server; nil adds none.
+	Mount func(*http.ServeMux, *Controller)
 	// New lets the first of Voters found a new system.
 	New bool
 	// NewClient returns a client with connections of its own.
@@ -72,10 +81,15 @@
 	origins  origins
 	calls    chan call
 	written  chan written
+	// senders has room for the ends of the goroutines that send to peers.
+	senders chan runner.End
 }
 
 // New returns a controller that has not started.
 func New(config Config) *Controller {
+	if config.Parse == nil {
+		config.Parse = parser.Parse
+	}
 	c := &Controller{
 		config:      config,
 		registrar:   registrar.New(),
@@ -86,6 +100,7 @@
 		burn:        reporter.NewMerger(config.Clock.Now()),
 		calls:       make(chan call),
 		written:     make(chan written, 2),
+		senders:     make(chan runner.End, 2*maxPeers),
 	}
 	c.members = newMembers(&memberLog{controller: c})
 	return c
@@ -103,7 +118,7 @@
 	}
 	server := messenger.NewServer(c.mux(), c.config.TLS)
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
-	group := runner.NewGroup(ctx, 4+2*len(c.config.Voters))
+	group := runner.NewGroup(ctx, 2+len(c.groups))
 	group.Go("loop", c.loop)
 	group.Go("serve", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -112,13 +127,14 @@
 	})
 	for _, g := range c.groups {
 		group.Go("write", func(ctx context.Context) error { return g.write(ctx, c.written) })
-		for _, peer := range c.config.Voters {
-			if mailbox, ok := g.mailboxes[peer.Name]; ok {
-				group.Go("send", func(ctx context.Context) error { return c.sendTo(ctx, g, peer, mailbox) })
-			}
+	}
+	err = group.Wait()
+	for _, g := range c.groups {
+		for range g.mailboxes {
+			<-c.senders
 		}
 	}
-	return group.Wait()
+	return err
 }
 
 // open opens the groups.
@@ -133,11 +149,6 @@
 	c.configuration.applied, c.membership.applied = c.publish, c.publish
 	for _, g := range []*group{c.configuration, c.membership} {
 		c.groups[g.name] = g
-		for _, v := range c.config.Voters {
-			if v.Name != c.config.Name {
-				g.mailboxes[v.Name] = make(chan voter.Message, mailboxSize)
-			}
-		}
 	}
 	return nil
 }
@@ -164,6 +175,9 @@
 	messenger.Step.Handle(mux, c.step)
 	messenger.Follow.Handle(mux, c.distributor.Serve)
 	c.handleOperators(mux)
+	if c.config.Mount != nil {
+		c.config.Mount(mux, c)
+	}
 	return mux
 }
 
@@ -175,6 +189,11 @@
 
 // loop owns the state.
 func (c *Controller) loop(ctx context.Context) error {
+	for _, g := range c.groups {
+		g.send = func(mailbox <-chan voter.Message, to string) {
+			runner.Start(ctx, "send", c.senders, func(ctx context.Context) error { return c.sendTo(ctx, g, to, mailbox) })
+		}
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/controller/edits.go
+++ b/controller/edits.go
@@ -4,15 +4,27 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
-	"cherviltide.example/cherviltide/parser"
 	"cherviltide.example/cherviltide/registrar"
 )
 
+// Apply accepts an edit, as the procedure for operators does.
+func (c *Controller) Apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+	return c.apply(ctx, req)
+}
+
+// Newest returns the accepted configuration. It is confirmed when a majority says that there is no newer one.
+func (c *Controller) Newest(ctx context.Context) (*messenger.CurrentResponse, error) {
+	return c.current(ctx, &messenger.CurrentRequest{})
+}
+
 // apply accepts an edit at the leader; another instance passes it on.
 func (c *Controller) apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
-	if _, err := parser.Parse(req.Text); err != nil {
+	if _, err := c.config.Parse(req.Text); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
@@ -21,6 +33,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.here && req.Number > 0 {
+		return c.acceptNumbered(ctx, req)
+	}
 	if r.here {
 		return c.acceptEdit(ctx, req)
 	}
@@ -55,6 +70,42 @@
 	}
 }
 
+// acceptNumbered proposes an edit whose number is above that of the accepted file, until it or a higher one is accepted.
+// An edit with another number is answered only after a majority has confirmed this instance, so that what it compares with
+// is the newest.
+func (c *Controller) acceptNumbered(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+	for ctx.Err() == nil {
+		if !c.confirmed(ctx, c.configuration) {
+			return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
+		}
+		answer := make(chan error, 1)
+		var current registrar.Revision
+		err := c.do(ctx, func() {
+			if current = c.registrar.Current(); current.Edit.Number < req.Number {
+				edit := registrar.Edit{ID: uuid.NewString(), Operator: req.Operator, Base: current.Number, Number: req.Number,
+					Text: req.Text, Time: c.config.Clock.Now()}
+				c.propose(edit, func(_ uint64, err error) { answer <- err })
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		if current.Edit.Number >= req.Number {
+			c.config.Log.Info("EditOvertaken", zap.Uint64("Number", req.Number), zap.Uint64("Accepted", current.Edit.Number),
+				zap.Uint64("Revision", current.Number))
+			return &messenger.ApplyResponse{Revision: current.Number}, nil
+		}
+		select {
+		case err = <-answer:
+		case <-ctx.Done():
+		}
+		if err != nil {
+			c.config.Log.Info("EditRepeated", zap.Uint64("Number", req.Number), zap.Error(err))
+		}
+	}
+	return nil, fault("controller.apply", cherviltide.KindUnavailable, errUnknown)
+}
+
 // propose calls done from the loop with the revision that the edit became or the reason of its refusal.
 func (c *Controller) propose(edit registrar.Edit, done func(uint64, error)) {
 	if c.registrar.Known(edit.ID) || edit.Base != c.registrar.Current().Number {
@@ -90,7 +141,7 @@
 	res := &messenger.CurrentResponse{Confirmed: r.here && c.confirmed(ctx, c.configuration)}
 	err = c.do(ctx, func() {
 		current := c.registrar.Current()
-		res.Revision, res.Text = current.Number, current.Edit.Text
+		res.Revision, res.Text, res.Number = current.Number, current.Edit.Text, current.Edit.Number
 	})
 	return res, err
 }
--- a/controller/error.go
+++ b/controller/error.go
@@ -9,6 +9,13 @@
 // Error is a failure of the control process.
 type Error struct{ cherviltide.Fault }
 
+// ReplacedError tells that this identity has no place in a group any more. After its folder was emptied the instance may
+// join again under a new one.
+type ReplacedError struct {
+	cherviltide.Fault
+	Group string
+}
+
 var (
 	errRemoved    = errors.New("another identity has taken the place of this one")
 	errLost       = errors.New("the entry was lost when the leader changed")
--- a/controller/group.go
+++ b/controller/group.go
@@ -52,8 +52,10 @@
 	inline  bool
 	machine cherviltide.StateMachine
 	// writes has room for the only write that can be under way.
-	writes    chan voter.Write
+	writes chan voter.Write
+	// mailboxes has one for each peer that was sent to; send starts what empties a new one.
 	mailboxes map[string]chan voter.Message
+	send      func(mailbox <-chan voter.Message, to string)
 	// proposals is keyed by index, reads by token.
 	proposals map[uint64][]proposal
 	reads     map[uint64]func(confirmed bool)
@@ -82,7 +84,7 @@
 		proposals: map[uint64][]proposal{},
 		reads:     map[uint64]func(bool){},
 	}
-	g.voter = voter.New(voter.Config{Self: self, Names: names, New: config.New, Seed: rand.Uint64()}, stored, 0)
+	g.voter = voter.New(voter.Config{Self: self, Names: names, Open: config.Open, New: config.New, Seed: rand.Uint64()}, stored, 0)
 	config.Log.Info("GroupOpened", zap.String("Group", name), zap.Uint64("Identity", self.Number),
 		zap.Uint64("Snapshot", stored.Snapshot.Index), zap.Int("Entries", len(stored.Entries)))
 	return g, nil
@@ -120,8 +122,10 @@
 			return err
 		}
 		if g.voter.Removed() {
-			return fault("controller.step", cherviltide.KindForbidden, fmt.Errorf(
-				"%w: group %s; empty its folder to join again", errRemoved, g.name))
+			return &ReplacedError{Group: g.name, Fault: cherviltide.Fault{
+				Op: "controller.step", Kind: cherviltide.KindForbidden,
+				Err: fmt.Errorf("%w: group %s; empty its folder to join again", errRemoved, g.name),
+			}}
 		}
 		if out.Write != nil && g.inline {
 			g.voter.Stored(out.Write.Sequence, g.journal.Write(*out.Write))
@@ -167,8 +171,17 @@
 
 // post hands a message to the sender of its peer. A full mailbox drops it, which a voter takes for a lost message.
 func (g *group) post(m voter.Message) {
+	mailbox, ok := g.mailboxes[m.To.Name]
+	if !ok {
+		if g.send == nil || len(g.mailboxes) == maxPeers {
+			return
+		}
+		mailbox = make(chan voter.Message, mailboxSize)
+		g.mailboxes[m.To.Name] = mailbox
+		g.send(mailbox, m.To.Name)
+	}
 	select {
-	case g.mailboxes[m.To.Name] <- m:
+	case mailbox <- m:
 	default:
 	}
 }
--- a/controller/members.go
+++ b/controller/members.go
@@ -11,7 +11,6 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
-	"cherviltide.example/cherviltide/parser"
 	"cherviltide.example/cherviltide/tracker"
 )
 
@@ -106,7 +105,7 @@
 func (c *Controller) publish() {
 	current := c.registrar.Current()
 	if current.Number != c.members.rules.Revision {
-		rules, err := parser.Parse(current.Edit.Text)
+		rules, err := c.config.Parse(current.Edit.Text)
 		if err != nil {
 			c.config.Log.Error("RulesNotParsed", zap.Uint64("Revision", current.Number), zap.Error(err))
 		}
@@ -122,6 +121,8 @@
 		Oldest:   oldest,
 		Events:   events,
 		Tables:   c.tracker.Tables(),
+		Control:  c.controlURLs(),
+		Key:      c.tracker.Key(),
 		Stale:    !c.members.log.Current(),
 	})
 }
@@ -163,6 +164,7 @@
 	c.record(c.tracker.Announce(c.config.Clock.Now(), tracker.Announcement{
 		Member:           req.Member,
 		Leaving:          req.Leaving,
+		Paused:           req.Paused,
 		Ended:            req.Ended,
 		Rate:             req.Rate,
 		Generation:       req.Generation,
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -15,6 +15,8 @@
 	// mailboxSize and requestSize are numbers of messages.
 	mailboxSize = 64
 	requestSize = 8
+	// maxPeers bounds the peers that a control instance sends to in its life, for each group.
+	maxPeers = 256
 	// stepTimeout bounds a request to a peer. It is shorter than an election timeout, so that a connection that is
 	// silently dead is replaced before the peer is given up.
 	stepTimeout = 400 * time.Millisecond
@@ -22,7 +24,7 @@
 )
 
 // sendTo sends the messages of a mailbox to a peer. After a failure it goes on with a new connection.
-func (c *Controller) sendTo(ctx context.Context, g *group, peer Voter, mailbox <-chan voter.Message) error {
+func (c *Controller) sendTo(ctx context.Context, g *group, peer string, mailbox <-chan voter.Message) error {
 	client := c.config.NewClient()
 	defer func() { client.CloseIdleConnections() }()
 	reachable := true
@@ -38,11 +40,11 @@
 			req.Messages = append(req.Messages, <-mailbox)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, stepTimeout)
-		_, err := messenger.Step.Call(callCtx, client, peer.URL, req)
+		_, err := messenger.Step.Call(callCtx, client, c.urlOf(peer), req)
 		cancel()
 		if reachable != (err == nil) {
 			reachable = err == nil
-			c.config.Log.Info("PeerReachable", zap.String("Group", g.name), zap.String("Peer", peer.Name),
+			c.config.Log.Info("PeerReachable", zap.String("Group", g.name), zap.String("Peer", peer),
 				zap.Bool("Reachable", reachable), zap.Error(err))
 		}
 		if err != nil {
@@ -82,12 +84,32 @@
 	if !ok || id.Name == c.config.Name {
 		return "", false
 	}
+	url := c.urlOf(id.Name)
+	return url, url != ""
+}
+
+// urlOf returns the base URL of a control instance; it is empty when the instance is not known.
+func (c *Controller) urlOf(name string) string {
 	for _, v := range c.config.Voters {
-		if v.Name == id.Name {
-			return v.URL, true
+		if v.Name == name {
+			return v.URL
+		}
+	}
+	if c.config.URL != nil {
+		return c.config.URL(name)
+	}
+	return ""
+}
+
+// controlURLs returns the base URLs of the voters of the configuration, this instance included.
+func (c *Controller) controlURLs() []string {
+	var list []string
+	for _, id := range c.configuration.voter.Voters() {
+		if url := c.urlOf(id.Name); url != "" {
+			list = append(list, url)
 		}
 	}
-	return "", false
+	return list
 }
 
 // route is where a request belongs.
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,10 @@
 	Events []cherviltide.PlacedEvent
 	// Tables has the table of each defined service at Position.
 	Tables map[string]*picker.Table
+	// Control has the base URLs of the control instances.
+	Control []string
+	// Key is the packet key of the membership log.
+	Key []byte
 	// Stale is set when the instance cannot know whether the state is the newest.
 	Stale bool
 }
@@ -123,7 +128,8 @@
 func (d *Distributor) stream(ctx context.Context, held messenger.FollowRequest, send func(*messenger.FollowUpdate) error) error {
 	ticker := time.NewTicker(Heartbeat)
 	defer ticker.Stop()
-	for heartbeat := true; ; {
+	var control []string
+	for first, heartbeat := true, true; ; first = false {
 		state, changed := d.current()
 		if err := state.refuses(d.now(), &held); err != nil {
 			return err
@@ -132,6 +138,12 @@
 		if err != nil {
 			return err
 		}
+		if first {
+			u.Key = state.Key
+		}
+		if !slices.Equal(control, state.Control) {
+			control, u.Control = state.Control, state.Control
+		}
 		if err := send(u); err != nil {
 			return err
 		}
--- a/filesystem.go
+++ b/filesystem.go
@@ -12,6 +12,8 @@
 	ReadFile(path string) ([]byte, error)
 	// Rename replaces the file at the new path at once. It is durable after SyncFolder.
 	Rename(from, to string) error
+	// Remove removes a file. It is durable after SyncFolder. A file that does not exist is no error.
+	Remove(path string) error
 	// SyncFolder makes the names in a folder durable.
 	SyncFolder(path string) error
 	// Lock takes a lock on a file that only one process can hold. It does not wait.
--- a/follower/accept.go
+++ b/follower/accept.go
@@ -8,7 +8,6 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
-	"cherviltide.example/cherviltide/parser"
 )
 
 var (
@@ -29,6 +28,14 @@
 		f.view.Store(view)
 		return err
 	}
+	if len(u.Key) == len(view.Key) && [16]byte(u.Key) != view.Key {
+		next := *view
+		next.Key = [16]byte(u.Key)
+		view = &next
+	}
+	if len(u.Control) > 0 {
+		f.control.learn(u.Control)
+	}
 	f.view.Store(view)
 	if u.Digest != 0 && u.Digest != distributor.Digest(view.defined) {
 		f.resync.Store(true)
@@ -89,7 +96,7 @@
 	}
 	f.wholeText.Store(false)
 	view = view.withText(u.Revision, text)
-	rules, err := parser.Parse(text)
+	rules, err := f.config.Parse(text)
 	if err != nil {
 		f.config.Log.Error("RulesNotParsed", zap.Uint64("Revision", u.Revision), zap.Error(err))
 		return view, nil
--- a/follower/announce.go
+++ b/follower/announce.go
@@ -21,13 +21,46 @@
 	f.signal()
 }
 
+// Appear announces a member in place of the present one, which has ended or was never there.
+func (f *Follower) Appear(m cherviltide.Member) {
+	f.member.Store(&m)
+	f.leaving.Store(false)
+	f.paused.Store(false)
+	f.gone.Store(false)
+	f.absent.Store(false)
+	f.signal()
+}
+
+// Vanish announces that the member has ended while the process goes on.
+func (f *Follower) Vanish() {
+	f.gone.Store(true)
+	f.signal()
+}
+
+// Pause asks control to send the process no new flows until Resume.
+func (f *Follower) Pause() {
+	if !f.paused.Swap(true) {
+		f.signal()
+	}
+}
+
+// Resume takes a Pause back.
+func (f *Follower) Resume() {
+	if f.paused.Swap(false) {
+		f.signal()
+	}
+}
+
 // End tells control that the process has finished, at each instance in turn until one has taken it or ctx has ended.
 func (f *Follower) End(ctx context.Context) error {
 	f.ended.Store(true)
 	var err error
-	for attempt := range f.config.Control {
+	if f.absent.Load() {
+		return nil
+	}
+	for _, base := range f.control.list() {
 		client := f.config.NewClient()
-		err = f.announce(ctx, client, f.pick(attempt))
+		err = f.announce(ctx, client, base)
 		client.CloseIdleConnections()
 		if err == nil || ctx.Err() != nil {
 			return err
@@ -48,13 +81,19 @@
 	client := f.config.NewClient()
 	attempt := rand.IntN(len(f.config.Control))
 	waits := backoff{random: rand.Int64N}
+	base := f.pick(attempt)
 	for ctx.Err() == nil && !f.ended.Load() {
 		wait := announceInterval
-		if err := f.announce(ctx, client, f.pick(attempt)); err == nil {
+		if f.absent.Load() {
+			f.pause(ctx, wait)
+			continue
+		}
+		if err := f.announce(ctx, client, base); err == nil {
 			waits.reset()
 		} else if ctx.Err() == nil {
-			f.config.Log.Info("AnnounceFailed", zap.String("Control", f.pick(attempt)), zap.Error(err))
+			f.config.Log.Info("AnnounceFailed", zap.String("Control", base), zap.Error(err))
 			attempt++
+			base = f.pick(attempt)
 			client.CloseIdleConnections()
 			client = f.config.NewClient()
 			wait = min(waits.next(retryAfter(err)), announceInterval)
@@ -85,7 +124,8 @@
 	req := &messenger.AnnounceRequest{
 		Member:       f.Member(),
 		Leaving:      f.leaving.Load(),
-		Ended:        f.ended.Load(),
+		Ended:        f.ended.Load() || f.gone.Load(),
+		Paused:       f.paused.Load(),
 		RevisionSeen: f.View().received,
 		Started:      f.started,
 	}
@@ -95,6 +135,10 @@
 	if err != nil {
 		return err
 	}
+	if req.Ended && f.Member().Incarnation == req.Member.Incarnation {
+		f.absent.Store(true)
+		return nil
+	}
 	if res.Expelled {
 		f.rejoin(res.Incarnation)
 		return nil
--- a/follower/backoff.go
+++ b/follower/backoff.go
@@ -6,7 +6,7 @@
 const (
 	// retryBase and retryMax bound the wait before the next attempt at another control instance.
 	retryBase cherviltide.Millis = 100
-	retryMax  cherviltide.Millis = 5_000
+	retryMax  cherviltide.Millis = 1_000
 )
 
 // backoff gives the waits between attempts with full jitter: each wait is drawn evenly from 0 to a bound that doubles.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -13,11 +13,12 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/parser"
 	"cherviltide.example/cherviltide/runner"
 )
 
 // silence is how long a stream may bring nothing, heartbeats included, before it counts as broken.
-const silence cherviltide.Millis = 3_000
+const silence cherviltide.Millis = 1_500
 
 // Config describes the process that follows.
 type Config struct {
@@ -26,6 +27,12 @@
 	Service string
 	// Control has the base URLs of the control instances; it is never empty.
 	Control []string
+	// Reread returns the base URLs after a change of the settings; nil means that Control stays as it is.
+	Reread func() []string
+	// Parse reads rules from the operators' configuration; nil means the rules file.
+	Parse cherviltide.RulesParser
+	// Absent is true when there is nothing to announce until Appear.
+	Absent bool
 	// NewClient returns a client with connections of its own.
 	NewClient func() *http.Client
 	// Report fills in the data path's part of an announcement.
@@ -36,11 +43,15 @@
 // Follower keeps a View current.
 type Follower struct {
 	config  Config
+	control instances
 	member  atomic.Pointer[cherviltide.Member]
 	view    atomic.Pointer[View]
 	leaving atomic.Bool
+	paused  atomic.Bool
 	ended   atomic.Bool
-	started cherviltide.Millis
+	// absent is true while there is nothing to announce, gone until control has heard that the member has ended.
+	absent, gone atomic.Bool
+	started      cherviltide.Millis
 	// wake interrupts the wait between two announcements.
 	wake  chan struct{}
 	lease lease
@@ -56,13 +67,21 @@
 
 // New returns a follower that has not started.
 func New(config Config) *Follower {
+	if config.Parse == nil {
+		config.Parse = parser.Parse
+	}
+	if config.Reread == nil {
+		config.Reread = func() []string { return config.Control }
+	}
 	f := &Follower{
+		control: instances{configured: config.Reread},
 		config:  config,
 		started: cherviltide.Millis(time.Now().UnixMilli()),
 		wake:    make(chan struct{}, 1),
 		drained: make(chan struct{}),
 	}
 	f.member.Store(&config.Member)
+	f.absent.Store(config.Absent)
 	f.view.Store(NewView())
 	return f
 }
@@ -82,6 +101,11 @@
 	return f.leaving.Load()
 }
 
+// Stopping reports whether the process has asked to receive nothing new, for good or until it has started again.
+func (f *Follower) Stopping() bool {
+	return f.leaving.Load() || f.paused.Load()
+}
+
 // Drained returns a channel that is closed when an operator has asked control to make the process leave.
 func (f *Follower) Drained() <-chan struct{} {
 	return f.drained
@@ -97,7 +121,7 @@
 
 // pick returns the control instance of an attempt.
 func (f *Follower) pick(attempt int) string {
-	return f.config.Control[attempt%len(f.config.Control)]
+	return f.control.pick(attempt)
 }
 
 // followLoop holds one subscription at a time and moves to another instance when it breaks.
@@ -106,7 +130,8 @@
 	waits := backoff{random: rand.Int64N}
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := f.follow(ctx, f.pick(attempt))
+		base := f.pick(attempt)
+		err := f.follow(ctx, base)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -114,7 +139,7 @@
 			waits.reset()
 		}
 		wait := waits.next(retryAfter(err))
-		f.config.Log.Info("ControlStreamEnded", zap.String("Control", f.pick(attempt)), zap.Error(err),
+		f.config.Log.Info("ControlStreamEnded", zap.String("Control", base), zap.Error(err),
 			zap.Int64("WaitMs", int64(wait)))
 		attempt++
 		sleep(ctx, wait)
--- /dev/null
+++ b/follower/route.go
@@ -0,0 +1,121 @@
+package follower
+
+import (
+	"net/netip"
+	"slices"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/picker"
+)
+
+// formerLimit bounds the former services of a route that are remembered.
+const formerLimit = 4
+
+// RouteTables has the tables of the services that may hold flows of a route. It is immutable.
+type RouteTables struct {
+	Route cherviltide.Route
+	// tables belong to the route's shares, in their order, then to former services, newest first.
+	tables []*picker.Table
+	total  uint64
+}
+
+// Pick returns the table of the service that takes a new flow with the given hash, and false when there is none.
+func (r *RouteTables) Pick(hash uint64) (*picker.Table, bool) {
+	i := r.pick(hash)
+	if i < 0 || r.tables[i] == nil {
+		return nil, false
+	}
+	return r.tables[i], true
+}
+
+// pick returns the index of the share of a hash, or -1. It uses other bits of the hash than the placement in a table.
+func (r *RouteTables) pick(hash uint64) int {
+	if r.total == 0 {
+		return -1
+	}
+	at := (hash >> 32) % r.total
+	for i, s := range r.Route.Shares {
+		if at < uint64(s.Weight) {
+			return i
+		}
+		at -= uint64(s.Weight)
+	}
+	return -1
+}
+
+// Stages returns the number of services that may hold a flow of the route.
+func (r *RouteTables) Stages() int {
+	return len(r.tables)
+}
+
+// Stage returns the table to try at a stage: first that of the service that takes the flow under the present rules, then
+// the others. A change of the rules leaves open flows where they are.
+func (r *RouteTables) Stage(hash uint64, stage int) (*picker.Table, bool) {
+	first := max(r.pick(hash), 0)
+	i := stage
+	switch {
+	case stage == 0:
+		i = first
+	case stage <= first:
+		i = stage - 1
+	}
+	if i >= len(r.tables) || r.tables[i] == nil {
+		return nil, false
+	}
+	return r.tables[i], true
+}
+
+// Allows reports whether new flows of the route may go to a service.
+func (r *RouteTables) Allows(service string) bool {
+	return slices.ContainsFunc(r.Route.Shares, func(s cherviltide.Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// remember returns the former services of each route after a change of the rules.
+func remember(former map[netip.AddrPort][]string, before, after []cherviltide.Route) map[netip.AddrPort][]string {
+	shares := make(map[netip.AddrPort][]cherviltide.Share, len(before))
+	for _, r := range before {
+		shares[r.Address] = r.Shares
+	}
+	next := map[netip.AddrPort][]string{}
+	for _, r := range after {
+		var names []string
+		for _, s := range shares[r.Address] {
+			names = append(names, s.Service)
+		}
+		names = append(names, former[r.Address]...)
+		var kept []string
+		for _, name := range names {
+			current := slices.ContainsFunc(r.Shares, func(s cherviltide.Share) bool { return s.Service == name })
+			if !current && !slices.Contains(kept, name) && len(kept) < formerLimit {
+				kept = append(kept, name)
+			}
+		}
+		if len(kept) > 0 {
+			next[r.Address] = kept
+		}
+	}
+	return next
+}
+
+// routes returns the tables of each route by its address.
+func (v *View) routes() map[netip.AddrPort]*RouteTables {
+	routes := make(map[netip.AddrPort]*RouteTables, len(v.Rules.Routes))
+	table := func(service string) *picker.Table {
+		if t, ok := v.Tables[service]; ok {
+			return t
+		}
+		return v.defined[service]
+	}
+	for _, r := range v.Rules.Routes {
+		x := &RouteTables{Route: r}
+		for _, s := range r.Shares {
+			x.tables = append(x.tables, table(s.Service))
+			x.total += uint64(s.Weight)
+		}
+		for _, name := range v.former[r.Address] {
+			x.tables = append(x.tables, table(name))
+		}
+		routes[r.Address] = x
+	}
+	return routes
+}
--- a/follower/view.go
+++ b/follower/view.go
@@ -20,6 +20,12 @@
 	Tables map[string]*picker.Table
 	// ByAddress has the table of the service behind each virtual address.
 	ByAddress map[netip.AddrPort]*picker.Table
+	// Routes has the tables of each relayed route by its virtual address.
+	Routes map[netip.AddrPort]*RouteTables
+	// Key is the packet key of the membership log; it is zero until control has sent it.
+	Key [16]byte
+	// former has the services that routes had under earlier rules.
+	former map[netip.AddrPort][]string
 	// defined has the tables that control sent, also those of services that the rules do not have yet or any more.
 	defined map[string]*picker.Table
 	// text is the rules file at the revision received, which may be newer than Rules when it could not be parsed.
@@ -40,6 +46,7 @@
 	}
 	next := *v
 	next.Rules = rules
+	next.former = remember(v.former, v.Rules.Routes, rules.Routes)
 	next.received = max(v.received, rules.Revision)
 	next.Tables = make(map[string]*picker.Table, len(rules.Services))
 	for _, s := range rules.Services {
@@ -146,4 +153,5 @@
 			v.ByAddress[a] = v.Tables[s.Name]
 		}
 	}
+	v.Routes = v.routes()
 }
--- a/forwarder/batch.go
+++ b/forwarder/batch.go
@@ -14,8 +14,10 @@
 const (
 	// batchSize is the number of datagrams of one system call.
 	batchSize = 32
-	// slotSize is the memory of one datagram with its header, in bytes.
-	slotSize = 1 << 16
+	// slotSize is the memory of one datagram with its header, in bytes; relaySlotSize that of a packet of a relayed flow,
+	// which fits an Ethernet frame.
+	slotSize      = 1 << 16
+	relaySlotSize = 2 << 10
 	// controlSize has room for the control messages of one datagram, in bytes.
 	controlSize = 64
 )
@@ -67,19 +69,21 @@
 type receiver struct {
 	*batch
 	// room is kept free before each datagram, in bytes.
-	room    int
+	room int
+	// size is the memory of one datagram with its header, in bytes.
+	size    int
 	slots   []byte
 	n       int
 	errno   syscall.Errno
 	receive func(fd uintptr) bool
 }
 
-func newReceiver(conn *net.UDPConn, room int) (*receiver, error) {
+func newReceiver(conn *net.UDPConn, room, size int) (*receiver, error) {
 	b, err := newBatch(conn)
 	if err != nil {
 		return nil, err
 	}
-	r := &receiver{batch: b, room: room, slots: make([]byte, batchSize*slotSize)}
+	r := &receiver{batch: b, room: room, size: size, slots: make([]byte, batchSize*size)}
 	for i := range b.vectors {
 		slot := r.slot(i)[room:]
 		b.vectors[i].Base = &slot[0]
@@ -110,7 +114,7 @@
 
 // slot returns the memory of a datagram, with the room before it.
 func (r *receiver) slot(i int) []byte {
-	return r.slots[i*slotSize : (i+1)*slotSize]
+	return r.slots[i*r.size : (i+1)*r.size]
 }
 
 // length returns the length of a datagram, in bytes.
--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -54,7 +54,7 @@
 func report(b *testing.B, x *fixture, forward func() int) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	fill, datagrams, took := filler(b, x), 0, time.Duration(0)
-	drain, err := newReceiver(x.agent, 0)
+	drain, err := newReceiver(x.agent, 0, slotSize)
 	require.NoError(b, err)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -75,7 +75,7 @@
 
 func BenchmarkForwardMmsg(b *testing.B) {
 	x := newFixture(b, 0)
-	in, err := newReceiver(x.public[0], framer.Size)
+	in, err := newReceiver(x.public[0], framer.Size, slotSize)
 	require.NoError(b, err)
 	out, err := newSender(x.internal)
 	require.NoError(b, err)
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -26,12 +26,15 @@
 	WrongService                // The reply's service is not the one behind its virtual address.
 	Address                     // An address of the datagram is not IPv4.
 	SendFailed                  // The operating system refused to send the datagram.
+	Malformed                   // A caller's packet cannot be read, or does not come from a caller.
+	NoRoute                     // No route has the virtual address.
+	NoHolder                    // No service that may hold the flow has an agent that does.
 	reasons
 )
 
 var reasonNames = [reasons]string{
 	"NoDestination", "NoService", "NoTarget", "Empty", "TooLong", "Looped", "Short", "Version", "Tag", "Type", "Length",
-	"WrongService", "Address", "SendFailed",
+	"WrongService", "Address", "SendFailed", "Malformed", "NoRoute", "NoHolder",
 }
 
 // Reasons returns all reasons.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -128,7 +128,7 @@
 		}
 		group.Go("reply", func(context.Context) error { return f.reply() })
 	}
-	group.Go("log", func(context.Context) error { f.logDrops(); return nil })
+	group.Go("log", func(context.Context) error { logDrops(&f.Counters, f.config.Log, f.closed); return nil })
 	return group.Wait()
 }
 
@@ -142,7 +142,7 @@
 
 // receive takes the callers' datagrams of one port until its socket is closed.
 func (f *Forwarder) receive(port int, inForce *atomic.Uint64) error {
-	in, err := newReceiver(f.public[port], framer.Size)
+	in, err := newReceiver(f.public[port], framer.Size, slotSize)
 	if err != nil {
 		return fault(cherviltide.KindInternal, err)
 	}
@@ -157,7 +157,7 @@
 		view := f.config.View()
 		inForce.Store(view.Rules.Revision)
 		if err != nil {
-			if f.ended(err) {
+			if ended(err, f.closed) {
 				return nil
 			}
 			continue
@@ -191,7 +191,7 @@
 
 // reply takes the agents' datagrams and sends them to the callers until the internal socket is closed.
 func (f *Forwarder) reply() error {
-	in, err := newReceiver(f.internal, 0)
+	in, err := newReceiver(f.internal, 0, slotSize)
 	if err != nil {
 		return fault(cherviltide.KindInternal, err)
 	}
@@ -204,7 +204,7 @@
 	for {
 		n, err := in.read()
 		if err != nil {
-			if f.ended(err) {
+			if ended(err, f.closed) {
 				return nil
 			}
 			continue
@@ -244,46 +244,36 @@
 	return -1
 }
 
-// ended reports whether a receive error ends the receiver. After an error that is not a timeout it pauses.
-func (f *Forwarder) ended(err error) bool {
-	if errors.Is(err, net.ErrClosed) {
-		return true
-	}
+func isClosed(err error) bool {
+	return errors.Is(err, net.ErrClosed)
+}
+
+func isTimeout(err error) bool {
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return false
-	}
-	timer := time.NewTimer(errorPause)
-	defer timer.Stop()
-	select {
-	case <-f.closed:
-		return true
-	case <-timer.C:
-		return false
-	}
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // logDrops writes one line per interval and reason for which datagrams were dropped, until the sockets are closed.
-func (f *Forwarder) logDrops() {
+func logDrops(counters *Counters, log *zap.Logger, closed <-chan struct{}) {
 	ticker := time.NewTicker(logInterval)
 	defer ticker.Stop()
 	var logged [reasons]uint64
 	for {
 		select {
-		case <-f.closed:
+		case <-closed:
 			return
 		case <-ticker.C:
 		}
 		for r := range reasons {
-			n := f.Counters.Dropped(r)
+			n := counters.Dropped(r)
 			if n == logged[r] {
 				continue
 			}
 			fields := []zap.Field{zap.Stringer("Reason", r), zap.Uint64("Count", n-logged[r])}
 			if r == SendFailed {
-				fields = append(fields, zap.Error(syscall.Errno(f.Counters.sendError.Load())))
+				fields = append(fields, zap.Error(syscall.Errno(counters.sendError.Load())))
 			}
-			f.config.Log.Warn("DatagramsDropped", fields...)
+			log.Warn("DatagramsDropped", fields...)
 			logged[r] = n
 		}
 	}
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -14,7 +14,7 @@
 
 // Sizes of the header, in bytes.
 const (
-	Size       = 80
+	Size       = 90
 	sizeTagged = Size - 8
 )
 
@@ -70,6 +70,10 @@
 	Flow       cherviltide.FlowKey
 	// Entry is the address to which replies are sent.
 	Entry netip.AddrPort
+	// Revision is the configuration revision that the entry decided with; 0 when it does not say.
+	Revision uint64
+	// Stage numbers the service that the entry tries, among Stages services that may hold a relayed flow.
+	Stage, Stages uint8
 }
 
 // Framer holds the shared key. It is immutable and safe for concurrent use.
@@ -95,6 +99,8 @@
 	putAddrPort(b[34:], h.Flow.Virtual)
 	putAddrPort(b[52:], h.Entry)
 	binary.BigEndian.PutUint16(b[70:], uint16(length))
+	binary.BigEndian.PutUint64(b[72:], h.Revision)
+	b[80], b[81] = h.Stage, h.Stages
 	binary.BigEndian.PutUint64(b[sizeTagged:], siphash.Hash(f.k0, f.k1, b[:sizeTagged]))
 }
 
@@ -121,6 +127,9 @@
 		Generation: binary.BigEndian.Uint64(b[8:]),
 		Flow:       cherviltide.FlowKey{Caller: addrPort(b[16:]), Virtual: addrPort(b[34:])},
 		Entry:      addrPort(b[52:]),
+		Revision:   binary.BigEndian.Uint64(b[72:]),
+		Stage:      b[80],
+		Stages:     b[81],
 	}
 	if h.Type != TypeForward && h.Type != TypeReply {
 		return Header{}, nil, ErrType
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -13,6 +13,7 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/watcher"
 )
 
 const (
@@ -50,7 +51,7 @@
 	conn     *net.UDPConn
 	flows    *flows
 	notes    *notes
-	silence  *silence
+	silence  *watcher.Watcher
 	inForce  atomic.Uint64
 	buffers  sync.Pool
 	receive  []byte
@@ -89,7 +90,7 @@
 		return nil, fault("holder.Listen", err)
 	}
 	h := &Holder{
-		config: config, conn: conn, flows: newFlows(), notes: newNotes(), silence: newSilence(),
+		config: config, conn: conn, flows: newFlows(), notes: newNotes(), silence: watcher.New(),
 		receive: make([]byte, framer.Size+maxDatagram),
 	}
 	h.buffers.New = func() any { b := make([]byte, framer.Size+maxDatagram); return &b }
--- a/holder/receive.go
+++ b/holder/receive.go
@@ -41,7 +41,7 @@
 		return nil, nil
 	}
 	if a.header.Flags != 0 {
-		h.silence.heard(sender)
+		h.silence.Heard(sender)
 	}
 	a.flow = h.flows.get(a.header.Flow)
 	return h.act(a, h.decide(h.situation(a), a.payload))
@@ -64,7 +64,7 @@
 	s.Declared = h.flows.lastDeclared()
 	s.Full = h.flows.len() >= a.table.Service().Connections
 	s.Busy = h.config.Busy()
-	s.Silent = func(to netip.AddrPort) bool { return h.silence.silent(to, a.now) }
+	s.Silent = func(to netip.AddrPort) bool { return h.silence.Silent(to, a.now) }
 	return s
 }
 
@@ -84,7 +84,7 @@
 		}
 	case ActionPass:
 		if step.Flags == framer.FlagProbe && step.Position > 0 {
-			h.silence.probed(step.To, a.now)
+			h.silence.Probed(step.To, a.now)
 		}
 		h.send(a, step, a.table.Generation(), step.To)
 		return nil, nil
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -144,6 +144,19 @@
 	return first
 }
 
+// Discard removes the state in a folder that no journal has open. The next Open starts under a new identity.
+func Discard(files cherviltide.FileSystem, folder string) error {
+	for _, name := range []string{logName, newName} {
+		if err := files.Remove(filepath.Join(folder, name)); err != nil {
+			return internal("journaler.Discard", err)
+		}
+	}
+	if err := files.SyncFolder(folder); err != nil {
+		return internal("journaler.Discard", err)
+	}
+	return nil
+}
+
 func internal(op string, err error) error {
 	return fault(op, cherviltide.KindInternal, err)
 }
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -76,6 +76,14 @@
 	return nil
 }
 
+func (d *disk) Remove(p string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	delete(d.names, p)
+	return nil
+}
+
 func (d *disk) SyncFolder(string) error {
 	if err := d.step(); err != nil {
 		return err
--- a/journaler/system.go
+++ b/journaler/system.go
@@ -1,7 +1,9 @@
 package journaler
 
 import (
+	"errors"
 	"io"
+	"io/fs"
 	"os"
 
 	"golang.org/x/sys/unix"
@@ -37,6 +39,15 @@
 	return os.Rename(from, to)
 }
 
+// Remove removes a file.
+func (System) Remove(path string) error {
+	err := os.Remove(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return err
+}
+
 // SyncFolder makes the names in a folder durable.
 func (System) SyncFolder(path string) error {
 	folder, err := os.Open(path)
--- a/member.go
+++ b/member.go
@@ -15,6 +15,12 @@
 // RoleOperator is the role of operators' commands, which are not members.
 const RoleOperator Role = "Operator"
 
+// NominalWeight is the weight of a target before its speed is known; it is the speed of one nominal slot.
+const NominalWeight = 1000
+
+// NominalRate is the number of requests a second that one nominal slot completes.
+const NominalRate = 100
+
 // Member is a process that has announced itself to control. Its CBOR form has numbers for names, since the loss of a
 // failure domain sends an event for each of its members to each follower.
 type Member struct {
@@ -77,6 +83,8 @@
 	Generation uint64 `cbor:"3,keyasint,omitzero"`
 	// Buckets is set for Defined.
 	Buckets int `cbor:"4,keyasint,omitzero"`
+	// Key is set for Founded: the packet key of entries and agents whose settings have none.
+	Key []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // PlacedEvent is a member event with its position in the membership log.
--- a/messenger/follow.go
+++ b/messenger/follow.go
@@ -33,6 +33,10 @@
 	Tables []TableSnapshot `cbor:"6,keyasint,omitempty"`
 	// Rules is nil when the follower's revision is current.
 	Rules *RulesUpdate `cbor:"7,keyasint,omitempty"`
+	// Control has the base URLs of the control instances; it is empty when they are the same as in the update before.
+	Control []string `cbor:"8,keyasint,omitempty"`
+	// Key is the packet key of the membership log, in the first update of a stream.
+	Key []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // TableSnapshot is the table of one service, as picker.Restore reads it. It has no data when the table is removed.
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -18,6 +18,8 @@
 	Leaving bool
 	// Ended tells that a leaving member has finished.
 	Ended bool
+	// Paused asks that the member receive no new flows until it announces itself without it.
+	Paused bool
 	// RevisionSeen is the newest configuration that the process has received.
 	RevisionSeen uint64
 	// RevisionInForce is the configuration that decided the process's last packet.
@@ -57,7 +59,10 @@
 	// Base is the revision that the operator edited.
 	Base     uint64
 	Operator string
-	Text     string
+	// Number is the operator's own number of the file, or 0. An edit whose number is not above that of the accepted file
+	// is answered with the accepted revision and changes nothing.
+	Number uint64
+	Text   string
 	// Forwarded is true when a control instance passes the request to the leader.
 	Forwarded bool
 }
@@ -76,7 +81,9 @@
 // CurrentResponse is the accepted rules file.
 type CurrentResponse struct {
 	Revision uint64
-	Text     string
+	// Number is the operator's own number of the file, or 0.
+	Number uint64
+	Text   string
 	// Confirmed is false when the instance could not reach a majority, so the answer may be old.
 	Confirmed bool
 }
--- a/picker/second.go
+++ b/picker/second.go
@@ -13,11 +13,15 @@
 
 // Active returns the agents that are neither suspect nor leaving, in the order of their names.
 func (t *Table) Active() []cherviltide.Member {
-	var list []cherviltide.Member
+	return t.AppendActive(nil)
+}
+
+// AppendActive appends the agents that are neither suspect nor leaving to dst, in the order of their names.
+func (t *Table) AppendActive(dst []cherviltide.Member) []cherviltide.Member {
 	for _, x := range t.targets {
 		if x.state == cherviltide.StateActive {
-			list = append(list, x.member)
+			dst = append(dst, x.member)
 		}
 	}
-	return list
+	return dst
 }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -28,6 +28,8 @@
 	Listen netip.AddrPort
 	// Ready returns nil while the process does its work, or why it does not.
 	Ready func(context.Context) error
+	// ReadyPath is a second path for readiness; empty means none.
+	ReadyPath string
 }
 
 // Prober serves GET /health, /ready and /debug/vars. Metrics are added before Run.
@@ -87,19 +89,24 @@
 	return nil
 }
 
+func (p *Prober) ready(w http.ResponseWriter, r *http.Request) {
+	if err := p.config.Ready(r.Context()); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
 // handler leaves out the command line, which expvar's own handler shows and which may hold secrets.
 func (p *Prober) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
-		if err := p.config.Ready(r.Context()); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = w.Write([]byte("ready\n"))
-	})
+	mux.HandleFunc("GET /ready", p.ready)
+	if p.config.ReadyPath != "" {
+		mux.HandleFunc("GET "+p.config.ReadyPath, p.ready)
+	}
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		_, _ = w.Write([]byte(p.metrics.String()))
--- a/registrar/history.go
+++ b/registrar/history.go
@@ -33,7 +33,7 @@
 		e := h.kept[i]
 		r := Revision{
 			Number: h.first + uint64(i) + 1,
-			Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Text: text},
+			Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Number: e.Number, Time: e.Time, Text: text},
 		}
 		var ok bool
 		if lines, ok = patch(lines, e.Lines); !ok {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -40,8 +40,11 @@
 	Operator string
 	// Base is the revision that the operator edited.
 	Base uint64
-	Text string
-	Time cherviltide.Millis
+	// Number is the operator's own number of the content, for operators that number their files; it is 0 otherwise.
+	// Among numbered edits the highest number takes effect, and the base only tells what the lines are relative to.
+	Number uint64
+	Text   string
+	Time   cherviltide.Millis
 }
 
 // Revision is an accepted edit.
@@ -60,6 +63,7 @@
 	Time     cherviltide.Millis
 	Sum      uint64
 	Lines    []Span
+	Number   uint64
 }
 
 // size returns the approximate number of bytes that the entry takes.
@@ -100,6 +104,7 @@
 	lines := difference(strings.Split(r.state.Text, "\n"), strings.Split(e.Text, "\n"))
 	return cbor.Marshal(entry{
 		ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Sum: xxhash.Sum64String(e.Text), Lines: lines,
+		Number: e.Number,
 	})
 }
 
@@ -115,7 +120,7 @@
 	e := r.state.Kept[len(r.state.Kept)-1]
 	return Revision{
 		Number: r.number(),
-		Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Text: r.state.Text},
+		Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Number: e.Number, Time: e.Time, Text: r.state.Text},
 	}
 }
 
@@ -128,6 +133,9 @@
 	if _, known := r.byID[e.ID]; known || e.Base != r.number() {
 		return
 	}
+	if e.Number > 0 && e.Number <= r.Current().Edit.Number {
+		return
+	}
 	before := strings.Split(r.state.Text, "\n")
 	lines, ok := patch(before, e.Lines)
 	text := strings.Join(lines, "\n")
--- /dev/null
+++ b/relayer/core.go
@@ -0,0 +1,395 @@
+// Package relayer is the data path of an agent for flows that it relays to its target without terminating them.
+//
+// The agent is the only way to its target and sees every packet in both directions, so it knows which flows the target
+// holds. It passes packets of other flows on to the agent that holds them; its target does not see them. An agent that is
+// younger than a flow may be asks its target, which returns packets of flows that it does not hold.
+package relayer
+
+import (
+	"net/netip"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/watcher"
+)
+
+// Times of the decisions.
+const (
+	// linger is how long a flow that has ended is remembered, so that its last packets still reach the target. It covers
+	// the sender's repetitions of its last packet.
+	linger cherviltide.Millis = 4_000
+	// openLimit is how long a flow may stay unanswered by the target; callers give up before.
+	openLimit cherviltide.Millis = 2_000
+	// silentAfter is how long the target, on the same machine, may leave all packets unanswered before new flows go
+	// elsewhere. It is shorter than the time to the caller's first copy.
+	silentAfter cherviltide.Millis = 120
+	// fullPause is how long new flows go elsewhere after the target has returned one.
+	fullPause cherviltide.Millis = 30
+	// settleTime is how long after a change of the table a copy of an opening packet may belong to a flow that another
+	// agent has been offered. It covers the caller's last copy and the spread of the table.
+	settleTime cherviltide.Millis = 2_000
+	// defaultIdle is how long a flow without packets is remembered when the rules do not say.
+	defaultIdle cherviltide.Millis = 60_000
+)
+
+const (
+	// maxHops bounds how often agents pass on one packet.
+	maxHops = 60
+	// maxOffers bounds the agents that a new flow is offered to, beside the owner.
+	maxOffers = 3
+	// direct is the position of a probe that a note caused and not the walk over the chain.
+	direct = 255
+)
+
+// Limits describe the target and the network.
+type Limits struct {
+	// MaxAge is how long a flow may last at most.
+	MaxAge cherviltide.Millis
+}
+
+// Target is what the target says of itself.
+type Target struct {
+	// Slots is how many requests it runs at once; 0 when it has not said anything.
+	Slots int
+	// Accepts is true while it takes new flows; Reluctant while it takes those that no other agent takes.
+	Accepts, Reluctant bool
+	// Older is true when it started before this agent, so that it may hold flows that the agent does not know.
+	Older bool
+}
+
+// Context is the state of the system that a decision is made with.
+type Context struct {
+	Now cherviltide.Millis
+	// Self is this agent as it announces itself.
+	Self  cherviltide.Member
+	Table *picker.Table
+	// Allows reports whether the rules of this process send new flows of a virtual address here.
+	Allows func(netip.AddrPort) bool
+	// Revision is that of these rules.
+	Revision uint64
+	// Idle is how long a flow may be silent before it may be forgotten; 0 means the default.
+	Idle cherviltide.Millis
+}
+
+// Core decides about the packets of one agent. It has no socket, goroutine or clock. One goroutine uses it at a time.
+type Core struct {
+	limits Limits
+	// started is the time of the first call; flows may be older than the agent until MaxAge after it.
+	started cherviltide.Millis
+	target  Target
+	flows   map[cherviltide.FlowKey]*flow
+	notes   notes
+	tokens  tokens
+	load    load
+	peers   *watcher.Watcher
+	// waiting is when the first opening packet was delivered that the target has not followed by a packet; 0 when none is.
+	waiting cherviltide.Millis
+	// fullUntil is until when new flows go elsewhere because the target returned one.
+	fullUntil cherviltide.Millis
+	// generation is that of the last table, changed when it was first seen.
+	generation uint64
+	changed    cherviltide.Millis
+	// revision is the highest revision of rules that a flow was opened with here.
+	revision uint64
+	// declared is the highest generation before which the agent has said that it holds no flow.
+	declared uint64
+	chain    []cherviltide.Member
+	active   []cherviltide.Member
+}
+
+// NewCore returns the decisions of an agent that starts now.
+func NewCore(limits Limits, now cherviltide.Millis) *Core {
+	return &Core{
+		limits: limits, started: now, flows: map[cherviltide.FlowKey]*flow{}, notes: newNotes(), peers: watcher.New(),
+	}
+}
+
+// SetTarget takes what the target says of itself. A new target holds none of the flows of the one before.
+func (c *Core) SetTarget(t Target, fresh bool) {
+	if fresh {
+		clear(c.flows)
+		c.load = load{}
+	}
+	c.target = t
+	c.waiting = 0
+}
+
+// Active returns the number of flows that the target works on.
+func (c *Core) Active() int { return c.load.active }
+
+// Flows returns the number of flows that the agent remembers.
+func (c *Core) Flows() int { return len(c.flows) }
+
+// WorkMs returns the smoothed time that the target takes for a request, in milliseconds; 0 when it is not known.
+func (c *Core) WorkMs() float64 { return c.load.work }
+
+// observe notes a change of the table.
+func (c *Core) observe(x Context) {
+	if g := x.Table.Generation(); g != c.generation {
+		c.generation, c.changed = g, x.Now
+	}
+}
+
+// FromPeer decides about a packet of a caller that an entry or another agent sent.
+func (c *Core) FromPeer(x Context, a Arrival) Step {
+	c.observe(x)
+	if a.Header.Flags != 0 {
+		c.peers.Heard(a.Sender)
+	}
+	if a.Header.Flags == framer.FlagHeld {
+		c.notes.set(a.Header.Flow, note{kind: noteHeld, to: a.Sender}, x.Now)
+		return Step{Reason: ReasonNotice}
+	}
+	if a.Header.Hops > maxHops {
+		return Step{Reason: ReasonHops}
+	}
+	if a.Packet.Has(cherviltide.PacketOpen | cherviltide.PacketAck) {
+		return Step{Reason: ReasonForged}
+	}
+	if a.Packet.Opens() {
+		return c.opening(x, a)
+	}
+	return c.later(x, a)
+}
+
+// later decides about a packet that does not open a flow.
+func (c *Core) later(x Context, a Arrival) Step {
+	key := a.Header.Flow
+	f := c.flows[key]
+	if f != nil && f.mismatch(a.Packet) {
+		c.forget(key, f)
+		f = nil
+	}
+	if f != nil {
+		c.fromCaller(x, f, a.Packet)
+		step := Step{Action: ActionDeliver, Reason: ReasonHeld}
+		if a.Header.Flags == framer.FlagProbe && a.Header.Position != direct {
+			step.Notify = a.Sender
+		}
+		return step
+	}
+	if c.unsure(x.Now) && c.notes.get(key, x.Now).kind != noteDenied {
+		return Step{Action: ActionDeliver, Reason: ReasonUnsure, Token: c.tokens.issue(a)}
+	}
+	return c.search(x, a)
+}
+
+// unsure reports whether the target may hold flows that the agent does not know.
+func (c *Core) unsure(now cherviltide.Millis) bool {
+	return now-c.started < c.limits.MaxAge && c.target.Older
+}
+
+// search passes a packet of a flow that this agent does not hold to the next agent that may.
+func (c *Core) search(x Context, a Arrival) Step {
+	key := a.Header.Flow
+	n := c.notes.get(key, x.Now)
+	elsewhere := (n.kind == noteHeld || n.kind == noteOffered) && n.to != a.Sender
+	switch {
+	case a.Header.Flags == framer.FlagProbe && elsewhere && a.Header.Position != direct:
+		return c.pass(x, a, n.to, framer.FlagProbe, direct, ReasonProbed)
+	case a.Header.Flags == framer.FlagProbe:
+		return c.back(a, framer.FlagReturned, ReasonNotHeld)
+	case a.Header.Flags == framer.FlagReturned && a.Header.Position == direct:
+		c.notes.forget(key)
+		return c.walk(x, a, 0)
+	case a.Header.Flags == framer.FlagReturned && a.Header.Generation == x.Table.Generation():
+		return c.walk(x, a, int(a.Header.Position)+1)
+	case elsewhere && a.Header.Flags == 0:
+		return c.pass(x, a, n.to, framer.FlagProbe, direct, ReasonProbed)
+	}
+	return c.walk(x, a, 0)
+}
+
+// walk asks the next agent of the flow's chain. After the last one the entry may try another service.
+func (c *Core) walk(x Context, a Arrival, next int) Step {
+	c.chain = x.Table.Chain(c.chain[:0], a.Header.Flow)
+	silent := -1
+	for ; next < len(c.chain) && next < direct; next++ {
+		switch {
+		case isSelf(x, c.chain[next]):
+		case c.peers.Silent(c.chain[next].Address, x.Now):
+			silent = next
+		default:
+			return c.probe(x, a, next)
+		}
+	}
+	if a.Packet.Opens() {
+		return c.place(x, a, 0)
+	}
+	if silent >= 0 {
+		// Nobody else holds the flow, and the candidate may answer again.
+		return c.probe(x, a, silent)
+	}
+	if a.Header.Stage+1 < a.Header.Stages {
+		h := a.Header
+		h.Flags, h.Position = framer.FlagReturned, 0
+		h.Hops++
+		return Step{Action: ActionPass, Reason: ReasonStage, To: a.Header.Entry, Header: h}
+	}
+	return Step{Reason: ReasonNoHolder}
+}
+
+// probe asks the candidate at a position of the chain whether it holds the flow.
+func (c *Core) probe(x Context, a Arrival, position int) Step {
+	to := c.chain[position].Address
+	c.peers.Probed(to, x.Now)
+	return c.pass(x, a, to, framer.FlagProbe, uint8(position), ReasonProbed)
+}
+
+// isSelf compares members by address instead of incarnation, which changes when control has expelled the process.
+func isSelf(x Context, m cherviltide.Member) bool {
+	return m.Name == x.Self.Name && m.Address == x.Self.Address
+}
+
+// pass sends a packet to another agent under this agent's table.
+func (c *Core) pass(x Context, a Arrival, to netip.AddrPort, flags framer.Flags, position uint8, reason Reason) Step {
+	h := a.Header
+	h.Flags, h.Position, h.Generation = flags, position, x.Table.Generation()
+	h.Hops++
+	return Step{Action: ActionPass, Reason: reason, To: to, Header: h}
+}
+
+// back returns a packet to its sender with the sender's own position and generation.
+func (c *Core) back(a Arrival, flags framer.Flags, reason Reason) Step {
+	h := a.Header
+	h.Flags = flags
+	h.Hops++
+	return Step{Action: ActionPass, Reason: reason, To: a.Sender, Header: h}
+}
+
+// fromCaller notes a packet of a held flow in the direction of the target.
+func (c *Core) fromCaller(x Context, f *flow, p cherviltide.Packet) {
+	f.last = x.Now
+	if f.answered && p.Has(cherviltide.PacketAck) {
+		f.open = true
+	}
+	if p.Length > 0 && !f.asked {
+		f.asked = true
+		if c.load.active <= c.target.Slots {
+			f.requested = x.Now
+		}
+	}
+	if p.Has(cherviltide.PacketFinish) {
+		f.callerFinished = true
+	}
+	if p.Has(cherviltide.PacketReset) {
+		c.idle(f)
+		f.ended = x.Now
+	}
+}
+
+// idle takes a flow out of the target's work.
+func (c *Core) idle(f *flow) {
+	if f.busy {
+		f.busy = false
+		c.load.active--
+	}
+}
+
+func (c *Core) forget(key cherviltide.FlowKey, f *flow) {
+	c.idle(f)
+	delete(c.flows, key)
+}
+
+// FromTarget decides about a packet that the target sent or returned.
+func (c *Core) FromTarget(x Context, p cherviltide.Packet) Step {
+	c.observe(x)
+	c.waiting = 0
+	if p.Flags&cherviltide.PacketReturned != 0 {
+		return c.returned(x, p)
+	}
+	key := cherviltide.FlowKey{Caller: p.Destination, Virtual: p.Source}
+	f := c.flows[key]
+	if f == nil && c.unsure(x.Now) {
+		f = &flow{learnt: true, answered: true, open: true, began: x.Now}
+		c.flows[key] = f
+	}
+	if f != nil {
+		c.fromTarget(x, f, p)
+	}
+	return Step{Action: ActionAnswer, Reason: ReasonTarget}
+}
+
+func (c *Core) fromTarget(x Context, f *flow, p cherviltide.Packet) {
+	f.last = x.Now
+	if p.Has(cherviltide.PacketOpen | cherviltide.PacketAck) {
+		f.targetSequence, f.answered = p.Sequence, true
+	}
+	if p.Length > 0 && f.requested != 0 {
+		c.load.sample(x.Now - f.requested)
+		f.requested = 0
+	}
+	if p.Has(cherviltide.PacketFinish) {
+		f.targetFinish = true
+		c.idle(f)
+	}
+	if p.Has(cherviltide.PacketReset) {
+		c.idle(f)
+		f.ended = x.Now
+	}
+	if f.targetFinish && f.callerFinished && f.ended == 0 {
+		f.ended = x.Now
+	}
+}
+
+// returned decides about a packet that the target does not take.
+func (c *Core) returned(x Context, p cherviltide.Packet) Step {
+	key := cherviltide.FlowKey{Caller: p.Source, Virtual: p.Destination}
+	f := c.flows[key]
+	a, ok := c.tokens.take(p.Token, key)
+	a.Packet = p
+	a.Packet.Flags &^= cherviltide.PacketReturned
+	if !ok {
+		if f != nil && !p.Opens() {
+			c.forget(key, f)
+			return Step{Reason: ReasonGone}
+		}
+		return Step{Reason: ReasonForged}
+	}
+	var step Step
+	if p.Opens() {
+		if f != nil {
+			c.forget(key, f)
+		}
+		c.fullUntil = x.Now + fullPause
+		step = c.refused(x, a)
+	} else {
+		c.notes.set(key, note{kind: noteDenied}, x.Now)
+		step = c.search(x, a)
+	}
+	step.Restore = true
+	return step
+}
+
+// Expire forgets flows that have ended, and those that were silent or open for too long.
+func (c *Core) Expire(x Context) {
+	idle := x.Idle
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	for key, f := range c.flows {
+		switch {
+		case f.ended != 0 && x.Now-f.ended > linger,
+			!f.answered && x.Now-f.began > openLimit,
+			x.Now-f.last > idle,
+			x.Now-f.began > c.limits.MaxAge+linger:
+			c.forget(key, f)
+		}
+	}
+	c.notes.expire(x.Now)
+}
+
+// Oldest returns the lowest generation at which a remembered flow was opened, or the given one when there is none. The
+// agent opens no flow at a lower generation afterwards. While the target may hold flows that the agent does not know, no
+// generation is sure.
+func (c *Core) Oldest(now cherviltide.Millis, generation uint64) uint64 {
+	if c.unsure(now) {
+		return 0
+	}
+	for _, f := range c.flows {
+		generation = min(generation, f.opened)
+	}
+	c.declared = max(c.declared, generation)
+	return generation
+}
--- /dev/null
+++ b/relayer/opening.go
@@ -0,0 +1,195 @@
+package relayer
+
+import (
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/framer"
+)
+
+// must marks an offer by an agent that cannot serve the flow itself, in the position of the header. The other bits number
+// the offer.
+const must = 128
+
+// opening decides about a packet that opens a flow.
+func (c *Core) opening(x Context, a Arrival) Step {
+	key := a.Header.Flow
+	f := c.flows[key]
+	if f != nil && !f.learnt && f.callerSequence == a.Packet.Sequence && (f.answered || !c.silent(x.Now)) {
+		f.last = x.Now
+		return c.deliverOpening(x, a)
+	}
+	if f != nil {
+		// The caller uses the port again, or the target did not answer.
+		c.forget(key, f)
+	}
+	n := c.notes.get(key, x.Now)
+	switch a.Header.Flags {
+	case framer.FlagProbe:
+		if n.kind == noteOffered && a.Header.Position != direct && n.to != a.Sender {
+			return c.pass(x, a, n.to, framer.FlagProbe, direct, ReasonProbed)
+		}
+		return c.back(a, framer.FlagReturned, ReasonNotHeld)
+	case framer.FlagOffered:
+		return c.offered(x, a)
+	case framer.FlagDeclined:
+		return c.declined(x, a)
+	case framer.FlagReturned:
+		return c.search(x, a)
+	}
+	if a.Packet.Copy > 0 {
+		if n.kind == noteOffered && n.to != a.Sender {
+			return c.pass(x, a, n.to, framer.FlagOffered, c.offerPosition(x, n.turn), ReasonOffered)
+		}
+		if x.Now-c.changed < settleTime {
+			return c.walk(x, a, 0)
+		}
+	}
+	return c.place(x, a, 0)
+}
+
+// place opens a new flow here or offers it to another agent. turn numbers the next offer.
+func (c *Core) place(x Context, a Arrival, turn int) Step {
+	if step, ok := c.outdated(x, a); ok {
+		return step
+	}
+	owner, ok := x.Table.Pick(a.Header.Flow)
+	if ok && !isSelf(x, owner) && a.Header.Flags == 0 && a.Header.Hops == 0 && !c.peers.Silent(owner.Address, x.Now) {
+		return c.pass(x, a, owner.Address, 0, 0, ReasonNotOwner)
+	}
+	able := c.able(x.Now)
+	if able && (c.free() || turn >= maxOffers) {
+		return c.open(x, a)
+	}
+	for _, to := range c.spares(x, a) {
+		if turn--; turn < 0 {
+			return c.offer(x, a, to, able)
+		}
+	}
+	if able || (c.target.Reluctant && !c.silent(x.Now) && x.Now >= c.fullUntil) {
+		return c.open(x, a)
+	}
+	c.notes.forget(a.Header.Flow)
+	return Step{Action: ActionRefuse, Reason: ReasonUnavailable}
+}
+
+// outdated returns the step for a new flow that the rules do not send here. The newer rules of the entry and this agent
+// decide; when a flow was opened here with rules newer than both, neither can tell.
+func (c *Core) outdated(x Context, a Arrival) (Step, bool) {
+	switch {
+	case x.Revision >= a.Header.Revision && !x.Allows(a.Header.Flow.Virtual):
+		return Step{Reason: ReasonNoRoute}, true
+	case max(x.Revision, a.Header.Revision) < c.revision:
+		return Step{Reason: ReasonOldRules}, true
+	}
+	return Step{}, false
+}
+
+// able reports whether the target takes new flows at all.
+func (c *Core) able(now cherviltide.Millis) bool {
+	return c.target.Accepts && !c.silent(now) && now >= c.fullUntil
+}
+
+// silent reports whether the target leaves packets unanswered.
+func (c *Core) silent(now cherviltide.Millis) bool {
+	return c.waiting != 0 && now-c.waiting > silentAfter
+}
+
+// free reports whether a new flow would find a free slot.
+func (c *Core) free() bool {
+	return c.load.active < c.target.Slots
+}
+
+// open delivers a packet that opens a flow.
+func (c *Core) open(x Context, a Arrival) Step {
+	opened, ok := x.Table.OpenedAt(a.Header.Flow, x.Self)
+	if !ok || opened < c.declared {
+		opened = x.Table.Generation()
+	}
+	c.revision = max(c.revision, x.Revision, a.Header.Revision)
+	c.flows[a.Header.Flow] = &flow{
+		callerSequence: a.Packet.Sequence, opened: opened, began: x.Now, last: x.Now, busy: true,
+	}
+	c.load.active++
+	step := c.deliverOpening(x, a)
+	step.Reason = ReasonOpened
+	return step
+}
+
+func (c *Core) deliverOpening(x Context, a Arrival) Step {
+	if c.waiting == 0 {
+		c.waiting = x.Now
+	}
+	return Step{Action: ActionDeliver, Reason: ReasonHeld, Token: c.tokens.issue(a)}
+}
+
+// spares returns the agents that a new flow may be offered to, the second of its bucket first. The others follow in an
+// order that differs between flows, so that they share what an owner cannot take.
+func (c *Core) spares(x Context, a Arrival) []cherviltide.Member {
+	c.chain = c.chain[:0]
+	second, ok := x.Table.Second(a.Header.Flow)
+	if ok && !isSelf(x, second) {
+		c.chain = append(c.chain, second)
+	}
+	c.active = x.Table.AppendActive(c.active[:0])
+	start := a.Header.Flow.Hash() >> 16
+	for i := range c.active {
+		m := c.active[(uint64(i)+start)%uint64(len(c.active))]
+		usable := !isSelf(x, m) && (!ok || m.Name != second.Name) && !c.peers.Silent(m.Address, x.Now)
+		if usable && len(c.chain) < maxOffers {
+			c.chain = append(c.chain, m)
+		}
+	}
+	return c.chain
+}
+
+// offer passes a new flow to another agent and notes it, so that copies go there too.
+func (c *Core) offer(x Context, a Arrival, to cherviltide.Member, able bool) Step {
+	turn := 0
+	for i, m := range c.chain {
+		if m.Name == to.Name {
+			turn = i
+		}
+	}
+	c.notes.set(a.Header.Flow, note{kind: noteOffered, to: to.Address, turn: turn}, x.Now)
+	position := uint8(turn)
+	if !able {
+		position |= must
+	}
+	c.peers.Probed(to.Address, x.Now)
+	return c.pass(x, a, to.Address, framer.FlagOffered, position, ReasonOffered)
+}
+
+// offerPosition returns the position of an offer that is repeated.
+func (c *Core) offerPosition(x Context, turn int) uint8 {
+	if c.able(x.Now) {
+		return uint8(turn)
+	}
+	return uint8(turn) | must
+}
+
+// offered accepts or declines a new flow that its owner offers. An owner that can serve the flow itself only looks for a
+// free slot.
+func (c *Core) offered(x Context, a Arrival) Step {
+	if step, ok := c.outdated(x, a); ok {
+		return step
+	}
+	if c.able(x.Now) && (c.free() || a.Header.Position&must != 0) {
+		return c.open(x, a)
+	}
+	return c.back(a, framer.FlagDeclined, ReasonDeclined)
+}
+
+// declined goes on with the next agent.
+func (c *Core) declined(x Context, a Arrival) Step {
+	return c.place(x, a, int(a.Header.Position&^must)+1)
+}
+
+// refused goes on with a new flow that the target has returned.
+func (c *Core) refused(x Context, a Arrival) Step {
+	switch a.Header.Flags {
+	case framer.FlagOffered:
+		return c.back(a, framer.FlagDeclined, ReasonDeclined)
+	case framer.FlagDeclined:
+		return c.place(x, a, maxOffers)
+	}
+	return c.place(x, a, 0)
+}
--- a/rules.go
+++ b/rules.go
@@ -60,6 +60,29 @@
 	Source      Source
 }
 
+// Share is the part of a route's new flows that a service takes.
+type Share struct {
+	Service string
+	// Weight is relative to the other shares of the route; 0 takes no new flows.
+	Weight uint32
+}
+
+// Route sends the flows of one virtual address to services without terminating them.
+type Route struct {
+	Name    string
+	Address netip.AddrPort
+	// Shares is never empty.
+	Shares []Share
+	// Priority orders routes; 1 is the most urgent.
+	Priority int
+	// Deadline bounds the requests that the flows carry; Goal is the latency that callers expect.
+	Deadline, Goal Millis
+	// AtMostOnce is true when the requests may not be repeated.
+	AtMostOnce bool
+	// Class is ClassBulky for long transfers and ClassNormal otherwise.
+	Class Class
+}
+
 // Rules is one accepted rules file. It is immutable.
 type Rules struct {
 	// Revision is 0 before the first file is accepted and grows by one with each accepted file.
@@ -67,8 +90,14 @@
 	Services  []Service
 	Kinds     []Kind
 	Customers []Customer
+	Routes    []Route
+	// FlowIdle is how long a relayed flow may be silent before it may be forgotten; 0 means the default.
+	FlowIdle Millis
 }
 
+// RulesParser reads rules from the text of a configuration and returns them with revision 0.
+type RulesParser func(text string) (Rules, error)
+
 // WithRevision returns the rules with another revision.
 func (r Rules) WithRevision(revision uint64) Rules {
 	r.Revision = revision
--- a/commands/stopping.go
+++ b/supervisor/drain.go
@@ -1,4 +1,4 @@
-package commands
+package supervisor
 
 import "cherviltide.example/cherviltide"
 
@@ -20,11 +20,15 @@
 	// changed is when activity was last seen to grow.
 	changed  cherviltide.Millis
 	activity uint64
+	limit    cherviltide.Millis
 }
 
-// newDrain returns the decision for a process that was told to stop at the given time.
-func newDrain(now cherviltide.Millis, activity uint64) *drain {
-	return &drain{since: now, changed: now, activity: activity}
+// newDrain returns the decision for a process that was told to stop at the given time. A limit of 0 means the default.
+func newDrain(now cherviltide.Millis, activity uint64, limit cherviltide.Millis) *drain {
+	if limit <= 0 {
+		limit = drainLimit
+	}
+	return &drain{since: now, changed: now, activity: activity, limit: limit}
 }
 
 // done reports whether the process may stop, given a count that grows with each datagram.
@@ -33,5 +37,5 @@
 		d.activity, d.changed = activity, now
 	}
 	stopping := now - d.since
-	return stopping >= drainLimit || (stopping >= leaveGrace && now-d.changed >= quietTime)
+	return stopping >= d.limit || (stopping >= leaveGrace && now-d.changed >= quietTime)
 }
--- a/commands/stopping_test.go
+++ b/supervisor/drain_test.go
@@ -1,4 +1,4 @@
-package commands
+package supervisor
 
 import (
 	"testing"
@@ -22,7 +22,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			const start = 1_000_000
-			d, activity := newDrain(start, 7), uint64(7)
+			d, activity := newDrain(start, 7, 0), uint64(7)
 			now := cherviltide.Millis(start)
 			for !d.done(now, activity) {
 				now += 100
--- /dev/null
+++ b/supervisor/supervisor.go
@@ -0,0 +1,117 @@
+// Package supervisor runs the parts of a daemon and stops them in order.
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/follower"
+	"cherviltide.example/cherviltide/runner"
+)
+
+const (
+	// endTimeout bounds the last announcement of a process that stops.
+	endTimeout = 2 * time.Second
+	// drainInterval is the time between two looks at a stopping process.
+	drainInterval = 100 * time.Millisecond
+)
+
+// Work is what a process does beside following control.
+type Work struct {
+	// Serve takes work until its context ends, then finishes what it has.
+	Serve func(context.Context) error
+	// Support has what Serve needs until it has finished.
+	Support []func(context.Context) error
+	// Activity counts datagrams of others that still rely on the process; nil counts none.
+	Activity func() uint64
+	// Limit is when a stopping process ends although others still rely on it; 0 means the default.
+	Limit cherviltide.Millis
+	// Restarts is true when the member goes on and only its process ends for a while. It is then paused instead of ended.
+	Restarts bool
+}
+
+// Run runs the work and the follower. When ctx ends it announces that the process leaves, goes on until others have
+// heard of it, lets the work finish, and only then stops the follower and what supports the work. The end of any part
+// stops the others.
+func (w Work) Run(ctx context.Context, f *follower.Follower, log *zap.Logger) error {
+	supportCtx, stopSupport := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopSupport()
+	serveCtx, stopServing := context.WithCancel(supportCtx)
+	defer stopServing()
+	parts := append([]func(context.Context) error{f.Run}, w.Support...)
+	support, served := make(chan runner.End, len(parts)), make(chan runner.End, 2)
+	for _, part := range parts {
+		runner.Start(supportCtx, "support", support, part)
+	}
+	runner.Start(serveCtx, "serve", served, w.Serve)
+	runner.Start(serveCtx, "leave", served, func(serveCtx context.Context) error {
+		defer stopServing()
+		return w.leave(ctx, serveCtx, f, log)
+	})
+	var err error
+	for open := cap(served); open > 0; {
+		select {
+		case end := <-served:
+			err = errors.Join(err, end.Err)
+			open--
+		case end := <-support:
+			err = errors.Join(err, end.Err)
+			parts = parts[1:]
+		}
+		stopServing()
+	}
+	w.end(supportCtx, f, log)
+	stopSupport()
+	for range parts {
+		err = errors.Join(err, (<-support).Err)
+	}
+	return err
+}
+
+// leave waits for the end of ctx, announces it, and returns when the process may stop serving.
+func (w Work) leave(ctx, serveCtx context.Context, f *follower.Follower, log *zap.Logger) error {
+	select {
+	case <-ctx.Done():
+	case <-f.Drained():
+	case <-serveCtx.Done():
+		return nil
+	}
+	log.Info("Leaving")
+	if w.Restarts {
+		f.Pause()
+	} else {
+		f.Leave()
+	}
+	activity := w.Activity
+	if activity == nil {
+		activity = func() uint64 { return 0 }
+	}
+	started := time.Now()
+	elapsed := func() cherviltide.Millis { return cherviltide.MillisOf(time.Since(started)) }
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for d := newDrain(elapsed(), activity(), w.Limit); !d.done(elapsed(), activity()); {
+		select {
+		case <-serveCtx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// end announces that the process has finished.
+func (w Work) end(ctx context.Context, f *follower.Follower, log *zap.Logger) {
+	if w.Restarts {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	if err := f.End(ctx); err != nil {
+		log.Info("EndNotAnnounced", zap.Error(err))
+	}
+}
--- a/tracker/lease.go
+++ b/tracker/lease.go
@@ -24,6 +24,8 @@
 type Announcement struct {
 	Member         cherviltide.Member
 	Leaving, Ended bool
+	// Paused is true when the member takes no new flows for now.
+	Paused bool
 	// Rate is the measured service rate in thousandths of a nominal slot; 0 when it is not known.
 	Rate uint32
 	// Generation and OldestGeneration are as in the announcing agent's table; 0 when it has none.
@@ -157,7 +159,9 @@
 		return []cherviltide.MemberEvent{{Type: cherviltide.EventDied, Member: brief(entry.Member)}}
 	case a.Leaving && entry.State != cherviltide.StateLeaving:
 		return []cherviltide.MemberEvent{{Type: cherviltide.EventLeaving, Member: brief(entry.Member)}}
-	case !a.Leaving && entry.State == cherviltide.StateSuspect:
+	case a.Paused && entry.State == cherviltide.StateActive:
+		return []cherviltide.MemberEvent{{Type: cherviltide.EventSuspected, Member: brief(entry.Member)}}
+	case !a.Leaving && !a.Paused && entry.State == cherviltide.StateSuspect:
 		return []cherviltide.MemberEvent{{Type: cherviltide.EventCleared, Member: brief(entry.Member)}}
 	}
 	return nil
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -19,6 +19,7 @@
 	Entries        []Entry
 	Graves         map[string]grave
 	Tables         []tableSnapshot
+	Key            []byte
 }
 
 // tableSnapshot is the table of one service.
@@ -30,7 +31,7 @@
 
 // Snapshot returns the state in a form that Restore reads.
 func (t *Tracker) Snapshot() ([]byte, error) {
-	s := snapshot{Base: t.base, Position: t.position, Entries: t.Entries(), Graves: t.graves}
+	s := snapshot{Base: t.base, Position: t.position, Entries: t.Entries(), Graves: t.graves, Key: t.key}
 	for _, name := range slices.Sorted(maps.Keys(t.tables)) {
 		data, err := t.tables[name].Snapshot()
 		if err != nil {
@@ -48,7 +49,7 @@
 		return &Error{cherviltide.Fault{Op: "tracker.Restore", Kind: cherviltide.KindDamaged, Err: err}}
 	}
 	next := WithLimits(t.limits)
-	next.base, next.position, next.oldest = s.Base, s.Position, s.Position
+	next.base, next.position, next.oldest, next.key = s.Base, s.Position, s.Position, s.Key
 	for _, x := range s.Entries {
 		next.entries[x.Member.Name] = x
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"crypto/rand"
 	"maps"
 	"slices"
 	"strings"
@@ -19,6 +20,8 @@
 	eventLimit = 4096
 	// graveLimit is how many dead members are remembered, so that late announcements of theirs change nothing.
 	graveLimit = 4096
+	// keySize is the size of a packet key, in bytes.
+	keySize = 16
 )
 
 // Error is damaged membership state.
@@ -40,7 +43,9 @@
 type Tracker struct {
 	limits Limits
 	// base is 0 until the log is founded.
-	base     uint64
+	base uint64
+	// key is the packet key that the founder of the log made.
+	key      []byte
 	position uint64
 	// oldest is a position after which all events are in events.
 	oldest uint64
@@ -71,9 +76,11 @@
 
 // Founded returns the first event of a log that starts at the given time since the Unix epoch. Positions of the log are
 // above all positions of a log that was founded a millisecond earlier and has had fewer than 65,536 events for each
-// millisecond since.
+// millisecond since. The event carries a new packet key for entries and agents whose settings have none.
 func Founded(now cherviltide.Millis) cherviltide.MemberEvent {
-	return cherviltide.MemberEvent{Type: cherviltide.EventFounded, Generation: uint64(now) << 16}
+	key := make([]byte, keySize)
+	_, _ = rand.Read(key) // It never fails.
+	return cherviltide.MemberEvent{Type: cherviltide.EventFounded, Generation: uint64(now) << 16, Key: key}
 }
 
 // Apply applies the committed entry with the given index in the log. Entries that do not fit the state change nothing.
@@ -83,7 +90,7 @@
 		return
 	}
 	if e.Type == cherviltide.EventFounded && t.base == 0 {
-		t.base, t.oldest = e.Generation, e.Generation
+		t.base, t.oldest, t.key = e.Generation, e.Generation, e.Key
 	}
 	if t.base == 0 {
 		return
@@ -251,6 +258,11 @@
 	return t.base
 }
 
+// Key returns the packet key of the log; it is empty before the log is founded. The caller must not change it.
+func (t *Tracker) Key() []byte {
+	return t.key
+}
+
 // Events returns the newest events and a position after which none is missing. The caller must not change them.
 func (t *Tracker) Events() (events []cherviltide.PlacedEvent, oldest uint64) {
 	return t.events, t.oldest
--- a/voter/admission.go
+++ b/voter/admission.go
@@ -30,13 +30,25 @@
 		v.found()
 		return
 	}
-	for _, name := range v.config.Names {
-		if name != v.config.Self.Name {
-			v.promise(Message{Type: MessageJoin, To: ID{Name: name}, Reject: v.hard.Admitted})
-		}
+	for _, name := range v.askNames() {
+		v.promise(Message{Type: MessageJoin, To: ID{Name: name}, Reject: v.hard.Admitted})
 	}
 }
 
+// askNames returns the other instances that may know the leader.
+func (v *Voter) askNames() []string {
+	names := slices.Clone(v.config.Names)
+	for _, id := range append(v.Voters(), v.told...) {
+		names = append(names, id.Name)
+	}
+	slices.Sort(names)
+	return slices.DeleteFunc(slices.Compact(names), func(name string) bool { return name == v.config.Self.Name })
+}
+
+func (v *Voter) mayJoin(name string) bool {
+	return v.config.Open || slices.Contains(v.config.Names, name)
+}
+
 func (v *Voter) isBlank() bool {
 	return v.log.last() == 0
 }
@@ -64,7 +76,10 @@
 		v.promise(Message{Type: MessageBlank, To: m.From})
 		return
 	}
-	if v.role != leader || !slices.Contains(v.config.Names, m.From.Name) || v.isVoter(m.From) {
+	if v.role != leader && v.config.Open {
+		v.promise(Message{Type: MessageKnown, To: m.From, Voters: v.Voters()})
+	}
+	if v.role != leader || !v.mayJoin(m.From.Name) || v.isVoter(m.From) {
 		return
 	}
 	if p := v.peers[m.From]; p != nil {
@@ -104,6 +119,29 @@
 		v.replace(id)
 		return
 	}
+	v.retire()
+}
+
+// silenceLimit is how long a voter of an open group must be silent before it may be removed.
+const silenceLimit cherviltide.Millis = 2_000
+
+// minVoters is the size below which an open group does not remove silent voters.
+const minVoters = 3
+
+// retire removes a silent voter from a set of even size. The smaller set bears the loss of as many voters, and a majority
+// of it needs one voter fewer.
+func (v *Voter) retire() {
+	ids := v.Voters()
+	if !v.config.Open || len(ids)%2 != 0 || len(ids) <= minVoters {
+		return
+	}
+	for i, id := range ids {
+		p := v.peers[id]
+		if id != v.config.Self && p != nil && v.now-p.heard > silenceLimit {
+			v.changeVoters(slices.Delete(ids, i, i+1))
+			return
+		}
+	}
 }
 
 func (v *Voter) replace(id ID) {
--- a/voter/disk.go
+++ b/voter/disk.go
@@ -32,7 +32,7 @@
 // send queues a message that promises nothing about the disk.
 func (v *Voter) send(m Message) {
 	m.From = v.config.Self
-	if m.Type != MessageJoin && m.Type != MessageBlank && m.Term == 0 {
+	if m.Type != MessageJoin && m.Type != MessageBlank && m.Type != MessageKnown && m.Term == 0 {
 		m.Term = v.hard.Term
 	}
 	v.out.Messages = append(v.out.Messages, m)
--- a/voter/election.go
+++ b/voter/election.go
@@ -94,6 +94,9 @@
 	case m.Type == MessageBlank:
 		v.onBlank(m)
 		return
+	case m.Type == MessageKnown:
+		v.told = m.Voters
+		return
 	case m.Term < v.hard.Term:
 		v.refuseOld(m)
 		return
--- a/voter/message.go
+++ b/voter/message.go
@@ -69,6 +69,7 @@
 	MessageChunkReply
 	MessageJoin  // A voter without a vote asks every named voter for admission.
 	MessageBlank // Answers Join: the sender's log is empty.
+	MessageKnown // Answers Join: the sender does not lead and knows these voters.
 )
 
 // Message travels from one voter to another. It may be lost, delayed, repeated and overtaken.
@@ -86,6 +87,8 @@
 	// Reject refuses what was asked; in a Join it tells that the sender was a voter and does not ask for admission.
 	Reject bool
 	Chunk  *Chunk
+	// Voters is set in Known.
+	Voters []ID
 }
 
 // Chunk is a part of a snapshot.
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -35,6 +35,9 @@
 	Self ID
 	// Names are the instances that may be voters, this one included. The first of them founds a new system.
 	Names []string
+	// Open admits voters that are not in Names, which are then those that found the system. A silent voter is removed
+	// when that costs no tolerance of failures.
+	Open bool
 	// New allows this voter to found a system. It does so only after all others of Names showed that they are blank.
 	New  bool
 	Seed uint64
@@ -89,8 +92,10 @@
 	// votes has the answers of this election.
 	votes map[ID]bool
 	// blank has the voters that showed an empty log to this identity.
-	blank    map[string]ID
-	joinAt   cherviltide.Millis
+	blank  map[string]ID
+	joinAt cherviltide.Millis
+	// told has the voters that others named when this one asked for admission.
+	told     []ID
 	incoming *incoming
 
 	// The following belong to the leader.
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,56 @@
+// Package watcher watches whether other agents answer what they are asked.
+package watcher
+
+import (
+	"net/netip"
+
+	"cherviltide.example/cherviltide"
+)
+
+// A candidate is silent when it has left at least silentProbes probes unanswered since silentAfter. One lost datagram is
+// not enough, and the lease of a dead candidate lasts seconds, in which its buckets would open no flow.
+const (
+	silentProbes                    = 3
+	silentAfter  cherviltide.Millis = 200
+	// silenceLimit bounds the number of candidates that are watched.
+	silenceLimit = 1024
+)
+
+// Watcher watches whether candidates answer probes. One goroutine uses it at a time.
+type Watcher struct {
+	open map[netip.AddrPort]unanswered
+}
+
+// New returns a watcher that takes all candidates for alive.
+func New() *Watcher {
+	return &Watcher{open: map[netip.AddrPort]unanswered{}}
+}
+
+type unanswered struct {
+	since cherviltide.Millis
+	count int
+}
+
+// Probed records a probe that the candidate has to answer.
+func (w *Watcher) Probed(to netip.AddrPort, now cherviltide.Millis) {
+	u, ok := w.open[to]
+	if !ok {
+		if len(w.open) >= silenceLimit {
+			clear(w.open)
+		}
+		u.since = now
+	}
+	u.count++
+	w.open[to] = u
+}
+
+// Heard records that the candidate is alive.
+func (w *Watcher) Heard(from netip.AddrPort) {
+	delete(w.open, from)
+}
+
+// Silent reports whether the candidate answers no probes.
+func (w *Watcher) Silent(to netip.AddrPort, now cherviltide.Millis) bool {
+	u, ok := w.open[to]
+	return ok && u.count >= silentProbes && now-u.since >= silentAfter
+}
