Send the packet key to streams that began before the membership log was founded

Cause: a stream sent the key in its first update only. Ruled out: tables that differ between entries (digests were equal), drops at the entries (sent = received).

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -2,6 +2,7 @@
 package distributor
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -129,7 +130,8 @@
 	ticker := time.NewTicker(Heartbeat)
 	defer ticker.Stop()
 	var control []string
-	for first, heartbeat := true, true; ; first = false {
+	var key []byte
+	for heartbeat := true; ; {
 		state, changed := d.current()
 		if err := state.refuses(d.now(), &held); err != nil {
 			return err
@@ -138,8 +140,8 @@
 		if err != nil {
 			return err
 		}
-		if first {
-			u.Key = state.Key
+		if !bytes.Equal(key, state.Key) {
+			key, u.Key = state.Key, state.Key
 		}
 		if !slices.Equal(control, state.Control) {
 			control, u.Control = state.Control, state.Control
--- a/messenger/follow.go
+++ b/messenger/follow.go
@@ -35,7 +35,7 @@
 	Rules *RulesUpdate `cbor:"7,keyasint,omitempty"`
 	// Control has the base URLs of the control instances; it is empty when they are the same as in the update before.
 	Control []string `cbor:"8,keyasint,omitempty"`
-	// Key is the packet key of the membership log, in the first update of a stream.
+	// Key is the packet key of the membership log; it is empty when it is the same as in the update before.
 	Key []byte `cbor:"9,keyasint,omitempty"`
 }
 
--- a/relayer/core.go
+++ b/relayer/core.go
@@ -101,7 +101,7 @@
 // NewCore returns the decisions of an agent that starts now.
 func NewCore(limits Limits, now cherviltide.Millis) *Core {
 	return &Core{
-		limits: limits, started: now, flows: map[cherviltide.FlowKey]*flow{}, notes: newNotes(), peers: watcher.New(),
+		limits: limits, started: now, target: Target{Older: true}, flows: map[cherviltide.FlowKey]*flow{}, notes: newNotes(), peers: watcher.New(),
 	}
 }
 
@@ -169,7 +169,7 @@
 		}
 		return step
 	}
-	if c.unsure(x.Now) && c.notes.get(key, x.Now).kind != noteDenied {
+	if n := c.notes.get(key, x.Now); c.unsure(x.Now) && !n.denied && n.kind == noteNone {
 		return Step{Action: ActionDeliver, Reason: ReasonUnsure, Token: c.tokens.issue(a)}
 	}
 	return c.search(x, a)
@@ -355,7 +355,7 @@
 		c.fullUntil = x.Now + fullPause
 		step = c.refused(x, a)
 	} else {
-		c.notes.set(key, note{kind: noteDenied}, x.Now)
+		c.notes.deny(key, x.Now)
 		step = c.search(x, a)
 	}
 	step.Restore = true
--- a/relayer/notes.go
+++ b/relayer/notes.go
@@ -20,7 +20,6 @@
 	noteNone    noteKind = iota
 	noteHeld             // Another agent said that it holds the flow.
 	noteOffered          // The flow was offered to another agent.
-	noteDenied           // The target does not hold the flow.
 )
 
 // note is what an agent remembers about a flow that it does not hold.
@@ -29,7 +28,9 @@
 	to   netip.AddrPort
 	// turn is the number of the offer.
 	turn int
-	used cherviltide.Millis
+	// denied is true when the target does not hold the flow.
+	denied bool
+	used   cherviltide.Millis
 }
 
 // notes is a bounded set of notes that end when they are not used.
@@ -60,6 +61,13 @@
 	n.byFlow[key] = x
 }
 
+// deny notes that the target does not hold a flow, beside what is known of other agents.
+func (n *notes) deny(key cherviltide.FlowKey, now cherviltide.Millis) {
+	x := n.get(key, now)
+	x.denied = true
+	n.set(key, x, now)
+}
+
 func (n *notes) forget(key cherviltide.FlowKey) {
 	delete(n.byFlow, key)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -199,6 +199,9 @@
 // act carries out a decision. datagram is the packet with room for a header before it.
 func (r *Relayer) act(x Context, step Step, key cherviltide.FlowKey, p cherviltide.Packet, datagram, packet []byte) {
 	r.byReason[step.Reason].Add(1)
+	if step.Reason != ReasonHeld && step.Reason != ReasonTarget && step.Reason != ReasonNotice {
+		r.log(x, step, key, p)
+	}
 	switch step.Action {
 	case ActionDeliver:
 		r.Counters.Delivered.Add(1)
@@ -213,13 +216,11 @@
 		r.send(r.data, datagram, step.To)
 	case ActionRefuse:
 		r.Counters.Refused.Add(1)
-		r.log(x, step, key, p)
 		reset := r.config.Codec.AppendReset(nil, key, step.Sequence)
 		r.send(r.data, reset, netip.AddrPortFrom(key.Caller.Addr(), r.config.CallerPort))
 	case ActionDrop:
 		if step.Reason != ReasonNotice {
 			r.Counters.Dropped.Add(1)
-			r.log(x, step, key, p)
 		}
 	}
 	if step.Notify.IsValid() {
@@ -245,7 +246,8 @@
 func (r *Relayer) log(x Context, step Step, key cherviltide.FlowKey, p cherviltide.Packet) {
 	r.config.Log.Info("PacketDecided", zap.Stringer("Reason", step.Reason), zap.Stringer("Caller", key.Caller),
 		zap.Stringer("Virtual", key.Virtual), zap.Uint32("Sequence", p.Sequence), zap.Uint32("Copy", p.Copy),
-		zap.Bool("Opens", p.Opens()), zap.Uint64("Revision", x.Revision), zap.Uint64("Generation", x.Table.Generation()))
+		zap.Uint32("Acknowledgement", p.Acknowledgement), zap.Bool("Opens", p.Opens()), zap.Stringer("To", step.To),
+		zap.Uint8("Flags", uint8(step.Header.Flags)), zap.Uint64("Revision", x.Revision), zap.Uint64("Generation", x.Table.Generation()))
 }
 
 // expire forgets flows until ctx ends.
