--- a/controller/peers.go
+++ b/controller/peers.go
@@ -101,6 +101,15 @@
 	return ""
 }
 
+// Learn names further control instances that may know the leaders, after a change of the settings.
+func (c *Controller) Learn(ctx context.Context, names []string) error {
+	return c.do(ctx, func() {
+		for _, g := range c.groups {
+			g.voter.Learn(names)
+		}
+	})
+}
+
 // controlURLs returns the base URLs of the voters of the configuration, this instance included.
 func (c *Controller) controlURLs() []string {
 	var list []string
--- a/voter/admission.go
+++ b/voter/admission.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// Learn adds instances to ask for admission, beside those of the configuration.
+func (v *Voter) Learn(names []string) {
+	for _, name := range names {
+		id := ID{Name: name}
+		if !slices.Contains(v.told, id) {
+			v.told = append(v.told, id)
+		}
+	}
+}
+
 // askNames returns the other instances that may know the leader.
 func (v *Voter) askNames() []string {
 	names := slices.Clone(v.config.Names)
