--- a/controller/controller.go
+++ b/controller/controller.go
@@ -232,7 +232,8 @@
 	monotonic := cherviltide.MillisOf(time.Since(c.started))
 	c.configuration.voter.Tick(monotonic)
 	c.membership.voter.Tick(monotonic)
-	if monotonic >= c.leasesAt {
+	turned := c.members.log.Leads() != c.tracker.Leads() || c.members.log.Current() == c.members.stale
+	if turned || monotonic >= c.leasesAt {
 		c.leasesAt = monotonic + leaseInterval
 		c.tickMembers()
 	}
