Count a flow as work only while a request may come, and compare queues in offers

Cause: flows whose callers had given up before their first request counted as work of the target until the idle limit, so agents offered new flows to each other for 15 s after a loss of power. Change: an opened flow without a request stops counting after 500 ms; an offer tells the length of the queue and is accepted by an agent with a shorter one.

--- a/relayer/core.go
+++ b/relayer/core.go
@@ -21,6 +21,9 @@
 	linger cherviltide.Millis = 4_000
 	// openLimit is how long a flow may stay unanswered by the target; callers give up before.
 	openLimit cherviltide.Millis = 2_000
+	// askLimit is how long an opened flow counts as work of the target without a request. Callers send one at once; those
+	// that have given up send none.
+	askLimit cherviltide.Millis = 500
 	// silentAfter is how long the target, on the same machine, may leave all packets unanswered before new flows go
 	// elsewhere. It is shorter than the time to the caller's first copy.
 	silentAfter cherviltide.Millis = 120
@@ -369,6 +372,9 @@
 		idle = defaultIdle
 	}
 	for key, f := range c.flows {
+		if !f.asked && x.Now-f.began > askLimit {
+			c.idle(f)
+		}
 		switch {
 		case f.ended != 0 && x.Now-f.ended > linger,
 			!f.answered && x.Now-f.began > openLimit,
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -5,9 +5,28 @@
 	"cherviltide.example/cherviltide/framer"
 )
 
-// must marks an offer by an agent that cannot serve the flow itself, in the position of the header. The other bits number
-// the offer.
-const must = 128
+// The position in the header of an offer has the number of the offer, how many flows wait for a slot at the offering agent,
+// and whether that agent cannot serve the flow itself.
+const (
+	turnMask   = 3
+	queueShift = 2
+	maxQueue   = 31
+	must       = 128
+)
+
+// offerPosition returns the position of an offer.
+func (c *Core) offerPosition(x Context, turn int) uint8 {
+	position := uint8(turn&turnMask) | uint8(min(c.queue(), maxQueue))<<queueShift
+	if !c.able(x.Now) {
+		position |= must
+	}
+	return position
+}
+
+// offeredQueue returns how many flows wait for a slot at the agent that offers.
+func offeredQueue(position uint8) int {
+	return int(position&^must) >> queueShift
+}
 
 // opening decides about a packet that opens a flow.
 func (c *Core) opening(x Context, a Arrival) Step {
@@ -61,7 +80,7 @@
 	}
 	for _, to := range c.spares(x, a) {
 		if turn--; turn < 0 {
-			return c.offer(x, a, to, able)
+			return c.offer(x, a, to)
 		}
 	}
 	if able || (c.target.Reluctant && !c.silent(x.Now) && x.Now >= c.fullUntil) {
@@ -98,6 +117,11 @@
 	return c.load.active < c.target.Slots
 }
 
+// queue returns how many flows wait for a slot, the next one included.
+func (c *Core) queue() int {
+	return max(c.load.active+1-c.target.Slots, 0)
+}
+
 // open delivers a packet that opens a flow.
 func (c *Core) open(x Context, a Arrival) Step {
 	opened, ok := x.Table.OpenedAt(a.Header.Flow, x.Self)
@@ -142,7 +166,7 @@
 }
 
 // offer passes a new flow to another agent and notes it, so that copies go there too.
-func (c *Core) offer(x Context, a Arrival, to cherviltide.Member, able bool) Step {
+func (c *Core) offer(x Context, a Arrival, to cherviltide.Member) Step {
 	turn := 0
 	for i, m := range c.chain {
 		if m.Name == to.Name {
@@ -150,29 +174,18 @@
 		}
 	}
 	c.notes.set(a.Header.Flow, note{kind: noteOffered, to: to.Address, turn: turn}, x.Now)
-	position := uint8(turn)
-	if !able {
-		position |= must
-	}
 	c.peers.Probed(to.Address, x.Now)
-	return c.pass(x, a, to.Address, framer.FlagOffered, position, ReasonOffered)
-}
-
-// offerPosition returns the position of an offer that is repeated.
-func (c *Core) offerPosition(x Context, turn int) uint8 {
-	if c.able(x.Now) {
-		return uint8(turn)
-	}
-	return uint8(turn) | must
+	return c.pass(x, a, to.Address, framer.FlagOffered, c.offerPosition(x, turn), ReasonOffered)
 }
 
 // offered accepts or declines a new flow that its owner offers. An owner that can serve the flow itself only looks for a
-// free slot.
+// queue that is shorter by more than the flow itself.
 func (c *Core) offered(x Context, a Arrival) Step {
 	if step, ok := c.outdated(x, a); ok {
 		return step
 	}
-	if c.able(x.Now) && (c.free() || a.Header.Position&must != 0) {
+	shorter := c.queue() < offeredQueue(a.Header.Position)-1
+	if c.able(x.Now) && (c.free() || shorter || a.Header.Position&must != 0) {
 		return c.open(x, a)
 	}
 	return c.back(a, framer.FlagDeclined, ReasonDeclined)
@@ -180,7 +193,7 @@
 
 // declined goes on with the next agent.
 func (c *Core) declined(x Context, a Arrival) Step {
-	return c.place(x, a, int(a.Header.Position&^must)+1)
+	return c.place(x, a, int(a.Header.Position&turnMask)+1)
 }
 
 // refused goes on with a new flow that the target has returned.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -24,7 +24,7 @@
 	// socketBuffer is the receive and send buffer of each socket, in bytes.
 	socketBuffer = 1 << 20
 	// expireInterval is the time between two searches for flows that have ended.
-	expireInterval = time.Second
+	expireInterval = 250 * time.Millisecond
 	// errorPause keeps a receiver whose socket fails repeatedly from using a whole core.
 	errorPause = 10 * time.Millisecond
 )
