--- a/controller/error.go
+++ b/controller/error.go
@@ -19,6 +19,8 @@
 var (
 	errRemoved    = errors.New("another identity has taken the place of this one")
 	errLost       = errors.New("the entry was lost when the leader changed")
+	errNoInstance = errors.New("no control instance with a disk answered")
+	errDelegate   = errors.New("this control instance has no disk and follows others itself")
 	errGroup      = errors.New("there is no such group")
 	errNoMajority = errors.New("this instance has no majority of the control instances, nothing was accepted")
 	errUnknown    = errors.New("no majority answered in time; send the edit again with the same edit ID")
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -96,6 +96,11 @@
 	return *f.member.Load()
 }
 
+// Keepers returns the base URLs of the control instances with a disk that control has named.
+func (f *Follower) Keepers() []string {
+	return f.control.named()
+}
+
 // Leaving reports whether the process has asked to receive nothing new.
 func (f *Follower) Leaving() bool {
 	return f.leaving.Load()
@@ -138,6 +143,11 @@
 		if time.Since(started) > 2*silence.Duration() {
 			waits.reset()
 		}
+		if f.control.changed() {
+			// The instance named others to follow.
+			waits.reset()
+			attempt = -1
+		}
 		wait := waits.next(retryAfter(err))
 		f.config.Log.Info("ControlStreamEnded", zap.String("Control", base), zap.Error(err),
 			zap.Int64("WaitMs", int64(wait)))
--- a/follower/instances.go
+++ b/follower/instances.go
@@ -12,6 +12,8 @@
 	mu         sync.Mutex
 	// learned are those that control named last, with those that it named before behind them.
 	learned []string
+	// fresh is true after an instance was named that was not known.
+	fresh bool
 }
 
 // maxLearned bounds the instances that are remembered.
@@ -21,6 +23,7 @@
 func (s *instances) learn(urls []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.fresh = s.fresh || slices.ContainsFunc(urls, func(u string) bool { return !slices.Contains(s.learned, u) })
 	list := slices.Clone(urls)
 	for _, u := range s.learned {
 		if !slices.Contains(list, u) && len(list) < maxLearned {
@@ -30,11 +33,25 @@
 	s.learned = list
 }
 
+// changed reports whether an instance was named since the last call that was not known before.
+func (s *instances) changed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fresh := s.fresh
+	s.fresh = false
+	return fresh
+}
+
+// named returns the instances that control named.
+func (s *instances) named() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.learned)
+}
+
 // list returns all known instances, the learned ones first.
 func (s *instances) list() []string {
-	s.mu.Lock()
-	list := slices.Clone(s.learned)
-	s.mu.Unlock()
+	list := s.named()
 	for _, u := range s.configured() {
 		if !slices.Contains(list, u) {
 			list = append(list, u)
--- a/voter/admission.go
+++ b/voter/admission.go
@@ -22,7 +22,11 @@
 // nowhere until then, because candidates count identities and not names. An identity that was a voter asks only to
 // learn of its removal.
 func (v *Voter) seekAdmission() {
-	if v.removed || v.isVoter(v.config.Self) || v.now < v.joinAt {
+	if v.removed || v.now < v.joinAt {
+		return
+	}
+	if v.isVoter(v.config.Self) {
+		v.greet()
 		return
 	}
 	v.joinAt = v.now + Heartbeat
@@ -38,9 +42,36 @@
 // Learn adds instances to ask for admission, beside those of the configuration.
 func (v *Voter) Learn(names []string) {
 	for _, name := range names {
-		id := ID{Name: name}
-		if !slices.Contains(v.told, id) {
+		v.learn([]ID{{Name: name}})
+	}
+}
+
+// maxTold bounds the instances that are remembered.
+const maxTold = 64
+
+func (v *Voter) learn(ids []ID) {
+	for _, id := range ids {
+		id = ID{Name: id.Name}
+		if id.Name != v.config.Self.Name && !slices.Contains(v.told, id) && len(v.told) < maxTold {
 			v.told = append(v.told, id)
+			v.learntAt = v.now
+		}
+	}
+}
+
+// greetInterval is the time between two greetings.
+const greetInterval cherviltide.Millis = 300
+
+// greet shows a voter of an open group to the known instances that are no voters. One without a disk learns by it where
+// the voters are.
+func (v *Voter) greet() {
+	v.joinAt = v.now + greetInterval
+	if !v.config.Open {
+		return
+	}
+	for _, name := range v.askNames() {
+		if !slices.ContainsFunc(v.log.voters().ids, func(id ID) bool { return id.Name == name }) {
+			v.promise(Message{Type: MessageJoin, To: ID{Name: name}, Reject: true})
 		}
 	}
 }
@@ -64,11 +95,28 @@
 }
 
 // mayFound reports whether this voter may start a new system: every other named instance must have shown to this
-// identity that its log is empty. A wiped founder thus never starts a second system beside the first.
+// identity that its log is empty. A wiped founder thus never starts a second system beside the first. In an open group the
+// founder is the first of all known instances with a disk, and waits until no further one has shown up for a while.
 func (v *Voter) mayFound() bool {
-	return v.config.New && v.isBlank() && v.config.Names[0] == v.config.Self.Name && len(v.blank) == len(v.config.Names)-1
+	if !v.config.New || !v.isBlank() {
+		return false
+	}
+	if !v.config.Open {
+		return v.config.Names[0] == v.config.Self.Name && len(v.blank) == len(v.config.Names)-1
+	}
+	for _, name := range v.askNames() {
+		_, blank := v.blank[name]
+		if !v.diskless[name] && (!blank || name < v.config.Self.Name) {
+			return false
+		}
+	}
+	return v.now-v.learntAt >= foundingPause
 }
 
+// foundingPause is how long the founder of an open group waits for further instances. All instances of a new system start
+// at about the same time.
+const foundingPause cherviltide.Millis = 500
+
 func (v *Voter) found() {
 	ids := []ID{v.config.Self}
 	for _, id := range v.blank {
@@ -82,11 +130,14 @@
 }
 
 func (v *Voter) onJoin(m Message) {
+	if v.config.Open {
+		v.learn([]ID{{Name: m.From.Name}})
+	}
 	if v.isBlank() {
 		v.promise(Message{Type: MessageBlank, To: m.From})
 		return
 	}
-	if v.role != leader && v.config.Open {
+	if v.role != leader && v.config.Open && !v.isVoter(m.From) {
 		v.promise(Message{Type: MessageKnown, To: m.From, Voters: v.Voters()})
 	}
 	if v.role != leader || !v.mayJoin(m.From.Name) || v.isVoter(m.From) {
@@ -103,7 +154,11 @@
 }
 
 func (v *Voter) onBlank(m Message) {
-	if v.isBlank() && slices.Contains(v.config.Names, m.From.Name) {
+	v.learn(m.Voters)
+	switch {
+	case m.Reject:
+		v.diskless[m.From.Name] = true
+	case v.isBlank() && v.mayJoin(m.From.Name):
 		v.blank[m.From.Name] = m.From
 	}
 }
--- a/voter/election.go
+++ b/voter/election.go
@@ -101,7 +101,7 @@
 		v.onBlank(m)
 		return
 	case m.Type == MessageKnown:
-		v.told = m.Voters
+		v.learn(m.Voters)
 		return
 	case m.Term < v.hard.Term:
 		v.refuseOld(m)
--- a/voter/message.go
+++ b/voter/message.go
@@ -68,7 +68,7 @@
 	MessageChunk
 	MessageChunkReply
 	MessageJoin  // A voter without a vote asks every named voter for admission.
-	MessageBlank // Answers Join: the sender's log is empty.
+	MessageBlank // Answers Join: the sender's log is empty, or with Reject, the sender has no disk for one.
 	MessageKnown // Answers Join: the sender does not lead and knows these voters.
 )
 
@@ -87,7 +87,7 @@
 	// Reject refuses what was asked; in a Join it tells that the sender was a voter and does not ask for admission.
 	Reject bool
 	Chunk  *Chunk
-	// Voters is set in Known.
+	// Voters is set in Known, and in Blank as far as the sender knows others with a disk.
 	Voters []ID
 }
 
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -97,8 +97,11 @@
 	// blank has the voters that showed an empty log to this identity.
 	blank  map[string]ID
 	joinAt cherviltide.Millis
-	// told has the voters that others named when this one asked for admission.
+	// told has the names of instances that others named, learntAt is when the last of them was new. diskless has those
+	// that cannot be voters.
 	told     []ID
+	learntAt cherviltide.Millis
+	diskless map[string]bool
 	incoming *incoming
 
 	// The following belong to the leader.
@@ -126,6 +129,7 @@
 		heard:    -2 * ElectionTimeout,
 		commit:   stored.Snapshot.Index,
 		blank:    map[string]ID{},
+		diskless: map[string]bool{},
 	}
 	v.disk.durable = v.log.last()
 	if v.snapshot.Index > 0 {
