--- a/holder/decision.go
+++ b/holder/decision.go
@@ -85,6 +85,11 @@
 	}
 	switch s.Header.Flags {
 	case framer.FlagOffered:
+		if owner(s, chain) && s.Note.Kind == NoteProber && s.Note.Generation == s.Table.Generation() {
+			// Another agent began to search under the same table before this one had it, and may open the flow. The
+			// walk asks that agent, whose note then keeps it from doing so.
+			return walk(s, chain, 1)
+		}
 		return offered(s)
 	case framer.FlagDeclined:
 		return declined(s, chain)
@@ -110,9 +115,14 @@
 // probed returns a datagram to the agent that searches for the holder. Under an equal or newer table that agent may open
 // the flow, so later datagrams that arrive here go to it instead of starting a second search.
 func probed(s Situation) Step {
+	if s.Note.Kind == NoteOffered && s.Note.To != s.Sender && s.Opening {
+		// The agent that was offered the flow may be opening it, so the prober must not. The datagram follows the offer.
+		step := offer(s.Note.To)
+		step.Notify = true
+		return step
+	}
 	step := Step{Action: ActionReturn, Flags: framer.FlagReturned, Position: s.Header.Position}
-	newer := s.Note.Kind == NoteProber && s.Note.Generation > s.Header.Generation
-	if s.Header.Generation >= s.Table.Generation() && !newer {
+	if s.Header.Generation >= s.Table.Generation() && !outranked(s) {
 		step.Note = Note{
 			Kind: NoteProber, To: s.Sender, Generation: s.Header.Generation,
 			Declined: s.Note.Declined && s.Note.To == s.Sender,
@@ -121,6 +131,28 @@
 	return step
 }
 
+// outranked reports whether the note of another prober stays in spite of a probe: the one with the newer table, then the
+// owner, then the lower address may open the flow.
+func outranked(s Situation) bool {
+	if s.Note.Kind != NoteProber || s.Note.Generation < s.Header.Generation {
+		return false
+	}
+	if s.Note.Generation > s.Header.Generation {
+		return true
+	}
+	if s.Note.Generation == s.Table.Generation() {
+		if chain := s.Table.Chain(nil, s.Header.Flow); len(chain) > 0 {
+			switch chain[0].Address {
+			case s.Note.To:
+				return true
+			case s.Sender:
+				return false
+			}
+		}
+	}
+	return s.Note.To.Compare(s.Sender) < 0
+}
+
 // deflects reports whether another agent has searched for the flow's holder under a table that is not older than this
 // agent's, so that this agent must not open the flow. Between equal tables the owner takes the flow, then the lower
 // address. The note is void once this agent's table is newer, since the two could then send the flow to each other.
@@ -164,7 +196,9 @@
 // declined opens a flow that the second did not accept, provided that this agent is still the owner.
 func declined(s Situation, chain []cherviltide.Member) Step {
 	if !owner(s, chain) {
-		return fresh(s, chain)
+		step := fresh(s, chain)
+		step.Forget = true
+		return step
 	}
 	return open(s, chain, false)
 }
--- a/holder/receive.go
+++ b/holder/receive.go
@@ -86,6 +86,9 @@
 		if step.Flags == framer.FlagProbe && step.Position > 0 {
 			h.silence.Probed(step.To, a.now)
 		}
+		if step.Notify {
+			h.notify(a)
+		}
 		h.send(a, step, a.table.Generation(), step.To)
 		return nil, nil
 	case ActionReturn:
