--- a/relayer/core.go
+++ b/relayer/core.go
@@ -49,6 +49,8 @@
 type Limits struct {
 	// MaxAge is how long a flow may last at most.
 	MaxAge cherviltide.Millis
+	// OldRules is how long new flows are still opened with rules older than some that were used here.
+	OldRules cherviltide.Millis
 }
 
 // Target is what the target says of itself.
@@ -101,8 +103,9 @@
 	// generation is that of the last table, changed when it was first seen.
 	generation uint64
 	changed    cherviltide.Millis
-	// revision is the highest revision of rules that a flow was opened with here.
-	revision uint64
+	// revision is the highest revision of rules that a flow was opened with here, revisedAt is since when.
+	revision  uint64
+	revisedAt cherviltide.Millis
 	// declared is the highest generation before which the agent has said that it holds no flow.
 	declared uint64
 	chain    []cherviltide.Member
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -96,12 +96,12 @@
 }
 
 // outdated returns the step for a new flow that the rules do not send here. The newer rules of the entry and this agent
-// decide; when a flow was opened here with rules newer than both, neither can tell.
+// decide; some time after a flow was opened here with rules newer than both, neither may.
 func (c *Core) outdated(x Context, a Arrival) (Step, bool) {
 	switch {
 	case x.Revision >= a.Header.Revision && !x.Allows(a.Header.Flow.Virtual):
 		return Step{Reason: ReasonNoRoute}, true
-	case max(x.Revision, a.Header.Revision) < c.revision:
+	case max(x.Revision, a.Header.Revision) < c.revision && x.Now-c.revisedAt > c.limits.OldRules:
 		return Step{Reason: ReasonOldRules}, true
 	}
 	return Step{}, false
@@ -133,7 +133,9 @@
 	if !ok || opened < c.declared {
 		opened = x.Table.Generation()
 	}
-	c.revision = max(c.revision, x.Revision, a.Header.Revision)
+	if revision := max(x.Revision, a.Header.Revision); revision > c.revision {
+		c.revision, c.revisedAt = revision, x.Now
+	}
 	c.flows[a.Header.Flow] = &flow{
 		callerSequence: a.Packet.Sequence, opened: opened, began: x.Now, last: x.Now, busy: true,
 	}
--- a/supervisor/drain.go
+++ b/supervisor/drain.go
@@ -2,16 +2,18 @@
 
 import "cherviltide.example/cherviltide"
 
-// Times of a planned stop, counted from the signal.
-const (
-	// leaveGrace is how long a stopping process goes on taking work, so that others hear that it leaves. Together with
-	// the way of the announcement it stays below 3 s.
-	leaveGrace cherviltide.Millis = 2_000
-	// quietTime is how long a stopping entry must have forwarded nothing before it ends.
-	quietTime cherviltide.Millis = 1_000
-	// drainLimit is when a stopping entry ends although others still send to it.
-	drainLimit cherviltide.Millis = 8_000
-)
+// Pace has the times of a planned stop, counted from the signal.
+type Pace struct {
+	// Grace is how long a stopping process goes on taking work, so that others hear that it leaves.
+	Grace cherviltide.Millis
+	// Quiet is how long others must have left it alone before it ends.
+	Quiet cherviltide.Millis
+	// Limit is when it ends although others still rely on it.
+	Limit cherviltide.Millis
+}
+
+// DefaultPace keeps the grace and the way of the announcement together below 3 s.
+var DefaultPace = Pace{Grace: 2_000, Quiet: 1_000, Limit: 8_000}
 
 // drain decides when a stopping process takes nothing any more.
 type drain struct {
@@ -20,15 +22,15 @@
 	// changed is when activity was last seen to grow.
 	changed  cherviltide.Millis
 	activity uint64
-	limit    cherviltide.Millis
+	pace     Pace
 }
 
-// newDrain returns the decision for a process that was told to stop at the given time. A limit of 0 means the default.
-func newDrain(now cherviltide.Millis, activity uint64, limit cherviltide.Millis) *drain {
-	if limit <= 0 {
-		limit = drainLimit
+// newDrain returns the decision for a process that was told to stop at the given time.
+func newDrain(now cherviltide.Millis, activity uint64, pace Pace) *drain {
+	if pace == (Pace{}) {
+		pace = DefaultPace
 	}
-	return &drain{since: now, changed: now, activity: activity, limit: limit}
+	return &drain{since: now, changed: now, activity: activity, pace: pace}
 }
 
 // done reports whether the process may stop, given a count that grows with each datagram.
@@ -37,5 +39,5 @@
 		d.activity, d.changed = activity, now
 	}
 	stopping := now - d.since
-	return stopping >= d.limit || (stopping >= leaveGrace && now-d.changed >= quietTime)
+	return stopping >= d.pace.Limit || (stopping >= d.pace.Grace && now-d.changed >= d.pace.Quiet)
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -28,8 +28,8 @@
 	Support []func(context.Context) error
 	// Activity counts datagrams of others that still rely on the process; nil counts none.
 	Activity func() uint64
-	// Limit is when a stopping process ends although others still rely on it; 0 means the default.
-	Limit cherviltide.Millis
+	// Pace tells how long a stopping process goes on; the zero value means DefaultPace.
+	Pace Pace
 	// Restarts is true when the member goes on and only its process ends for a while. It is then paused instead of ended.
 	Restarts bool
 }
@@ -94,7 +94,7 @@
 	elapsed := func() cherviltide.Millis { return cherviltide.MillisOf(time.Since(started)) }
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	for d := newDrain(elapsed(), activity(), w.Limit); !d.done(elapsed(), activity()); {
+	for d := newDrain(elapsed(), activity(), w.Pace); !d.done(elapsed(), activity()); {
 		select {
 		case <-serveCtx.Done():
 			return nil
--- a/voter/disk.go
+++ b/voter/disk.go
@@ -12,6 +12,8 @@
 	installing bool
 	// issued and stored are the sequences of the newest write and of the newest completed one.
 	issued, stored uint64
+	// issuedAt is when the newest write was issued.
+	issuedAt cherviltide.Millis
 	// last is the newest index that the running write makes durable.
 	last uint64
 	// durable is the newest index up to which memory and disk agree.
@@ -25,6 +27,15 @@
 	message Message
 }
 
+// diskLimit is how long a write may take before the voter gives up what depends on its disk. It is several times a slow sync.
+const diskLimit cherviltide.Millis = 500
+
+// stalled reports whether the disk leaves a write unanswered. The voter then learns nothing new: it does not lead, and
+// what it has applied falls behind.
+func (d *disk) stalled(now cherviltide.Millis) bool {
+	return d.issued > d.stored && now-d.issuedAt > diskLimit
+}
+
 func (d *disk) dirty() bool {
 	return d.hard || d.from > 0 || d.snapshot
 }
@@ -81,6 +92,7 @@
 		return
 	}
 	d.issued++
+	d.issuedAt = v.now
 	w := &Write{Sequence: d.issued, Hard: v.hard}
 	d.last = d.durable
 	switch {
--- a/voter/election.go
+++ b/voter/election.go
@@ -15,7 +15,7 @@
 }
 
 func (v *Voter) mayCampaign() bool {
-	return v.isVoter(v.config.Self) && !v.removed && !v.disk.installing
+	return v.isVoter(v.config.Self) && !v.removed && !v.disk.installing && !v.disk.stalled(v.now)
 }
 
 // follow gives up every other role. A newer term voids the promises of the older one.
--- a/voter/leader.go
+++ b/voter/leader.go
@@ -118,7 +118,7 @@
 		p := v.peers[id]
 		return id == v.config.Self || (p != nil && v.now-p.heard < ElectionTimeout)
 	})
-	if !reached && !v.config.off.checkQuorum {
+	if (!reached && !v.config.off.checkQuorum) || v.disk.stalled(v.now) {
 		v.follow(v.hard.Term, ID{})
 		return
 	}
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -181,9 +181,10 @@
 	return v.hard.Term, v.role == leader && v.failed == nil
 }
 
-// Current reports whether this voter leads, or has heard from a leader within the longest election timeout.
+// Current reports whether this voter leads, or has heard from a leader within the longest election timeout, and can store
+// what it hears.
 func (v *Voter) Current() bool {
-	return v.failed == nil && (v.role == leader || v.now-v.heard < 2*ElectionTimeout)
+	return v.failed == nil && !v.disk.stalled(v.now) && (v.role == leader || v.now-v.heard < 2*ElectionTimeout)
 }
 
 // Applied returns the index of the last entry that Take has returned.
