Write the log through a bounded queue to the standard output, and show latency histograms

A reader that stops no longer delays a process; lines that are left out are counted by cause. Each new flow has a line at the entry and at the agent with the same flow ID, the inputs of the decision, their revisions and the load.

--- a/commands/agent.go
+++ b/commands/agent.go
@@ -15,6 +15,7 @@
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/holder"
 	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/logger"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/proxier"
 	"cherviltide.example/cherviltide/reporter"
@@ -31,7 +32,7 @@
 	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
-func (c *agentCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
+func (c *agentCommand) run(ctx context.Context, _ io.Writer, log *logger.Log) error {
 	var s loader.Agent
 	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
@@ -48,13 +49,13 @@
 }
 
 // runAgent serves until ctx ends, and then finishes the requests in progress.
-func runAgent(ctx context.Context, s loader.Agent, key [16]byte, callers *tls.Config, log *zap.Logger) error {
+func runAgent(ctx context.Context, s loader.Agent, key [16]byte, callers *tls.Config, log *logger.Log) error {
 	member := newMember(s.Process, cherviltide.RoleAgent, s.Service, s.Data, s.Peer)
 	system := clock.NewSystem()
 	slots := admitter.New(admitter.Config{Slots: s.Slots}, system)
 	var data *holder.Holder
 	counter := reporter.NewCounter()
-	f, err := newFollower(s.Process, member, s.Service, log, func(r *messenger.AnnounceRequest) {
+	f, err := newFollower(s.Process, member, s.Service, log.Logger, func(r *messenger.AnnounceRequest) {
 		r.RevisionInForce = data.InForce()
 		r.Generation, r.OldestGeneration = data.Generations()
 		r.Rate = rate(slots)
@@ -79,7 +80,7 @@
 		return err
 	}
 	server := proxier.New(proxier.Config{
-		Service: s.Service, Target: s.Target, TLS: callers, Clock: system, Log: log,
+		Service: s.Service, Target: s.Target, TLS: callers, Clock: system, Log: log.Logger,
 		Rules: func() cherviltide.Rules { return f.View().Rules },
 		Slots: slots, Claims: claims, Recorder: counter, ResetKey: loader.ResetKey(key),
 	})
@@ -88,14 +89,14 @@
 		return err
 	}
 	log.Info("AgentStarted", zap.String("Name", s.Name))
-	path, probe := newProbe(s.Process, f, data.InForce)
+	path, probe := newProbe(s.Process, f, data.InForce, log)
 	probe.Counters("Holder", &data.Counters)
 	probe.Metric("Holder.Flows", func() any { return data.Flows() })
 	probe.Metric("Requests", func() any { return counter.Snapshot() })
 	return supervisor.Work{
 		Serve:   path.Watch(func(ctx context.Context) error { return server.Run(ctx, data) }),
 		Support: []func(context.Context) error{path.Watch(data.Run), slots.Run, claims.Run, peers, probe.Run},
-	}.Run(ctx, f, log)
+	}.Run(ctx, f, log.Logger)
 }
 
 // rate is the target's measured service rate in thousandths of a nominal slot; 0 when it is not known.
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -11,12 +11,13 @@
 	"github.com/alexflint/go-arg"
 	"go.uber.org/zap"
 
+	"cherviltide.example/cherviltide/logger"
 	"cherviltide.example/cherviltide/platform"
 )
 
 // command is a subcommand that runs a daemon.
 type command interface {
-	run(ctx context.Context, out io.Writer, log *zap.Logger) error
+	run(ctx context.Context, out io.Writer, log *logger.Log) error
 }
 
 // operatorCommand is a subcommand that does one thing and ends.
@@ -87,12 +88,17 @@
 	if c, ok := subcommand.(operatorCommand); ok {
 		return c.operate(ctx, console)
 	}
-	log, err := newLog()
-	if err != nil {
-		return err
-	}
+	log := logger.New(console.Out)
+	defer log.Close()
 	// Packages without a logger of their own report to the global one.
-	zap.ReplaceGlobals(log)
+	zap.ReplaceGlobals(log.Logger)
+	err := a.daemon(ctx, subcommand, console, log)
+	log.Info("ProcessEnded", zap.Error(err))
+	return err
+}
+
+// daemon runs the daemon of a subcommand until ctx ends.
+func (a arguments) daemon(ctx context.Context, subcommand any, console console, log *logger.Log) error {
 	if c, ok := subcommand.(command); ok {
 		return c.run(ctx, console.Out, log)
 	}
--- a/commands/control.go
+++ b/commands/control.go
@@ -11,6 +11,7 @@
 	"cherviltide.example/cherviltide/controller"
 	"cherviltide.example/cherviltide/journaler"
 	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/logger"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/prober"
 	"cherviltide.example/cherviltide/runner"
@@ -21,7 +22,7 @@
 	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
-func (c *controlCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
+func (c *controlCommand) run(ctx context.Context, _ io.Writer, log *logger.Log) error {
 	var s loader.Control
 	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
@@ -35,7 +36,7 @@
 		return err
 	}
 	config := controller.Config{
-		Name: s.Name, Listen: s.Listen, TLS: server, Clock: clock.NewSystem(), Log: log,
+		Name: s.Name, Listen: s.Listen, TLS: server, Clock: clock.NewSystem(), Log: log.Logger,
 		Data: s.Data, Files: journaler.NewSystem(), New: s.NewSystem,
 		NewClient: func() *http.Client { return messenger.NewClient(client) },
 	}
@@ -49,6 +50,7 @@
 	control := controller.New(config)
 	probe := prober.New(prober.Config{Listen: s.Probe, Ready: control.Ready})
 	control.Measure(probe)
+	log.Measure(probe)
 	group := runner.NewGroup(ctx, 2)
 	group.Go("control", control.Run)
 	group.Go("probe", probe.Run)
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -11,6 +11,7 @@
 	"cherviltide.example/cherviltide/forwarder"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/logger"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/supervisor"
 )
@@ -20,7 +21,7 @@
 	Set      []string `arg:"--set,separate" help:"NAME=VALUE overrides the file and the environment"`
 }
 
-func (c *entryCommand) run(ctx context.Context, _ io.Writer, log *zap.Logger) error {
+func (c *entryCommand) run(ctx context.Context, _ io.Writer, log *logger.Log) error {
 	var s loader.Entry
 	if err := loader.Read(c.Settings, &s, c.Set...); err != nil {
 		return err
@@ -31,18 +32,18 @@
 	}
 	member := newMember(s.Process, cherviltide.RoleEntry, "", s.Internal, netip.AddrPort{})
 	var data *forwarder.Forwarder
-	f, err := newFollower(s.Process, member, "", log, func(r *messenger.AnnounceRequest) { r.RevisionInForce = data.InForce() })
+	f, err := newFollower(s.Process, member, "", log.Logger, func(r *messenger.AnnounceRequest) { r.RevisionInForce = data.InForce() })
 	if err != nil {
 		return err
 	}
 	data, err = forwarder.Listen(forwarder.Config{
-		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View, Log: log,
+		Listen: s.Listen, Ports: ports(s.Ports), Internal: s.Internal, Framer: framer.New(key), View: f.View, Log: log.Logger,
 	})
 	if err != nil {
 		return err
 	}
 	log.Info("EntryStarted", zap.String("Name", s.Name))
-	path, probe := newProbe(s.Process, f, data.InForce)
+	path, probe := newProbe(s.Process, f, data.InForce, log)
 	probe.Counters("Forwarder", &data.Counters)
 	for _, r := range forwarder.Reasons() {
 		probe.Metric("Forwarder.Dropped."+r.String(), func() any { return data.Counters.Dropped(r) })
@@ -51,7 +52,7 @@
 		Serve:    path.Watch(data.Run),
 		Support:  []func(context.Context) error{probe.Run},
 		Activity: func() uint64 { return data.Counters.Forwarded.Load() + data.Counters.Replied.Load() },
-	}.Run(ctx, f, log)
+	}.Run(ctx, f, log.Logger)
 }
 
 func ports(list []loader.Port) []forwarder.Port {
--- a/commands/probe.go
+++ b/commands/probe.go
@@ -4,14 +4,16 @@
 	"cherviltide.example/cherviltide/clock"
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/loader"
+	"cherviltide.example/cherviltide/logger"
 	"cherviltide.example/cherviltide/prober"
 )
 
 // newProbe returns the judge of a data path and the prober that serves its verdict.
-func newProbe(s loader.Process, f *follower.Follower, inForce func() uint64) (*prober.Path, *prober.Prober) {
+func newProbe(s loader.Process, f *follower.Follower, inForce func() uint64, log *logger.Log) (*prober.Path, *prober.Prober) {
 	seen := func() uint64 { return f.View().Rules.Revision }
 	path := &prober.Path{Seen: seen, InForce: inForce, Leaving: f.Leaving, Clock: clock.NewSystem()}
 	p := prober.New(prober.Config{Listen: s.Probe, Ready: path.Ready})
+	log.Measure(p)
 	p.Metric("Rules.RevisionSeen", func() any { return seen() })
 	p.Metric("Rules.RevisionInForce", func() any { return inForce() })
 	p.Metric("Membership.Position", func() any { return f.View().Position })
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -17,6 +17,7 @@
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/parser"
+	"cherviltide.example/cherviltide/prober"
 	"cherviltide.example/cherviltide/registrar"
 	"cherviltide.example/cherviltide/reporter"
 	"cherviltide.example/cherviltide/runner"
@@ -81,6 +82,8 @@
 	origins  origins
 	calls    chan call
 	written  chan written
+	// syncs has the times of disk writes.
+	syncs *prober.Histogram
 	// senders has room for the ends of the goroutines that send to peers.
 	senders chan runner.End
 }
@@ -101,6 +104,7 @@
 		calls:       make(chan call),
 		written:     make(chan written, 2),
 		senders:     make(chan runner.End, 2*maxPeers),
+		syncs:       prober.NewHistogram(),
 	}
 	c.members = newMembers(&memberLog{controller: c})
 	return c
@@ -126,7 +130,7 @@
 		return c.serve(server, listener)
 	})
 	for _, g := range c.groups {
-		group.Go("write", func(ctx context.Context) error { return g.write(ctx, c.written) })
+		group.Go("write", func(ctx context.Context) error { return g.write(ctx, c.written, c.syncs) })
 	}
 	err = group.Wait()
 	for _, g := range c.groups {
--- a/controller/delegate.go
+++ b/controller/delegate.go
@@ -81,6 +81,14 @@
 	return nil
 }
 
+// Ready returns nil while an instance with a disk is known.
+func (d *Delegate) Ready(context.Context) error {
+	if len(d.keepers()) == 0 {
+		return unavailable("controller.Delegate.Ready", errNoInstance)
+	}
+	return nil
+}
+
 // Apply passes an edit on.
 func (d *Delegate) Apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
 	if _, err := d.config.Parse(req.Text); err != nil {
--- a/controller/group.go
+++ b/controller/group.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"time"
 
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/journaler"
+	"cherviltide.example/cherviltide/prober"
 	"cherviltide.example/cherviltide/voter"
 )
 
@@ -241,14 +243,16 @@
 }
 
 // write runs the disk writes of the group, so that the loop never waits for a disk.
-func (g *group) write(ctx context.Context, done chan<- written) error {
+func (g *group) write(ctx context.Context, done chan<- written, syncs *prober.Histogram) error {
 	defer func() { _ = g.journal.Close() }()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case w := <-g.writes:
+			started := time.Now()
 			err := g.journal.Write(w)
+			syncs.Record(cherviltide.MillisOf(time.Since(started)))
 			select {
 			case done <- written{group: g, sequence: w.Sequence, err: err}:
 			case <-ctx.Done():
--- a/controller/ready.go
+++ b/controller/ready.go
@@ -30,7 +30,14 @@
 func (c *Controller) Measure(p *prober.Prober) {
 	p.Metric("Rules.Revision", c.measure(func() any { return c.registrar.Current().Number }))
 	p.Metric("Membership.Position", c.measure(func() any { return c.tracker.Position() }))
-	p.Metric("Membership.Leads", c.measure(func() any { return c.tracker.Leads() }))
+	p.Metric("Disk.SyncMs", c.syncs.Value)
+	for name, g := range map[string]func() *group{
+		"Configuration": func() *group { return c.configuration }, "Membership": func() *group { return c.membership },
+	} {
+		p.Metric(name+".Leads", c.measure(func() any { _, leads := g().leads(); return leads }))
+		p.Metric(name+".Unsnapshotted", c.measure(func() any { return g().voter.Unsnapshotted() }))
+		p.Metric(name+".Voters", c.measure(func() any { return len(g().voter.Voters()) }))
+	}
 	p.Metric("Membership.Members", c.measure(func() any {
 		states := map[cherviltide.MemberState]int{}
 		for _, e := range c.tracker.Entries() {
--- a/flow.go
+++ b/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,6 +22,12 @@
 	Virtual netip.AddrPort
 }
 
+// ID returns a short text that names the flow in the logs of all processes. A caller that uses a port again opens another
+// flow with the same ID.
+func (k FlowKey) ID() string {
+	return strconv.FormatUint(k.Hash(), 16)
+}
+
 // Hash returns a 64-bit hash of the key that is the same in every process.
 func (k FlowKey) Hash() uint64 {
 	var b [36]byte
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -13,6 +13,7 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/picker"
 	"cherviltide.example/cherviltide/runner"
 )
 
@@ -174,12 +175,26 @@
 		r.Counters.drop(NoTarget)
 		return
 	}
+	if opens {
+		r.log(header, agent, table, view.Rules.Revision)
+	}
 	header.Stages, header.Changed = uint8(stages), route.Changed
 	header.Service, header.Generation = table.Service().ID, table.Generation()
 	framer.New(view.Key).Encode(datagram, header, len(datagram)-framer.Size)
 	out.add(datagram, agent.Address, netip.Addr{})
 }
 
+// log writes a line about where a new flow goes.
+func (r *Relay) log(header framer.Header, agent cherviltide.Member, table *picker.Table, revision uint64) {
+	line := r.config.Log.Check(zap.InfoLevel, "FlowRouted")
+	if line == nil {
+		return
+	}
+	line.Write(zap.String("Flow", header.Flow.ID()), zap.Stringer("Caller", header.Flow.Caller),
+		zap.Stringer("Virtual", header.Flow.Virtual), zap.String("Service", table.Service().Name), zap.String("Agent", agent.Name),
+		zap.Uint64("Revision", revision), zap.Uint64("Generation", table.Generation()))
+}
+
 // maxStages bounds the services that are tried for a packet.
 const maxStages = 8
 
--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,158 @@
+// Package logger writes the structured log of a process. Lines are bounded in number for each event, and pass through a
+// bounded queue, so that a slow or stopped reader of the output never delays the process.
+package logger
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"cherviltide.example/cherviltide/runner"
+)
+
+// Bounds of the log.
+const (
+	// first is how many lines of one event are written in a second; of those after them every further one of each.
+	first   = 200
+	further = 100
+	// queueSize is the number of lines between the process and the output.
+	queueSize = 4096
+	// gatherTime is how long lines are gathered for one write, so that a busy process makes few system calls.
+	gatherTime = 50 * time.Millisecond
+	// gatherSize ends the gathering, in bytes.
+	gatherSize = 64 << 10
+	// countInterval is the time between two lines about lines that were left out.
+	countInterval = 10 * time.Second
+	// closeTimeout bounds the wait for the output at the end.
+	closeTimeout = 500 * time.Millisecond
+)
+
+// Log is a structured log with its queue.
+type Log struct {
+	*zap.Logger
+	queue chan []byte
+	// sampled counts lines left out because of their number, dropped those that found the queue full.
+	sampled, dropped atomic.Uint64
+	cancel           context.CancelFunc
+	ends             chan runner.End
+	once             sync.Once
+}
+
+// New returns a log that writes JSON lines to out until Close.
+func New(out io.Writer) *Log {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Log{queue: make(chan []byte, queueSize), cancel: cancel, ends: make(chan runner.End, 1)}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), zapcore.AddSync(l), zapcore.InfoLevel)
+	l.Logger = zap.New(zapcore.NewSamplerWithOptions(core, time.Second, first, further, zapcore.SamplerHook(l.count)))
+	runner.Start(ctx, "log", l.ends, func(ctx context.Context) error { return l.run(ctx, out) })
+	return l
+}
+
+func encoding() zapcore.EncoderConfig {
+	config := zap.NewProductionEncoderConfig()
+	config.TimeKey = "Time"
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.LevelKey = "Level"
+	config.MessageKey = "Event"
+	config.NameKey = ""
+	return config
+}
+
+func (l *Log) count(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+	if decision&zapcore.LogDropped != 0 {
+		l.sampled.Add(1)
+	}
+}
+
+// Write queues a line. It never blocks and never fails; a line that finds the queue full is counted.
+func (l *Log) Write(line []byte) (int, error) {
+	select {
+	case l.queue <- append([]byte(nil), line...):
+	default:
+		l.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sampled returns the number of lines that were left out because their event had too many in a second.
+func (l *Log) Sampled() uint64 { return l.sampled.Load() }
+
+// Dropped returns the number of lines that were lost because the output was too slow.
+func (l *Log) Dropped() uint64 { return l.dropped.Load() }
+
+// Measure adds the log's counters to what a process shows.
+func (l *Log) Measure(metrics interface {
+	Metric(name string, value func() any)
+}) {
+	metrics.Metric("Log.Sampled", func() any { return l.Sampled() })
+	metrics.Metric("Log.Dropped", func() any { return l.Dropped() })
+}
+
+// Close writes what is queued and ends the log. It does not wait for an output that takes nothing.
+func (l *Log) Close() {
+	l.once.Do(func() {
+		l.cancel()
+		select {
+		case <-l.ends:
+		case <-time.After(closeTimeout):
+		}
+	})
+}
+
+// run writes gathered lines until ctx ends and the queue is empty.
+func (l *Log) run(ctx context.Context, out io.Writer) error {
+	ticker := time.NewTicker(countInterval)
+	defer ticker.Stop()
+	var sampled, dropped uint64
+	for {
+		select {
+		case line := <-l.queue:
+			if err := write(out, l.gather(ctx, line)); err != nil {
+				return err
+			}
+		case <-ticker.C:
+			if s, d := l.Sampled(), l.Dropped(); s != sampled || d != dropped {
+				l.Warn("LinesLeftOut", zap.Uint64("Sampled", s-sampled), zap.Uint64("Dropped", d-dropped))
+				sampled, dropped = s, d
+			}
+		case <-ctx.Done():
+			return l.flush(out)
+		}
+	}
+}
+
+// gather adds the lines that follow soon.
+func (l *Log) gather(ctx context.Context, lines []byte) []byte {
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
+	for len(lines) < gatherSize {
+		select {
+		case line := <-l.queue:
+			lines = append(lines, line...)
+		case <-timer.C:
+			return lines
+		case <-ctx.Done():
+			return lines
+		}
+	}
+	return lines
+}
+
+// flush writes what is queued.
+func (l *Log) flush(out io.Writer) error {
+	var lines []byte
+	for len(l.queue) > 0 {
+		lines = append(lines, <-l.queue...)
+	}
+	return write(out, lines)
+}
+
+func write(out io.Writer, lines []byte) error {
+	_, err := out.Write(lines)
+	return err
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return &Error{cherviltide.Fault{Op: "prober.Run", Kind: cherviltide.KindInternal, Err: err}}
 	}
-	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -97,8 +97,9 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-// handler leaves out the command line, which expvar's own handler shows and which may hold secrets.
-func (p *Prober) handler() http.Handler {
+// Handler returns what Run serves, for a process that has a server of its own. It leaves out the command line, which
+// expvar's own handler shows and which may hold secrets.
+func (p *Prober) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -57,7 +57,7 @@
 	p.Counters("Forwarder", &counters)
 	get := func(path string) (int, string) {
 		w := httptest.NewRecorder()
-		p.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		p.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
 		return w.Code, w.Body.String()
 	}
 	cases := map[string]struct {
--- a/relayer/core.go
+++ b/relayer/core.go
@@ -150,6 +150,12 @@
 
 // FromPeer decides about a packet of a caller that an entry or another agent sent.
 func (c *Core) FromPeer(x Context, a Arrival) Step {
+	step := c.fromPeer(x, a)
+	step.Active, step.Slots = c.load.active, c.target.Slots
+	return step
+}
+
+func (c *Core) fromPeer(x Context, a Arrival) Step {
 	c.observe(x)
 	if a.Header.Flags != 0 {
 		c.peers.Heard(a.Sender)
@@ -322,19 +328,25 @@
 		f = &flow{learnt: true, answered: true, open: true, began: x.Now}
 		c.flows[key] = f
 	}
+	step := Step{Action: ActionAnswer, Reason: ReasonTarget}
 	if f != nil {
-		c.fromTarget(x, f, p)
+		step.Phase, step.Took = c.fromTarget(x, f, p)
 	}
-	return Step{Action: ActionAnswer, Reason: ReasonTarget}
+	return step
 }
 
-func (c *Core) fromTarget(x Context, f *flow, p cherviltide.Packet) {
+// fromTarget notes a packet of the target and returns the phase that it ends.
+func (c *Core) fromTarget(x Context, f *flow, p cherviltide.Packet) (phase Phase, took cherviltide.Millis) {
 	f.last = x.Now
 	if p.Has(cherviltide.PacketOpen | cherviltide.PacketAck) {
+		if !f.answered {
+			phase, took = PhaseOpening, x.Now-f.began
+		}
 		f.targetSequence, f.answered = p.Sequence, true
 	}
 	if p.Length > 0 && f.requested != 0 {
-		c.load.sample(x.Now - f.requested)
+		phase, took = PhaseWork, x.Now-f.requested
+		c.load.sample(took)
 		f.requested = 0
 	}
 	if p.Has(cherviltide.PacketFinish) {
@@ -348,6 +360,7 @@
 	if f.targetFinish && f.callerFinished && f.ended == 0 {
 		f.ended = x.Now
 	}
+	return phase, took
 }
 
 // returned decides about a packet that the target does not take.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/prober"
 	"cherviltide.example/cherviltide/runner"
 )
 
@@ -66,11 +67,15 @@
 	byReason [reasons]atomic.Uint64
 	inForce  atomic.Uint64
 	Counters Counters
+	// Opening and Work have the times of the phases of flows.
+	Opening, Work *prober.Histogram
 }
 
 // Listen opens the sockets.
 func Listen(config Config) (*Relayer, error) {
-	r := &Relayer{config: config, started: time.Now()}
+	r := &Relayer{
+		config: config, started: time.Now(), Opening: prober.NewHistogram(), Work: prober.NewHistogram(),
+	}
 	r.core = NewCore(config.Limits, 0)
 	var err error
 	if r.data, err = listenUDP(config.Data); err != nil {
@@ -180,7 +185,7 @@
 	r.mu.Lock()
 	step := r.core.FromPeer(x, a)
 	r.mu.Unlock()
-	r.act(x, step, header.Flow, a.Packet, datagram, packet)
+	r.act(x, step, header, a.Packet, datagram, packet)
 }
 
 // fromTarget handles a packet of the target. The room before it takes a header.
@@ -198,16 +203,15 @@
 	if step.Restore {
 		r.config.Codec.Restore(packet)
 	}
-	key := cherviltide.FlowKey{Caller: p.Source, Virtual: p.Destination}
-	r.act(x, step, key, p, buffer[:framer.Size+n], packet)
+	header := framer.Header{Flow: cherviltide.FlowKey{Caller: p.Source, Virtual: p.Destination}}
+	r.act(x, step, header, p, buffer[:framer.Size+n], packet)
 }
 
 // act carries out a decision. datagram is the packet with room for a header before it.
-func (r *Relayer) act(x Context, step Step, key cherviltide.FlowKey, p cherviltide.Packet, datagram, packet []byte) {
+func (r *Relayer) act(x Context, step Step, header framer.Header, p cherviltide.Packet, datagram, packet []byte) {
+	key := header.Flow
 	r.byReason[step.Reason].Add(1)
-	if step.Reason != ReasonHeld && step.Reason != ReasonTarget && step.Reason != ReasonNotice {
-		r.log(x, step, key, p)
-	}
+	r.log(x, step, header, p)
 	switch step.Action {
 	case ActionDeliver:
 		r.Counters.Delivered.Add(1)
@@ -215,6 +219,12 @@
 		r.send(r.outbound, packet, r.config.Target)
 	case ActionAnswer:
 		r.Counters.Answered.Add(1)
+		switch step.Phase {
+		case PhaseOpening:
+			r.Opening.Record(step.Took)
+		case PhaseWork:
+			r.Work.Record(step.Took)
+		}
 		r.send(r.data, packet, netip.AddrPortFrom(p.Destination.Addr(), r.config.CallerPort))
 	case ActionPass:
 		r.Counters.Passed.Add(1)
@@ -249,11 +259,35 @@
 	}
 }
 
-func (r *Relayer) log(x Context, step Step, key cherviltide.FlowKey, p cherviltide.Packet) {
-	r.config.Log.Info("PacketDecided", zap.Stringer("Reason", step.Reason), zap.Stringer("Caller", key.Caller),
-		zap.Stringer("Virtual", key.Virtual), zap.Uint32("Sequence", p.Sequence), zap.Uint32("Copy", p.Copy),
-		zap.Uint32("Acknowledgement", p.Acknowledgement), zap.Bool("Opens", p.Opens()), zap.Stringer("To", step.To),
-		zap.Uint8("Flags", uint8(step.Header.Flags)), zap.Uint64("Revision", x.Revision), zap.Uint64("Generation", x.Table.Generation()))
+// events are the names of the log lines about decisions; other decisions are counted only.
+var events = map[Reason]string{
+	ReasonOpened: "FlowOpened", ReasonOffered: "FlowOffered", ReasonDeclined: "FlowDeclined", ReasonUnavailable: "FlowRefused",
+	ReasonNotOwner: "PacketPassed", ReasonProbed: "PacketPassed", ReasonNotHeld: "PacketPassed", ReasonStage: "PacketPassed",
+	ReasonUnsure: "TargetAsked", ReasonNoHolder: "PacketDropped", ReasonNoRoute: "PacketDropped",
+	ReasonOldRules: "PacketDropped", ReasonForged: "PacketDropped", ReasonGone: "PacketDropped", ReasonHops: "PacketDropped",
+}
+
+// log writes a line about a decision that is not the ordinary way of a packet.
+func (r *Relayer) log(x Context, step Step, header framer.Header, p cherviltide.Packet) {
+	event, ok := events[step.Reason]
+	if !ok {
+		return
+	}
+	line := r.config.Log.Check(zap.InfoLevel, event)
+	if line == nil {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("Flow", header.Flow.ID()), zap.Stringer("Caller", header.Flow.Caller), zap.Stringer("Virtual", header.Flow.Virtual),
+		zap.Uint32("Sequence", p.Sequence), zap.Uint32("Copy", p.Copy), zap.Bool("Opens", p.Opens()),
+		zap.Stringer("Reason", step.Reason), zap.Uint64("Revision", x.Revision), zap.Uint64("SenderRevision", header.Revision),
+		zap.Uint64("Generation", x.Table.Generation()), zap.Uint64("SenderGeneration", header.Generation),
+		zap.Uint8("Hops", header.Hops), zap.Int("Active", step.Active), zap.Int("Slots", step.Slots),
+	}
+	if step.To.IsValid() {
+		fields = append(fields, zap.Stringer("To", step.To))
+	}
+	line.Write(fields...)
 }
 
 // expire forgets flows until ctx ends.
@@ -297,6 +331,13 @@
 	return table.Generation(), r.core.Oldest(r.now(), table.Generation())
 }
 
+// Flows returns the number of flows that the agent remembers.
+func (r *Relayer) Flows() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Flows()
+}
+
 // Load returns the number of flows that the target works on, and the smoothed time of a request in milliseconds, which is
 // 0 when it is not known.
 func (r *Relayer) Load() (active int, workMs float64) {
--- a/relayer/step.go
+++ b/relayer/step.go
@@ -59,6 +59,16 @@
 	return reasonNames[r]
 }
 
+// Phase is a part of a flow's life that is measured.
+type Phase uint8
+
+// The phases.
+const (
+	PhaseNone    Phase = iota
+	PhaseOpening       // From the delivery of the opening packet to the target's answer.
+	PhaseWork          // From the first request to the first byte of its answer, when no request waits.
+)
+
 // Step is what to do with a packet.
 type Step struct {
 	Action Action
@@ -73,6 +83,11 @@
 	Notify netip.AddrPort
 	// Sequence is that of the reset for ActionRefuse.
 	Sequence uint32
+	// Active and Slots are the load of the target when the decision was made, for the log.
+	Active, Slots int
+	// Phase is the phase of the flow that the packet ends, and Took how long it lasted.
+	Phase Phase
+	Took  cherviltide.Millis
 	// Restore is true when the packet was returned by the target and must be turned back into the caller's.
 	Restore bool
 }
