--- a/bench/launcher/process.go
+++ b/bench/launcher/process.go
@@ -20,6 +20,11 @@
 }
 
 func start(folder, name, binary string, args ...string) (*Process, error) {
+	return StartProcess(folder, name, nil, binary, args...)
+}
+
+// StartProcess starts one process with further environment variables. Its output goes to a file in the folder.
+func StartProcess(folder, name string, environment []string, binary string, args ...string) (*Process, error) {
 	path := filepath.Join(folder, name+".log")
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -28,6 +33,7 @@
 	defer func() { _ = file.Close() }()
 	cmd := exec.Command(binary, args...)
 	cmd.Stdout, cmd.Stderr = file, file
+	cmd.Env = append(os.Environ(), environment...)
 	// The child dies with the launcher, so an interrupted demo leaves nothing behind.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
