Let a voter that was removed learn of it although all voters that it knew were replaced

Change: a voter without a leader shows itself to all instances by name, and the leader's log tells it of its removal.

--- a/voter/admission.go
+++ b/voter/admission.go
@@ -63,14 +63,16 @@
 const greetInterval cherviltide.Millis = 300
 
 // greet shows a voter of an open group to the known instances that are no voters. One without a disk learns by it where
-// the voters are.
+// the voters are. A voter without a leader shows itself to all: it may have been removed while the voters that it knows were
+// replaced, and learns of that from the leader only.
 func (v *Voter) greet() {
 	v.joinAt = v.now + greetInterval
 	if !v.config.Open {
 		return
 	}
+	alone := v.role != leader && v.now-v.heard >= 2*ElectionTimeout
 	for _, name := range v.askNames() {
-		if !slices.ContainsFunc(v.log.voters().ids, func(id ID) bool { return id.Name == name }) {
+		if alone || !slices.ContainsFunc(v.log.voters().ids, func(id ID) bool { return id.Name == name }) {
 			v.promise(Message{Type: MessageJoin, To: ID{Name: name}, Reject: true})
 		}
 	}
--- a/voter/schedule_test.go
+++ b/voter/schedule_test.go
@@ -50,7 +50,9 @@
 
 // group is a set of hosts, a network, and what was committed so far.
 type group struct {
-	names        []string
+	names []string
+	// open groups are founded by the first instances; the others join.
+	open         bool
 	off          switches
 	keepIdentity bool
 	random       *rand.Rand
@@ -68,8 +70,15 @@
 	bad     error
 }
 
+// seedCount is the number of instances that all others know at first in an open group.
+const seedCount = 3
+
 func newGroup(seed uint64, size int, off switches, keepIdentity bool) *group {
-	g := &group{off: off, keepIdentity: keepIdentity, random: rand.New(rand.NewPCG(seed, uint64(size))),
+	return foundGroup(&group{off: off, keepIdentity: keepIdentity}, seed, size)
+}
+
+func foundGroup(g *group, seed uint64, size int) *group {
+	*g = group{open: g.open, off: g.off, keepIdentity: g.keepIdentity, random: rand.New(rand.NewPCG(seed, uint64(size))),
 		cuts: map[[2]string]bool{}, leaders: map[uint64]ID{}, next: 1}
 	for i := range size {
 		g.names = append(g.names, fmt.Sprintf("c%d", i+1))
@@ -91,7 +100,11 @@
 func (g *group) start(h *host) {
 	h.applied, h.state, h.reads, h.write = 0, 0, map[uint64]uint64{}, nil
 	h.up, h.frozen = true, false
-	h.voter = New(Config{Self: h.id, Names: g.names, New: true, Seed: g.random.Uint64(), Batch: 200, off: g.off}, h.stored, g.now+h.offset)
+	names := g.names
+	if g.open {
+		names = names[:min(len(names), seedCount)]
+	}
+	h.voter = New(Config{Self: h.id, Names: names, Open: g.open, New: true, Seed: g.random.Uint64(), Batch: 200, off: g.off}, h.stored, g.now+h.offset)
 }
 
 // crash ends a host. What it was writing is lost, in part or not at all.
@@ -413,6 +426,17 @@
 	}
 }
 
+// Guards against the same in groups that are not told who their members are and remove silent voters. Their sizes differ,
+// and instances join while others are lost.
+func TestOpenSchedules(t *testing.T) {
+	for i := range schedules(100) {
+		seed := *firstSeed + uint64(i)
+		g := foundGroup(&group{open: true}, seed, 3+int(seed%4))
+		require.NoError(t, g.harm(1500), "seed %d", seed)
+		require.NoError(t, g.repair(), "seed %d", seed)
+	}
+}
+
 // Guards against a checker that sees nothing: each mechanism is needed, and its absence is found.
 func TestSchedulesFindDisabledMechanisms(t *testing.T) {
 	cases := map[string]struct {
