--- a/controller/group.go
+++ b/controller/group.go
@@ -21,8 +21,10 @@
 	groupMembership    = "Membership"
 )
 
-// snapshotEvery is the number of entries after which the log is replaced by a snapshot.
-const snapshotEvery = 10_000
+// snapshotEvery is the number of entries after which a group's log is replaced by a snapshot. A restarted instance applies
+// what follows its snapshot at once, and neither votes nor answers meanwhile: an event of the membership places all buckets
+// of a service again, which takes milliseconds, and a change of the configuration patches its text.
+var snapshotEvery = map[string]uint64{groupConfiguration: 1_000, groupMembership: 64}
 
 // Voter is a control instance that keeps the logs.
 type Voter struct {
@@ -231,7 +233,7 @@
 }
 
 func (g *group) compact() {
-	if g.voter.Unsnapshotted() < snapshotEvery {
+	if g.voter.Unsnapshotted() < snapshotEvery[g.name] {
 		return
 	}
 	data, err := g.machine.Snapshot()
--- a/controller/members_test.go
+++ b/controller/members_test.go
@@ -89,3 +89,19 @@
 	require.True(t, res.Expelled)
 	require.Equal(t, uint64(5), res.Incarnation)
 }
+
+// TestMembershipSnapshots guards against a restart that applies the whole membership log, which on small machines took so
+// long that leaders were given up one after the other.
+func TestMembershipSnapshots(t *testing.T) {
+	c, ctx := started(t)
+	for i := range 5 * snapshotEvery[groupMembership] {
+		req := &messenger.AnnounceRequest{Member: cherviltide.Member{Name: "entry-1", Role: cherviltide.RoleEntry, Incarnation: i + 1}}
+		_, err := c.announce(ctx, req)
+		require.NoError(t, err)
+		require.NoError(t, c.do(ctx, func() {
+			c.record([]cherviltide.MemberEvent{{Type: cherviltide.EventLeaving, Member: req.Member}})
+			require.LessOrEqual(t, c.membership.voter.Unsnapshotted(), snapshotEvery[groupMembership])
+		}))
+	}
+	require.NoError(t, c.do(ctx, func() { require.Positive(t, c.membership.voter.Applied()-c.membership.voter.Unsnapshotted()) }))
+}
