--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	bin/cherviltide-bench measure $(if $(CASE),--case $(CASE))
 
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./picker ./framer ./forwarder
+	$(GO) test -run '^$$' -bench . -benchmem ./picker ./framer ./forwarder ./relayer ./platform
 
 # KNOWN_RED matches the tests of KNOWN-RED.txt, whose faults are known and not mended yet.
 KNOWN_RED := ^($(shell awk '!/^\#/ && NF {printf "%s%s", sep, $$2; sep="|"}' KNOWN-RED.txt))$$
@@ -38,4 +38,5 @@
 fuzz:
 	$(GO) test ./proxier -run '^$$' -fuzz FuzzMetadata -fuzztime 3s
 	$(GO) test ./framer -run '^$$' -fuzz FuzzDecode -fuzztime 3s
+	$(GO) test ./platform -run '^$$' -fuzz FuzzPacket -fuzztime 3s
 	$(GO) test ./parser -run '^$$' -fuzz FuzzParse -fuzztime 3s
--- a/relayer/core.go
+++ b/relayer/core.go
@@ -63,18 +63,23 @@
 	Older bool
 }
 
+// Rules tell where the rules of a process send new flows.
+type Rules interface {
+	// Allows reports whether new flows of a virtual address may go to this agent's service.
+	Allows(virtual netip.AddrPort) bool
+	// Changed returns since which revision new flows of a virtual address go to the same services.
+	Changed(virtual netip.AddrPort) uint64
+}
+
 // Context is the state of the system that a decision is made with.
 type Context struct {
 	Now cherviltide.Millis
 	// Self is this agent as it announces itself.
 	Self  cherviltide.Member
 	Table *picker.Table
-	// Allows reports whether the rules of this process send new flows of a virtual address here.
-	Allows func(netip.AddrPort) bool
-	// Revision is that of these rules. Changed returns since which revision they send new flows of a virtual address to the
-	// same services.
+	// Rules are those of this process, Revision is theirs.
+	Rules    Rules
 	Revision uint64
-	Changed  func(netip.AddrPort) uint64
 	// Idle is how long a flow may be silent before it may be forgotten; 0 means the default.
 	Idle cherviltide.Millis
 }
--- a/relayer/core_test.go
+++ b/relayer/core_test.go
@@ -50,11 +50,17 @@
 	return cherviltide.FlowKey{}
 }
 
+// rules are the same for all routes.
+type rules struct {
+	allows  bool
+	changed uint64
+}
+
+func (r rules) Allows(netip.AddrPort) bool    { return r.allows }
+func (r rules) Changed(netip.AddrPort) uint64 { return r.changed }
+
 func contextAt(now cherviltide.Millis, self cherviltide.Member, table *picker.Table) Context {
-	return Context{
-		Now: now, Self: self, Table: table, Revision: 1,
-		Allows: func(netip.AddrPort) bool { return true }, Changed: func(netip.AddrPort) uint64 { return 1 },
-	}
+	return Context{Now: now, Self: self, Table: table, Revision: 1, Rules: rules{allows: true, changed: 1}}
 }
 
 func arrival(flow cherviltide.FlowKey, p cherviltide.Packet) Arrival {
@@ -115,9 +121,9 @@
 		"leaving target":      {func(c *Core, _ *Context, _ *Arrival) { c.target.Accepts = false }, ActionPass, ReasonOffered, framer.FlagOffered, true},
 		"silent target":       {func(c *Core, x *Context, _ *Arrival) { c.waiting = 1; x.Now = 1_000 }, ActionPass, ReasonOffered, framer.FlagOffered, true},
 		"target returned one": {func(c *Core, x *Context, _ *Arrival) { c.fullUntil = x.Now + 1 }, ActionPass, ReasonOffered, framer.FlagOffered, true},
-		"route not in rules":  {func(_ *Core, x *Context, _ *Arrival) { x.Allows = func(netip.AddrPort) bool { return false } }, ActionDrop, ReasonNoRoute, 0, false},
+		"route not in rules":  {func(_ *Core, x *Context, _ *Arrival) { x.Rules = rules{} }, ActionDrop, ReasonNoRoute, 0, false},
 		"newer rules at entry": {func(_ *Core, x *Context, a *Arrival) {
-			x.Allows = func(netip.AddrPort) bool { return false }
+			x.Rules = rules{}
 			a.Header.Revision = 2
 		}, ActionDeliver, ReasonOpened, 0, false},
 		"older rules, just now": {func(c *Core, x *Context, _ *Arrival) { c.revision, c.revisedAt = 2, x.Now-100 }, ActionDeliver, ReasonOpened, 0, false},
@@ -461,3 +467,32 @@
 	c.Expire(x)
 	require.EqualValues(t, 900, c.Oldest(x.Now, 900))
 }
+
+// BenchmarkHeld measures the decision about a packet of an open flow.
+func BenchmarkHeld(b *testing.B) {
+	table := tableOf(3)
+	c, x := newCore(), contextAt(10, member(1), table)
+	var flow cherviltide.FlowKey
+	for port := 1024; ; port++ {
+		if m, _ := table.Pick(key(port)); m.Name == member(1).Name {
+			flow = key(port)
+			break
+		}
+	}
+	c.FromPeer(x, syn(flow, 0))
+	c.FromTarget(x, synAck(flow))
+	later := ack(flow, 501)
+	b.ReportAllocs()
+	for b.Loop() {
+		if c.FromPeer(x, later).Action != ActionDeliver {
+			b.Fatal("the flow is not held")
+		}
+	}
+}
+
+// TestHeldAllocatesNothing guards against a packet path that makes work for the collector.
+func TestHeldAllocatesNothing(t *testing.T) {
+	c, flow := opened(t, tableOf(3))
+	x, later := contextAt(20, member(1), tableOf(3)), ack(flow, 501)
+	require.Zero(t, testing.AllocsPerRun(100, func() { c.FromPeer(x, later) }))
+}
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -99,7 +99,7 @@
 // decide; some time after a flow was opened here by a change that is newer than both, neither may.
 func (c *Core) outdated(x Context, a Arrival) (Step, bool) {
 	switch {
-	case x.Revision >= a.Header.Revision && !x.Allows(a.Header.Flow.Virtual):
+	case x.Revision >= a.Header.Revision && !x.Rules.Allows(a.Header.Flow.Virtual):
 		return Step{Reason: ReasonNoRoute}, true
 	case max(x.Revision, a.Header.Revision) < c.revision && x.Now-c.revisedAt > c.limits.OldRules:
 		return Step{Reason: ReasonOldRules}, true
@@ -135,7 +135,7 @@
 	}
 	changed := a.Header.Changed
 	if x.Revision >= a.Header.Revision {
-		changed = x.Changed(a.Header.Flow.Virtual)
+		changed = x.Rules.Changed(a.Header.Flow.Virtual)
 	}
 	if changed > c.revision {
 		c.revision, c.revisedAt = changed, x.Now
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -66,6 +66,8 @@
 	core     *Core
 	byReason [reasons]atomic.Uint64
 	inForce  atomic.Uint64
+	// rules are those of the last view, so that a packet allocates nothing.
+	rules    atomic.Pointer[viewRules]
 	Counters Counters
 	// Opening and Work have the times of the phases of flows.
 	Opening, Work *prober.Histogram
@@ -146,21 +148,37 @@
 		table, ok = picker.New(cherviltide.Service{Name: self.Service, ID: cherviltide.ServiceIDOf(self.Service)}), len(view.Rules.Services) > 0
 	}
 	r.inForce.Store(view.Rules.Revision)
+	rules := r.rules.Load()
+	if rules == nil || rules.view != view || rules.service != self.Service {
+		rules = &viewRules{view: view, service: self.Service}
+		r.rules.Store(rules)
+	}
 	return Context{
-		Now: r.now(), Self: self, Table: table, Revision: view.Rules.Revision, Idle: view.Rules.FlowIdle,
-		Allows: func(virtual netip.AddrPort) bool {
-			route, ok := view.Routes[virtual]
-			return ok && route.Allows(self.Service)
-		},
-		Changed: func(virtual netip.AddrPort) uint64 {
-			if route, ok := view.Routes[virtual]; ok {
-				return route.Changed
-			}
-			return 0
-		},
+		Now: r.now(), Self: self, Table: table, Rules: rules, Revision: view.Rules.Revision, Idle: view.Rules.FlowIdle,
 	}, ok
 }
 
+// viewRules are the rules of a view for one service.
+type viewRules struct {
+	view    *follower.View
+	service string
+}
+
+// Allows reports whether new flows of a virtual address may go to the service.
+func (v *viewRules) Allows(virtual netip.AddrPort) bool {
+	route, ok := v.view.Routes[virtual]
+	return ok && route.Allows(v.service)
+}
+
+// Changed returns since which revision new flows of a virtual address go to the same services.
+func (v *viewRules) Changed(virtual netip.AddrPort) uint64 {
+	route, ok := v.view.Routes[virtual]
+	if !ok {
+		return 0
+	}
+	return route.Changed
+}
+
 // fromPeer handles a datagram of an entry or another agent. The buffer starts with room for a header that is not used.
 func (r *Relayer) fromPeer(buffer []byte, n int, sender netip.AddrPort) {
 	datagram := buffer[framer.Size : framer.Size+n]
