--- /dev/null
+++ b/follower/route_test.go
@@ -0,0 +1,115 @@
+package follower
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/picker"
+)
+
+var routeAddress = netip.MustParseAddrPort("198.18.0.1:443")
+
+// routeRules returns rules with one route to services by shares; a share of 0 takes no new flows.
+func routeRules(revision uint64, shares ...cherviltide.Share) cherviltide.Rules {
+	rules := cherviltide.Rules{Revision: revision, Routes: []cherviltide.Route{{Name: "r", Address: routeAddress, Shares: shares}}}
+	for _, name := range []string{"a", "b", "c"} {
+		rules.Services = append(rules.Services, cherviltide.Service{Name: name, ID: cherviltide.ServiceIDOf(name), Buckets: 8})
+	}
+	return rules
+}
+
+func share(service string, weight uint32) cherviltide.Share {
+	return cherviltide.Share{Service: service, Weight: weight}
+}
+
+func stages(t *testing.T, r *RouteTables, hash uint64) []string {
+	var names []string
+	for i := range r.Stages() {
+		table, ok := r.Stage(hash, i)
+		require.True(t, ok)
+		names = append(names, table.Service().Name)
+	}
+	return names
+}
+
+// TestRouteStages guards against open flows that are lost when the rules send new flows of their route elsewhere, and
+// against new flows that go to a former service.
+func TestRouteStages(t *testing.T) {
+	view := NewView().WithRules(routeRules(1, share("a", 1)))
+	require.Equal(t, []string{"a"}, stages(t, view.Routes[routeAddress], 0))
+	view = view.WithRules(routeRules(2, share("b", 1)))
+	require.Equal(t, []string{"b", "a"}, stages(t, view.Routes[routeAddress], 0))
+	view = view.WithRules(routeRules(3, share("c", 1), share("a", 0)))
+	require.Equal(t, []string{"c", "a", "b"}, stages(t, view.Routes[routeAddress], 0))
+	for hash := range uint64(100) {
+		table, ok := view.Routes[routeAddress].Pick(hash << 32)
+		require.True(t, ok)
+		require.Equal(t, "c", table.Service().Name)
+	}
+	require.True(t, view.Routes[routeAddress].Allows("c"))
+	require.False(t, view.Routes[routeAddress].Allows("a"), "a share of 0")
+	require.False(t, view.Routes[routeAddress].Allows("b"), "a former service")
+	view = view.WithRules(cherviltide.Rules{Revision: 4})
+	require.Empty(t, view.Routes)
+}
+
+// TestRouteShares guards against new flows that do not follow the shares, and against a search that tries a service twice.
+func TestRouteShares(t *testing.T) {
+	view := NewView().WithRules(routeRules(1, share("a", 900), share("b", 100)))
+	route := view.Routes[routeAddress]
+	counts := map[string]int{}
+	for i := range uint64(10_000) {
+		hash := cherviltide.FlowKey{Caller: netip.AddrPortFrom(routeAddress.Addr(), uint16(i)), Virtual: routeAddress}.Hash()
+		table, ok := route.Pick(hash)
+		require.True(t, ok)
+		counts[table.Service().Name]++
+		all := stages(t, route, hash)
+		require.Equal(t, table.Service().Name, all[0])
+		require.ElementsMatch(t, []string{"a", "b"}, all)
+	}
+	require.InDelta(t, 9_000, counts["a"], 200)
+	none := NewView().WithRules(routeRules(1, share("a", 0))).Routes[routeAddress]
+	_, ok := none.Pick(1)
+	require.False(t, ok)
+}
+
+// TestRouteChanged guards against a change of other rules that counts as a change of a route's services.
+func TestRouteChanged(t *testing.T) {
+	changed := func(v *View) uint64 { return v.Routes[routeAddress].Changed }
+	view := NewView().WithRules(routeRules(5, share("a", 1)))
+	require.EqualValues(t, 5, changed(view))
+	next := routeRules(6, share("a", 1))
+	next.Routes[0].Deadline = 900
+	view = view.WithRules(next)
+	require.EqualValues(t, 5, changed(view))
+	view = view.WithRules(routeRules(7, share("b", 1)))
+	require.EqualValues(t, 7, changed(view))
+	view = view.WithEvents([]cherviltide.PlacedEvent{{Position: 9, Event: cherviltide.MemberEvent{
+		Type: cherviltide.EventJoined, Member: cherviltide.Member{Name: "x", Role: cherviltide.RoleAgent, Service: "b", Incarnation: 1, Weight: 1},
+	}}})
+	require.EqualValues(t, 7, changed(view))
+	table, _ := view.Routes[routeAddress].Pick(0)
+	_, ok := table.Pick(cherviltide.FlowKey{})
+	require.True(t, ok, "the route has an old table")
+	require.IsType(t, &picker.Table{}, table)
+}
+
+// TestInstances guards against control instances that are forgotten when the settings or control name others.
+func TestInstances(t *testing.T) {
+	configured := []string{"s1", "s2"}
+	x := instances{configured: func() []string { return configured }}
+	require.Equal(t, []string{"s1", "s2"}, x.list())
+	x.learn([]string{"k1", "s2"})
+	require.True(t, x.changed())
+	require.False(t, x.changed())
+	require.Equal(t, []string{"k1", "s2", "s1"}, x.list())
+	x.learn([]string{"k2"})
+	require.Equal(t, []string{"k2", "k1", "s2", "s1"}, x.list())
+	configured = []string{"s3"}
+	require.Equal(t, []string{"k2", "k1", "s2", "s3"}, x.list())
+	require.Equal(t, []string{"k2", "k1", "s2"}, x.named())
+	require.Equal(t, "k1", x.pick(5))
+}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -55,3 +55,31 @@
 	_, err = r.Result(Edit{ID: "a", Text: "four"})
 	require.ErrorIs(t, err, errReused)
 }
+
+// TestNumberedEdits guards against an older configuration that takes the place of a newer one, also when both were
+// proposed on the same base or a log is read again.
+func TestNumberedEdits(t *testing.T) {
+	r := New()
+	propose := func(number uint64, text string) []byte {
+		entry, err := r.Encode(Edit{ID: text, Base: r.Current().Number, Number: number, Text: text})
+		require.NoError(t, err)
+		return entry
+	}
+	seven, nine := propose(7, "seven"), propose(9, "nine")
+	r.Apply(1, nine)
+	r.Apply(2, seven)
+	require.Equal(t, "nine", r.Current().Edit.Text)
+	for _, number := range []uint64{1, 8, 9} {
+		r.Apply(3, propose(number, "late"))
+		require.EqualValues(t, 9, r.Current().Edit.Number)
+		require.Equal(t, "nine", r.Current().Edit.Text)
+	}
+	snapshot, err := r.Snapshot()
+	require.NoError(t, err)
+	r = New()
+	require.NoError(t, r.Restore(3, snapshot))
+	r.Apply(4, propose(9, "again"))
+	require.Equal(t, "nine", r.Current().Edit.Text)
+	r.Apply(5, propose(12, "twelve"))
+	require.Equal(t, "twelve", r.Current().Edit.Text)
+}
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -285,3 +285,33 @@
 		require.Equal(t, g.table().Digest(), replayed.Tables()["desk"].Digest(), "seed %d", seed)
 	}
 }
+
+// TestPaused guards against a member that gets new flows while its process restarts, and against one that gets none for
+// ever after it.
+func TestPaused(t *testing.T) {
+	tr := tracker.New()
+	index := uint64(0)
+	apply := func(events ...cherviltide.MemberEvent) {
+		for _, e := range events {
+			entry, err := tracker.Encode(e)
+			require.NoError(t, err)
+			index++
+			tr.Apply(index, entry)
+		}
+	}
+	now := cherviltide.Millis(1_800_000_000_000)
+	tr.Lead(now)
+	apply(tracker.Founded(now))
+	require.Len(t, tr.Key(), 16)
+	m := cherviltide.Member{Name: "agent-1", Role: cherviltide.RoleAgent, Service: "desk", Incarnation: 1}
+	state := func() cherviltide.MemberState { e, _ := tr.Entry("agent-1"); return e.State }
+	apply(tr.Announce(now, tracker.Announcement{Member: m})...)
+	require.Equal(t, cherviltide.StateActive, state())
+	apply(tr.Announce(now+100, tracker.Announcement{Member: m, Paused: true})...)
+	require.Equal(t, cherviltide.StateSuspect, state())
+	require.Empty(t, tr.Announce(now+200, tracker.Announcement{Member: m, Paused: true}))
+	apply(tr.Announce(now+300, tracker.Announcement{Member: m})...)
+	require.Equal(t, cherviltide.StateActive, state())
+	apply(tr.Announce(now+400, tracker.Announcement{Member: m, Leaving: true})...)
+	require.Empty(t, tr.Announce(now+500, tracker.Announcement{Member: m, Leaving: true, Paused: true}), "a leaving member is only paused")
+}
