--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -75,7 +75,7 @@
 	{"agent stops as planned", "new requests", "I6", processes, "TestLeavingTargetGetsNothingNew", "1", "", passes},
 	{"agent stops as planned", "request in progress", "I7", "proxier", "TestStop", "", "", passes},
 	{"operator drains a target", "download under way", "I1, I6, I7", processes, "TestDrainFinishesDownload", "1", "", passes},
-	{"entry stops as planned", "packets still arrive", "I7", "commands", "TestDrain", "", "", passes},
+	{"entry stops as planned", "packets still arrive", "I7", "supervisor", "TestDrain", "", "", passes},
 	{"entry stops as planned", "packets during the grace", "I7", "forwarder", "TestRunGoesOnDuringGrace", "", "", passes},
 }
 
