--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/binder"
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/runner"
@@ -83,14 +84,14 @@
 	}
 	f := &Forwarder{config: config, closed: make(chan struct{})}
 	f.inForce = make([]atomic.Uint64, config.Receivers*len(config.Ports))
-	internal, err := listenUDP(config.Internal)
+	internal, err := binder.ListenUDP(config.Internal, socketBuffer)
 	if err != nil {
 		return nil, fault(cherviltide.KindInternal, err)
 	}
 	f.internal = internal
 	f.config.Internal = internal.LocalAddr().(*net.UDPAddr).AddrPort()
 	for _, p := range config.Ports {
-		conn, err := listenUDP(netip.AddrPortFrom(config.Listen, p.Listen))
+		conn, err := binder.ListenUDP(netip.AddrPortFrom(config.Listen, p.Listen), socketBuffer)
 		if err != nil {
 			f.close()
 			return nil, fault(cherviltide.KindInternal, err)
@@ -302,15 +303,3 @@
 func fault(kind cherviltide.ErrorKind, err error) error {
 	return &Error{cherviltide.Fault{Op: "forwarder.Listen", Kind: kind, Err: err}}
 }
-
-func listenUDP(address netip.AddrPort) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, err
-	}
-	if err := errors.Join(conn.SetReadBuffer(socketBuffer), conn.SetWriteBuffer(socketBuffer)); err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	return conn, nil
-}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/binder"
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/picker"
@@ -45,10 +46,10 @@
 	}
 	r := &Relay{config: config, closed: make(chan struct{})}
 	var err error
-	if r.public, err = listenUDP(config.Public); err != nil {
+	if r.public, err = binder.ListenUDP(config.Public, socketBuffer); err != nil {
 		return nil, fault(cherviltide.KindInternal, err)
 	}
-	if r.internal, err = listenUDP(config.Internal); err != nil {
+	if r.internal, err = binder.ListenUDP(config.Internal, socketBuffer); err != nil {
 		r.close()
 		return nil, fault(cherviltide.KindInternal, err)
 	}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/binder"
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/watcher"
@@ -81,14 +82,10 @@
 
 // Listen opens the agent's data socket.
 func Listen(config Config) (*Holder, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Self.Address))
+	conn, err := binder.ListenUDP(config.Self.Address, socketBuffer)
 	if err != nil {
 		return nil, fault("holder.Listen", err)
 	}
-	if err := errors.Join(conn.SetReadBuffer(socketBuffer), conn.SetWriteBuffer(socketBuffer)); err != nil {
-		_ = conn.Close()
-		return nil, fault("holder.Listen", err)
-	}
 	h := &Holder{
 		config: config, conn: conn, flows: newFlows(), notes: newNotes(), silence: watcher.New(),
 		receive: make([]byte, framer.Size+maxDatagram),
--- a/relayer/core.go
+++ b/relayer/core.go
@@ -24,6 +24,9 @@
 	// askLimit is how long an opened flow counts as work of the target without a request. Callers send one at once; those
 	// that have given up send none.
 	askLimit cherviltide.Millis = 500
+	// restLimit is how long a flow still counts as work after the target's last packet, when that one was full and may have
+	// been the last of its answer. Senders repeat lost packets sooner.
+	restLimit cherviltide.Millis = 250
 	// silentAfter is how long the target, on the same machine, may leave all packets unanswered before new flows go
 	// elsewhere. It is shorter than the time to the caller's first copy.
 	silentAfter cherviltide.Millis = 120
@@ -49,6 +52,8 @@
 type Limits struct {
 	// MaxAge is how long a flow may last at most.
 	MaxAge cherviltide.Millis
+	// MaxPayload is the most that a packet carries, in bytes. A shorter packet of the target ends an answer.
+	MaxPayload int
 	// OldRules is how long new flows are still opened with rules older than some that were used here.
 	OldRules cherviltide.Millis
 }
@@ -208,95 +213,15 @@
 	return now-c.started < c.limits.MaxAge && c.target.Older
 }
 
-// search passes a packet of a flow that this agent does not hold to the next agent that may.
-func (c *Core) search(x Context, a Arrival) Step {
-	key := a.Header.Flow
-	n := c.notes.get(key, x.Now)
-	elsewhere := (n.kind == noteHeld || n.kind == noteOffered) && n.to != a.Sender
-	switch {
-	case a.Header.Flags == framer.FlagProbe && elsewhere && a.Header.Position != direct:
-		return c.pass(x, a, n.to, framer.FlagProbe, direct, ReasonProbed)
-	case a.Header.Flags == framer.FlagProbe:
-		return c.back(a, framer.FlagReturned, ReasonNotHeld)
-	case a.Header.Flags == framer.FlagReturned && a.Header.Position == direct:
-		c.notes.forget(key)
-		return c.walk(x, a, 0)
-	case a.Header.Flags == framer.FlagReturned && a.Header.Generation == x.Table.Generation():
-		return c.walk(x, a, int(a.Header.Position)+1)
-	case elsewhere && a.Header.Flags == 0:
-		return c.pass(x, a, n.to, framer.FlagProbe, direct, ReasonProbed)
-	}
-	return c.walk(x, a, 0)
-}
-
-// walk asks the next agent of the flow's chain, then those that the flow may have been offered to. After the last one the
-// entry may try another service.
-func (c *Core) walk(x Context, a Arrival, next int) Step {
-	c.chain = x.Table.Chain(c.chain[:0], a.Header.Flow)
-	c.chain = c.appendSpares(c.chain, len(c.chain), x, a.Header.Flow)
-	c.chain = c.chain[:min(len(c.chain), direct)]
-	for ; next < len(c.chain); next++ {
-		if !isSelf(x, c.chain[next]) && !c.peers.Silent(c.chain[next].Address, x.Now) {
-			return c.probe(x, a, next)
-		}
-	}
-	if a.Packet.Opens() {
-		return c.place(x, a, 0)
-	}
-	// Nobody else holds the flow, and a silent candidate may answer again.
-	for i, m := range c.chain {
-		if !isSelf(x, m) && c.peers.Silent(m.Address, x.Now) {
-			return c.probe(x, a, i)
-		}
-	}
-	if a.Header.Stage+1 < a.Header.Stages {
-		h := a.Header
-		h.Flags, h.Position = framer.FlagReturned, 0
-		h.Hops++
-		return Step{Action: ActionPass, Reason: ReasonStage, To: a.Header.Entry, Header: h}
-	}
-	return Step{Reason: ReasonNoHolder}
-}
-
-// probe asks the candidate at a position of the chain whether it holds the flow.
-func (c *Core) probe(x Context, a Arrival, position int) Step {
-	to := c.chain[position].Address
-	c.peers.Probed(to, x.Now)
-	return c.pass(x, a, to, framer.FlagProbe, uint8(position), ReasonProbed)
-}
-
-// isSelf compares members by address instead of incarnation, which changes when control has expelled the process.
-func isSelf(x Context, m cherviltide.Member) bool {
-	return m.Name == x.Self.Name && m.Address == x.Self.Address
-}
-
-// pass sends a packet to another agent under this agent's table.
-func (c *Core) pass(x Context, a Arrival, to netip.AddrPort, flags framer.Flags, position uint8, reason Reason) Step {
-	h := a.Header
-	h.Flags, h.Position, h.Generation = flags, position, x.Table.Generation()
-	h.Hops++
-	return Step{Action: ActionPass, Reason: reason, To: to, Header: h}
-}
-
-// back returns a packet to its sender with the sender's own position and generation.
-func (c *Core) back(a Arrival, flags framer.Flags, reason Reason) Step {
-	h := a.Header
-	h.Flags = flags
-	h.Hops++
-	return Step{Action: ActionPass, Reason: reason, To: a.Sender, Header: h}
-}
-
 // fromCaller notes a packet of a held flow in the direction of the target.
 func (c *Core) fromCaller(x Context, f *flow, p cherviltide.Packet) {
 	f.last = x.Now
 	if f.answered && p.Has(cherviltide.PacketAck) {
 		f.open = true
 	}
-	if p.Length > 0 && !f.asked {
-		f.asked = true
-		if c.load.active <= c.target.Slots {
-			f.requested = x.Now
-		}
+	if p.Length > 0 && !f.targetFinish && (!f.asked || int32(p.Sequence-f.callerNext) >= 0) {
+		c.request(x, f)
+		f.callerNext = p.Sequence + uint32(p.Length)
 	}
 	if p.Has(cherviltide.PacketFinish) {
 		f.callerFinished = true
@@ -307,6 +232,18 @@
 	}
 }
 
+// request notes a request, or a further part of one.
+func (c *Core) request(x Context, f *flow) {
+	if !f.busy {
+		f.busy = true
+		c.load.active++
+	}
+	if (!f.asked || f.resting) && c.load.active <= c.target.Slots {
+		f.requested = x.Now
+	}
+	f.asked, f.resting = true, false
+}
+
 // idle takes a flow out of the target's work.
 func (c *Core) idle(f *flow) {
 	if f.busy {
@@ -320,87 +257,10 @@
 	delete(c.flows, key)
 }
 
-// FromTarget decides about a packet that the target sent or returned.
-func (c *Core) FromTarget(x Context, p cherviltide.Packet) Step {
-	c.observe(x)
-	c.waiting = 0
-	if p.Flags&cherviltide.PacketReturned != 0 {
-		return c.returned(x, p)
-	}
-	key := cherviltide.FlowKey{Caller: p.Destination, Virtual: p.Source}
-	f := c.flows[key]
-	if f == nil && c.unsure(x.Now) {
-		f = &flow{learnt: true, answered: true, open: true, began: x.Now}
-		c.flows[key] = f
-	}
-	step := Step{Action: ActionAnswer, Reason: ReasonTarget}
-	if f != nil {
-		step.Phase, step.Took = c.fromTarget(x, f, p)
-	}
-	return step
-}
-
-// fromTarget notes a packet of the target and returns the phase that it ends.
-func (c *Core) fromTarget(x Context, f *flow, p cherviltide.Packet) (phase Phase, took cherviltide.Millis) {
-	f.last = x.Now
-	if p.Has(cherviltide.PacketOpen | cherviltide.PacketAck) {
-		if !f.answered {
-			phase, took = PhaseOpening, x.Now-f.began
-		}
-		f.targetSequence, f.answered = p.Sequence, true
-	}
-	if p.Length > 0 && f.requested != 0 {
-		phase, took = PhaseWork, x.Now-f.requested
-		c.load.sample(took)
-		f.requested = 0
-	}
-	if p.Has(cherviltide.PacketFinish) {
-		f.targetFinish = true
-		c.idle(f)
-	}
-	if p.Has(cherviltide.PacketReset) {
-		c.idle(f)
-		f.ended = x.Now
-	}
-	if f.targetFinish && f.callerFinished && f.ended == 0 {
-		f.ended = x.Now
-	}
-	return phase, took
-}
-
-// returned decides about a packet that the target does not take.
-func (c *Core) returned(x Context, p cherviltide.Packet) Step {
-	key := cherviltide.FlowKey{Caller: p.Source, Virtual: p.Destination}
-	f := c.flows[key]
-	a, ok := c.tokens.take(p.Token, key)
-	a.Packet = p
-	a.Packet.Flags &^= cherviltide.PacketReturned
-	if !ok {
-		if f != nil && !p.Opens() {
-			c.forget(key, f)
-			return Step{Reason: ReasonGone}
-		}
-		return Step{Reason: ReasonForged}
-	}
-	var step Step
-	if p.Opens() {
-		if f != nil {
-			c.forget(key, f)
-		}
-		c.fullUntil = x.Now + fullPause
-		step = c.refused(x, a)
-	} else {
-		c.notes.deny(key, x.Now)
-		step = c.search(x, a)
-	}
-	step.Restore = true
-	return step
-}
-
 // Expire forgets flows that have ended, and those that were silent or open for too long.
 func (c *Core) Expire(x Context) {
 	for key, f := range c.flows {
-		if !f.asked && x.Now-f.began > askLimit {
+		if (!f.asked && x.Now-f.began > askLimit) || (f.resting && x.Now-f.last > restLimit) {
 			c.idle(f)
 		}
 		switch {
--- a/relayer/core_test.go
+++ b/relayer/core_test.go
@@ -88,7 +88,7 @@
 
 // newCore returns the first agent's decisions with a target that has two slots and no older flows.
 func newCore() *Core {
-	c := NewCore(Limits{MaxAge: 60_000, OldRules: 100}, 0)
+	c := NewCore(Limits{MaxAge: 60_000, OldRules: 100, MaxPayload: 1_200}, 0)
 	c.SetTarget(Target{Slots: 2, Accepts: true, Reluctant: true}, false)
 	return c
 }
@@ -437,6 +437,27 @@
 			require.Zero(t, c.load.active)
 		})
 	}
+	t.Run("a flow that is kept open", func(t *testing.T) {
+		c, flow := opened(t, table)
+		x := contextAt(30, member(1), table)
+		data := func(length int) {
+			c.FromTarget(x, answer(flow, cherviltide.Packet{Flags: cherviltide.PacketAck, Length: length}))
+		}
+		data(1_200)
+		require.Equal(t, 1, c.load.active, "the answer goes on")
+		data(300)
+		require.Zero(t, c.load.active, "a pause between two requests counts as work")
+		c.FromPeer(x, ack(flow, 2_001))
+		require.Zero(t, c.load.active, "a repeated packet counts as a request")
+		next := ack(flow, 2_001)
+		next.Packet.Sequence += uint32(next.Packet.Length)
+		c.FromPeer(x, next)
+		require.Equal(t, 1, c.load.active, "the next request does not count")
+		data(1_200)
+		x.Now += restLimit + 1
+		c.Expire(x)
+		require.Zero(t, c.load.active, "an answer of full packets counts for ever")
+	})
 	t.Run("the caller never asks", func(t *testing.T) {
 		c, flow := newCore(), ownedBy(t, table, member(1))
 		x := contextAt(10, member(1), table)
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -21,6 +21,10 @@
 	// requested is when the first payload of the caller passed while the target had a free slot; 0 when none did.
 	requested cherviltide.Millis
 	asked     bool
+	// callerNext is the sequence after the caller's newest payload, so that a repeated packet is no further request.
+	callerNext uint32
+	// resting is true from the first packet of an answer until the next request.
+	resting bool
 	// busy is true while the flow counts as work of the target.
 	busy                         bool
 	callerFinished, targetFinish bool
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/binder"
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/picker"
@@ -26,6 +27,9 @@
 	socketBuffer = 1 << 20
 	// expireInterval is the time between two searches for flows that have ended.
 	expireInterval = 250 * time.Millisecond
+	// resetSequence is that of a reset for a flow that was not opened. If a copy of its opening packet was taken elsewhere
+	// after all, the open flow ignores the reset, as its own numbers start at random.
+	resetSequence = 0
 	// errorPause keeps a receiver whose socket fails repeatedly from using a whole core.
 	errorPause = 10 * time.Millisecond
 )
@@ -80,28 +84,16 @@
 	}
 	r.core = NewCore(config.Limits, 0)
 	var err error
-	if r.data, err = listenUDP(config.Data); err != nil {
+	if r.data, err = binder.ListenUDP(config.Data, socketBuffer); err != nil {
 		return nil, fault("relayer.Listen", err)
 	}
-	if r.outbound, err = listenUDP(config.Outbound); err != nil {
+	if r.outbound, err = binder.ListenUDP(config.Outbound, socketBuffer); err != nil {
 		_ = r.data.Close()
 		return nil, fault("relayer.Listen", err)
 	}
 	return r, nil
 }
 
-func listenUDP(address netip.AddrPort) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, err
-	}
-	if err := errors.Join(conn.SetReadBuffer(socketBuffer), conn.SetWriteBuffer(socketBuffer)); err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	return conn, nil
-}
-
 // Run relays until ctx ends, then closes the sockets.
 func (r *Relayer) Run(ctx context.Context) error {
 	closeAll := func() {
@@ -250,7 +242,7 @@
 		r.send(r.data, datagram, step.To)
 	case ActionRefuse:
 		r.Counters.Refused.Add(1)
-		reset := r.config.Codec.AppendReset(nil, key, step.Sequence)
+		reset := r.config.Codec.AppendReset(nil, key, resetSequence)
 		r.send(r.data, reset, netip.AddrPortFrom(key.Caller.Addr(), r.config.CallerPort))
 	case ActionDrop:
 		if step.Reason != ReasonNotice {
@@ -277,37 +269,6 @@
 	}
 }
 
-// events are the names of the log lines about decisions; other decisions are counted only.
-var events = map[Reason]string{
-	ReasonOpened: "FlowOpened", ReasonOffered: "FlowOffered", ReasonDeclined: "FlowDeclined", ReasonUnavailable: "FlowRefused",
-	ReasonNotOwner: "PacketPassed", ReasonProbed: "PacketPassed", ReasonNotHeld: "PacketPassed", ReasonStage: "PacketPassed",
-	ReasonUnsure: "TargetAsked", ReasonNoHolder: "PacketDropped", ReasonNoRoute: "PacketDropped",
-	ReasonOldRules: "PacketDropped", ReasonForged: "PacketDropped", ReasonGone: "PacketDropped", ReasonHops: "PacketDropped",
-}
-
-// log writes a line about a decision that is not the ordinary way of a packet.
-func (r *Relayer) log(x Context, step Step, header framer.Header, p cherviltide.Packet) {
-	event, ok := events[step.Reason]
-	if !ok {
-		return
-	}
-	line := r.config.Log.Check(zap.InfoLevel, event)
-	if line == nil {
-		return
-	}
-	fields := []zap.Field{
-		zap.String("Flow", header.Flow.ID()), zap.Stringer("Caller", header.Flow.Caller), zap.Stringer("Virtual", header.Flow.Virtual),
-		zap.Uint32("Sequence", p.Sequence), zap.Uint32("Copy", p.Copy), zap.Bool("Opens", p.Opens()),
-		zap.Stringer("Reason", step.Reason), zap.Uint64("Revision", x.Revision), zap.Uint64("SenderRevision", header.Revision),
-		zap.Uint64("Generation", x.Table.Generation()), zap.Uint64("SenderGeneration", header.Generation),
-		zap.Uint8("Hops", header.Hops), zap.Int("Active", step.Active), zap.Int("Slots", step.Slots),
-	}
-	if step.To.IsValid() {
-		fields = append(fields, zap.Stringer("To", step.To))
-	}
-	line.Write(fields...)
-}
-
 // expire forgets flows until ctx ends.
 func (r *Relayer) expire(ctx context.Context) error {
 	ticker := time.NewTicker(expireInterval)
--- a/relayer/step.go
+++ b/relayer/step.go
@@ -81,8 +81,6 @@
 	Token uint32
 	// Notify is a valid address when the agent there is to be told that this agent holds the flow.
 	Notify netip.AddrPort
-	// Sequence is that of the reset for ActionRefuse.
-	Sequence uint32
 	// Active and Slots are the load of the target when the decision was made, for the log.
 	Active, Slots int
 	// Phase is the phase of the flow that the packet ends, and Took how long it lasted.
