--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -101,6 +101,9 @@
 			if ended(err, r.closed) {
 				return nil
 			}
+			if !isTimeout(err) {
+				r.config.Log.Warn("ReceiveFailed", zap.Error(err))
+			}
 			continue
 		}
 		for i := range n {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -104,14 +104,14 @@
 	defer stop()
 	defer closeAll()
 	group := runner.NewGroup(ctx, 3)
-	group.Go("data", func(context.Context) error { return receive(r.data, r.fromPeer) })
-	group.Go("outbound", func(context.Context) error { return receive(r.outbound, r.fromTarget) })
+	group.Go("data", func(ctx context.Context) error { return r.receive(ctx, r.data, r.fromPeer) })
+	group.Go("outbound", func(ctx context.Context) error { return r.receive(ctx, r.outbound, r.fromTarget) })
 	group.Go("expire", r.expire)
 	return group.Wait()
 }
 
 // receive takes datagrams until the socket is closed.
-func receive(conn *net.UDPConn, each func(buffer []byte, n int, sender netip.AddrPort)) error {
+func (r *Relayer) receive(ctx context.Context, conn *net.UDPConn, each func(buffer []byte, n int, sender netip.AddrPort)) error {
 	buffer := make([]byte, framer.Size+maxDatagram)
 	for {
 		n, sender, err := conn.ReadFromUDPAddrPort(buffer[framer.Size:])
@@ -119,8 +119,12 @@
 			return nil
 		}
 		if err != nil {
-			// Errors of earlier sends are reported here; the datagrams are lost like others.
-			time.Sleep(errorPause)
+			// The system reports errors of earlier sends here too; their datagrams are lost as on any network.
+			r.config.Log.Warn("ReceiveFailed", zap.Error(err))
+			select {
+			case <-ctx.Done():
+			case <-time.After(errorPause):
+			}
 			continue
 		}
 		each(buffer, n, netip.AddrPortFrom(sender.Addr().Unmap(), sender.Port()))
@@ -266,6 +270,7 @@
 func (r *Relayer) send(conn *net.UDPConn, b []byte, to netip.AddrPort) {
 	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
 		r.Counters.SendFailed.Add(1)
+		r.config.Log.Warn("SendFailed", zap.Stringer("To", to), zap.Error(err))
 	}
 }
 
