--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -21,6 +22,7 @@
 	"cherviltide.example/cherviltide/forwarder"
 	"cherviltide.example/cherviltide/holder"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/relayer"
 )
 
 const first = "Service desk Address 203.0.113.7:443 # asked by Rita\n"
@@ -248,7 +250,10 @@
 	for _, r := range forwarder.Reasons() {
 		names = append(names, "Forwarder.Dropped."+r.String())
 	}
-	for prefix, kind := range map[string]reflect.Type{"Forwarder": reflect.TypeFor[forwarder.Counters](), "Holder": reflect.TypeFor[holder.Counters]()} {
+	for prefix, kind := range map[string]reflect.Type{
+		"Forwarder": reflect.TypeFor[forwarder.Counters](), "Holder": reflect.TypeFor[holder.Counters](),
+		"Relayer": reflect.TypeFor[relayer.Counters](),
+	} {
 		for _, f := range reflect.VisibleFields(kind) {
 			if f.IsExported() {
 				names = append(names, prefix+"."+f.Name)
@@ -259,3 +264,37 @@
 		require.True(t, strings.Contains(string(text), "`"+name+"`"), "docs/metrics.md does not describe %s", name)
 	}
 }
+
+// TestMetricNamesAreDocumented guards against metrics of the platform's daemons and of control without a meaning and a unit.
+func TestMetricNamesAreDocumented(t *testing.T) {
+	checkDocumented(t, regexp.MustCompile(`\.Metric\("([A-Z][A-Za-z.]*[A-Za-z])"`), "metrics.md")
+}
+
+// TestEventsAreDocumented guards against log lines whose event and fields docs/logs.md does not explain.
+func TestEventsAreDocumented(t *testing.T) {
+	checkDocumented(t, regexp.MustCompile(`(?:\.(?:Info|Warn|Error)\(|Check\(zap\.InfoLevel, |: )"([A-Z][a-z]+[A-Z][A-Za-z]+)"`), "logs.md")
+}
+
+// checkDocumented requires that each name that a pattern finds in the sources of the daemons stands in a page.
+func checkDocumented(t *testing.T, pattern *regexp.Regexp, page string) {
+	text, err := os.ReadFile(filepath.Join("..", "docs", page))
+	require.NoError(t, err)
+	folders := []string{"relayer", "platform", "forwarder", "controller", "follower", "logger", "prober", "supervisor"}
+	found := 0
+	for _, folder := range folders {
+		files, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
+		require.NoError(t, err)
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			source, err := os.ReadFile(file)
+			require.NoError(t, err)
+			for _, match := range pattern.FindAllStringSubmatch(string(source), -1) {
+				found++
+				require.True(t, strings.Contains(string(text), "`"+match[1]+"`"), "docs/%s does not describe %s (%s)", page, match[1], file)
+			}
+		}
+	}
+	require.Positive(t, found)
+}
