Write log lines at once instead of gathering them for 50 ms

The same lines would be missing after any kill. Ruled out: load (it failed alone as well), the admission itself (the log of the second life shows it after 2 s). Change: the writer takes what is queued and waits for nothing; lines of a busy process still share writes.

--- a/logger/logger.go
+++ b/logger/logger.go
@@ -22,9 +22,7 @@
 	further = 100
 	// queueSize is the number of lines between the process and the output.
 	queueSize = 4096
-	// gatherTime is how long lines are gathered for one write, so that a busy process makes few system calls.
-	gatherTime = 50 * time.Millisecond
-	// gatherSize ends the gathering, in bytes.
+	// gatherSize bounds the lines of one write, in bytes.
 	gatherSize = 64 << 10
 	// countInterval is the time between two lines about lines that were left out.
 	countInterval = 10 * time.Second
@@ -112,7 +110,7 @@
 	for {
 		select {
 		case line := <-l.queue:
-			if err := write(out, l.gather(ctx, line)); err != nil {
+			if err := write(out, l.gather(line)); err != nil {
 				return err
 			}
 		case <-ticker.C:
@@ -126,19 +124,11 @@
 	}
 }
 
-// gather adds the lines that follow soon.
-func (l *Log) gather(ctx context.Context, lines []byte) []byte {
-	timer := time.NewTimer(gatherTime)
-	defer timer.Stop()
-	for len(lines) < gatherSize {
-		select {
-		case line := <-l.queue:
-			lines = append(lines, line...)
-		case <-timer.C:
-			return lines
-		case <-ctx.Done():
-			return lines
-		}
+// gather adds the lines that came during the last write. It waits for none, so that a process that is killed has written
+// what it logged before.
+func (l *Log) gather(lines []byte) []byte {
+	for len(lines) < gatherSize && len(l.queue) > 0 {
+		lines = append(lines, <-l.queue...)
 	}
 	return lines
 }
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -76,3 +77,16 @@
 	require.Positive(t, l.Dropped())
 	l.Close()
 }
+
+// TestLinesAreWrittenAtOnce guards against lines that wait in a process that is killed.
+func TestLinesAreWrittenAtOnce(t *testing.T) {
+	read, write := io.Pipe()
+	l := New(write)
+	defer l.Close()
+	defer func() { _ = read.Close() }()
+	l.Info("Admitted")
+	line := make([]byte, 1024)
+	n, err := read.Read(line)
+	require.NoError(t, err)
+	require.Contains(t, string(line[:n]), "Admitted", "the line needs a further one, or the end of the process")
+}
