--- a/commands/apply.go
+++ b/commands/apply.go
@@ -12,6 +12,7 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/parser"
+	"cherviltide.example/cherviltide/runner"
 )
 
 // edit has the flags of the commands that make a revision.
@@ -161,7 +162,7 @@
 				return nil
 			}
 		}
-		if !pause(ctx, pollInterval) {
+		if !runner.Pause(ctx, pollInterval) {
 			return &laggingError{text: fmt.Sprintf("after %s: %s", bound, last)}
 		}
 	}
--- a/commands/remote.go
+++ b/commands/remote.go
@@ -11,6 +11,7 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/certifier"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/runner"
 )
 
 const (
@@ -81,7 +82,7 @@
 				return nil, lost(unknown, last)
 			}
 		}
-		if !pause(ctx, attemptPause) {
+		if !runner.Pause(ctx, attemptPause) {
 			return nil, lost(unknown, last)
 		}
 	}
@@ -100,15 +101,3 @@
 	}
 	return &Error{cherviltide.Fault{Op: "commands.ask", Kind: cherviltide.KindUnavailable, Err: last}}
 }
-
-// pause waits and returns false when ctx ended.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/controller/edits.go
+++ b/controller/edits.go
@@ -91,8 +91,10 @@
 			return nil, err
 		}
 		if current.Edit.Number >= req.Number {
-			c.config.Log.Info("EditOvertaken", zap.Uint64("Number", req.Number), zap.Uint64("Accepted", current.Edit.Number),
-				zap.Uint64("Revision", current.Number))
+			if current.Edit.Number > req.Number {
+				c.config.Log.Info("EditOvertaken", zap.Uint64("Number", req.Number), zap.Uint64("Accepted", current.Edit.Number),
+					zap.Uint64("Revision", current.Number))
+			}
 			return &messenger.ApplyResponse{Revision: current.Number}, nil
 		}
 		select {
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -8,6 +8,7 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/runner"
 	"cherviltide.example/cherviltide/voter"
 )
 
@@ -50,20 +51,11 @@
 		if err != nil {
 			client.CloseIdleConnections()
 			client = c.config.NewClient()
-			pause(ctx, retryPause)
+			_ = runner.Pause(ctx, retryPause)
 		}
 	}
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // step takes messages of a peer.
 func (c *Controller) step(ctx context.Context, req *messenger.StepRequest) (*messenger.StepResponse, error) {
 	g, ok := c.groups[req.Group]
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -152,7 +152,7 @@
 		f.config.Log.Info("ControlStreamEnded", zap.String("Control", base), zap.Error(err),
 			zap.Int64("WaitMs", int64(wait)))
 		attempt++
-		sleep(ctx, wait)
+		_ = runner.Pause(ctx, wait.Duration())
 	}
 	return nil
 }
@@ -202,13 +202,3 @@
 	}
 	return req
 }
-
-// sleep waits for the span or until ctx ends.
-func sleep(ctx context.Context, span cherviltide.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -1,7 +1,10 @@
 // Package runner starts goroutines that report their end to their owner.
 package runner
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // End reports that a goroutine has ended.
 type End struct {
@@ -50,3 +53,15 @@
 	}
 	return first
 }
+
+// Pause waits for a span and returns false when ctx ended before.
+func Pause(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
