Add a fault soak of the programs on the platform

The soak runs control, entries and agents as separate processes with the stand-ins of callers, targets and operators, disturbs them by signals, lost and torn disks and a forwarder in front of each control instance, and checks flows, routes, configuration, drains and recovery while it runs. First finding (24 s, schedule in bench/soaker/testdata): a stopping entry outlived its grace, as its last announcement had 2 s after a limit that left 1 s. Ruled out: a paused process (no fault stopped that one).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build demo race known-red measure bench test lint fuzz
+.PHONY: build demo race known-red measure bench test lint fuzz soak
 
 build:
 	$(GO) build -o bin/cherviltide ./cmd/cherviltide
@@ -9,6 +9,14 @@
 demo: build
 	bin/cherviltide-bench demo --binary bin/cherviltide
 
+# soak disturbs the programs by a seed and checks what they promise; SCHEDULE plays files of bench/soaker/testdata instead.
+SEED ?= 1
+RUNS ?= 1
+DURATION ?= 60s
+
+soak: build
+	bin/cherviltide-bench soak $(if $(SCHEDULE),--schedule $(SCHEDULE),--seed $(SEED) --runs $(RUNS) --duration $(DURATION))
+
 measure: build
 	bin/cherviltide-bench measure $(if $(CASE),--case $(CASE))
 
--- a/bench/relaypath/caller.go
+++ b/bench/relaypath/caller.go
@@ -3,20 +3,31 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 )
 
-// resendInterval is the time until a caller sends a packet again that nobody answered.
-const resendInterval = 200 * time.Millisecond
+// Times of a caller, from the platform's pages.
+const (
+	// resendFirst is the time until a packet is sent again that nobody answered. It doubles up to resendMost.
+	resendFirst = 200 * time.Millisecond
+	resendMost  = 1_600 * time.Millisecond
+	// openingTries is how often the first packet is sent. An attempt to open ends when the last one is not answered.
+	openingTries = 3
+)
 
 // Errors of a flow.
 var (
-	ErrReset   = errors.New("the flow was reset")
-	ErrDamaged = errors.New("a packet was changed on the way")
+	ErrReset      = errors.New("the flow was reset")
+	ErrUnanswered = errors.New("nobody answered the first packets")
+	ErrDamaged    = errors.New("a packet was changed on the way")
+	ErrForeign    = errors.New("the answer belongs to another question")
 )
 
 // Callers is a machine with callers. The router in front of the entries sends each packet to any of them.
@@ -74,8 +85,12 @@
 	packets  chan Packet
 	sequence uint32
 	ack      uint32
+	asked    int
 }
 
+// Port returns the caller's port of the flow, which no other flow has.
+func (f *Flow) Port() uint16 { return f.source.Port() }
+
 // Open opens a flow to a virtual address.
 func (c *Callers) Open(ctx context.Context, virtual netip.AddrPort) (*Flow, error) {
 	c.mu.Lock()
@@ -86,30 +101,67 @@
 	}
 	c.flows[c.next] = f.packets
 	c.mu.Unlock()
-	p, err := f.exchange(ctx, func(try uint32) Packet { return Packet{Flags: Syn, Ack: try} }, func(p Packet) bool { return p.Flags == Syn|Ack })
+	p, err := f.exchange(ctx, openingTries, func(try uint32) Packet { return Packet{Flags: Syn, Ack: try} },
+		func(p Packet) bool { return p.Flags == Syn|Ack })
 	if err != nil {
+		f.forget()
 		return nil, err
 	}
 	f.sequence, f.ack = f.sequence+1, p.Sequence+1
 	return f, nil
 }
 
-// Ask sends a payload and returns the answer.
+// Ask sends a payload and returns the name of the target that answered. Each question carries the flow's port and a number,
+// so that the answer to another one is found out.
 func (f *Flow) Ask(ctx context.Context, text string) (string, error) {
-	p, err := f.exchange(ctx, func(uint32) Packet { return Packet{Flags: Ack, Ack: f.ack, Data: []byte(text)} },
-		func(p Packet) bool { return len(p.Data) > 0 })
-	return string(p.Data), err
+	f.asked++
+	mark := fmt.Sprintf(" %d/%d ", f.Port(), f.asked)
+	p, err := f.exchange(ctx, math.MaxInt, func(uint32) Packet { return Packet{Flags: Ack, Ack: f.ack, Data: []byte(mark + text)} },
+		func(p Packet) bool { return len(p.Data) > 0 && !f.earlier(p) })
+	if err != nil {
+		return "", err
+	}
+	name, ok := strings.CutSuffix(string(p.Data), mark+text)
+	if !ok {
+		return "", fmt.Errorf("%w: %q to %q", ErrForeign, p.Data, mark+text)
+	}
+	return name, nil
+}
+
+// earlier reports whether a packet is a copy of the answer to an earlier question.
+func (f *Flow) earlier(p Packet) bool {
+	var name string
+	var port uint16
+	var number int
+	n, _ := fmt.Sscanf(string(p.Data), "%s %d/%d ", &name, &port, &number)
+	return n == 3 && port == f.Port() && number < f.asked
+}
+
+// Close ends the flow.
+func (f *Flow) Close(ctx context.Context) error {
+	defer f.forget()
+	_, err := f.exchange(ctx, openingTries, func(uint32) Packet { return Packet{Flags: Fin | Ack, Ack: f.ack} },
+		func(p Packet) bool { return p.Flags&(Fin|Rst) != 0 || p.Flags == Ack && len(p.Data) == 0 })
+	return err
+}
+
+func (f *Flow) forget() {
+	f.callers.mu.Lock()
+	defer f.callers.mu.Unlock()
+	delete(f.callers.flows, f.Port())
 }
 
-// exchange sends a packet until the wanted one arrives.
-func (f *Flow) exchange(ctx context.Context, make func(try uint32) Packet, wanted func(Packet) bool) (Packet, error) {
-	for try := uint32(0); ; try++ {
-		p := make(try)
+// exchange sends a packet until the wanted one arrives, at most a number of times.
+func (f *Flow) exchange(ctx context.Context, tries int, make func(try uint32) Packet, wanted func(Packet) bool) (Packet, error) {
+	interval := resendFirst
+	for try := range tries {
+		p := make(uint32(try))
 		p.Source, p.Destination, p.Sequence = f.source, f.virtual, f.sequence
 		entry := f.callers.entries[rand.IntN(len(f.callers.entries))]
 		// An entry that is down loses the packet; it is sent again.
 		_, _ = f.callers.conn.WriteToUDPAddrPort(p.Encode(), entry)
-		timer := time.NewTimer(resendInterval)
+		timer := time.NewTimer(interval)
+		interval = min(2*interval, resendMost)
 		for waiting := true; waiting; {
 			select {
 			case <-ctx.Done():
@@ -128,6 +180,7 @@
 			}
 		}
 	}
+	return Packet{}, ErrUnanswered
 }
 
 func (c *Callers) check() error {
--- a/bench/relaypath/target.go
+++ b/bench/relaypath/target.go
@@ -25,12 +25,18 @@
 	born            int64
 	mu              sync.Mutex
 	flows           map[string]uint32
-	draining        bool
+	// closed has the flows that callers have ended.
+	closed   map[string]bool
+	draining bool
+	muted    bool
+	// lastOpened is when the newest flow was opened.
+	lastOpened time.Time
 	// Opened counts flows, Foreign packets of flows that the target does not hold, Damaged those that were changed.
 	opened, foreign, damaged int
 	sequence                 uint64
 	stop                     context.CancelFunc
 	ended                    chan struct{}
+	once                     sync.Once
 }
 
 // Counts are what a target has seen.
@@ -45,7 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Target{
 		Name: name, Service: service, Outbound: outbound, Admin: admin, conn: conn, born: time.Now().UnixMilli(),
-		flows: map[string]uint32{}, stop: cancel, ended: make(chan struct{}, 2),
+		flows: map[string]uint32{}, closed: map[string]bool{}, stop: cancel, ended: make(chan struct{}, 2),
 	}
 	go func() { t.receive(); t.ended <- struct{}{} }()
 	go func() { t.beats(ctx); t.ended <- struct{}{} }()
@@ -54,10 +60,12 @@
 
 // Stop ends the target.
 func (t *Target) Stop() {
-	t.stop()
-	_ = t.conn.Close()
-	<-t.ended
-	<-t.ended
+	t.once.Do(func() {
+		t.stop()
+		_ = t.conn.Close()
+		<-t.ended
+		<-t.ended
+	})
 }
 
 // Drain makes the target say that it leaves, and returns after its agent has acknowledged that.
@@ -68,6 +76,20 @@
 	return t.beat(ctx)
 }
 
+// Leave says that the target has ended, and stops it.
+func (t *Target) Leave(ctx context.Context) error {
+	err := t.call(ctx, http.MethodDelete, nil)
+	t.Stop()
+	return err
+}
+
+// Mute makes the target answer nothing and send no heartbeats, or answer again.
+func (t *Target) Mute(muted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.muted = muted
+}
+
 // Counts returns what the target has seen.
 func (t *Target) Counts() Counts {
 	t.mu.Lock()
@@ -75,6 +97,13 @@
 	return Counts{Opened: t.opened, Foreign: t.foreign, Damaged: t.damaged}
 }
 
+// LastOpened returns when the newest flow was opened.
+func (t *Target) LastOpened() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastOpened
+}
+
 func (t *Target) receive() {
 	buffer := make([]byte, 2048)
 	for {
@@ -94,6 +123,9 @@
 func (t *Target) answer(p Packet, whole bool) (Packet, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.muted {
+		return Packet{}, false
+	}
 	if !whole {
 		t.damaged++
 		return Packet{}, false
@@ -109,9 +141,17 @@
 		if !held {
 			t.opened++
 			t.flows[key] = own
+			t.lastOpened = time.Now()
 		}
 		reply.Flags = Syn | Ack
 		return reply, true
+	case p.Flags&Fin != 0 && (held || t.closed[key]):
+		t.closed[key] = true
+		delete(t.flows, key)
+		reply.Flags, reply.Sequence = Fin|Ack, own+1
+		return reply, true
+	case t.closed[key] && len(p.Data) == 0:
+		return Packet{}, false
 	case !held || p.Ack-opened-1 > 1<<16:
 		t.foreign++
 		p.Flags |= Returned
@@ -120,7 +160,7 @@
 		return Packet{}, false
 	}
 	reply.Flags, reply.Sequence = Ack, own+1
-	reply.Data = []byte(t.Name + " " + string(p.Data))
+	reply.Data = []byte(t.Name + string(p.Data))
 	return reply, true
 }
 
@@ -128,8 +168,10 @@
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
 	for {
-		// A heartbeat that fails is followed by the next one.
-		_ = t.beat(ctx)
+		if !t.silent() {
+			// A heartbeat that fails is followed by the next one.
+			_ = t.beat(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -138,6 +180,12 @@
 	}
 }
 
+func (t *Target) silent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.muted
+}
+
 func (t *Target) beat(ctx context.Context) error {
 	t.mu.Lock()
 	t.sequence++
@@ -153,9 +201,14 @@
 	if err != nil {
 		return err
 	}
+	return t.call(ctx, http.MethodPut, body)
+}
+
+// call sends a call to the agent.
+func (t *Target) call(ctx context.Context, method string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+t.Admin.String()+"/targets/"+t.Name, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+t.Admin.String()+"/targets/"+t.Name, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -165,7 +218,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("heartbeat of %s: status %d", t.Name, res.StatusCode)
+		return fmt.Errorf("%s of %s: status %d", method, t.Name, res.StatusCode)
 	}
 	return nil
 }
--- a/cmd/cherviltide-bench/main.go
+++ b/cmd/cherviltide-bench/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -16,6 +17,7 @@
 	"cherviltide.example/cherviltide/bench/launcher"
 	"cherviltide.example/cherviltide/bench/measurer"
 	"cherviltide.example/cherviltide/bench/responder"
+	"cherviltide.example/cherviltide/bench/soaker"
 	"cherviltide.example/cherviltide/bench/sprayer"
 	"cherviltide.example/cherviltide/bench/subscriber"
 	"cherviltide.example/cherviltide/proxier"
@@ -98,6 +100,87 @@
 	return json.NewEncoder(os.Stdout).Encode(usage)
 }
 
+type soakCommand struct {
+	Seed     uint64        `default:"1" help:"first seed"`
+	Runs     uint64        `default:"1" help:"number of seeds, one after the other"`
+	Duration time.Duration `default:"60s" help:"time in which faults come, a run"`
+	Schedule []string      `help:"files with schedules, such as reports of earlier runs, instead of seeds"`
+	Binary   string        `default:"bin/cherviltide" help:"path of cherviltide"`
+	Controls int           `default:"3" help:"control instances"`
+	Entries  int           `default:"3" help:"entries"`
+	Agents   int           `default:"6" help:"agents, each with a target"`
+	Callers  int           `default:"40" help:"flows that are open at once"`
+}
+
+var errSoak = errors.New("a promise was not kept")
+
+// run plays schedules and prints a JSON line for each. Logs stay after a run with violations.
+func (c *soakCommand) run(ctx context.Context) error {
+	schedules, err := c.schedules()
+	if err != nil {
+		return err
+	}
+	failed := false
+	for _, s := range schedules {
+		kept, err := c.play(ctx, s)
+		if err != nil {
+			return err
+		}
+		failed = failed || !kept
+	}
+	if failed {
+		return errSoak
+	}
+	return nil
+}
+
+func (c *soakCommand) config(seed uint64) soaker.Config {
+	return soaker.Config{
+		Seed: seed, Duration: c.Duration, Binary: c.Binary,
+		Controls: c.Controls, Entries: c.Entries, Agents: c.Agents, Callers: c.Callers,
+	}
+}
+
+// schedules returns those of the files, or else those of the seeds.
+func (c *soakCommand) schedules() ([]soaker.Schedule, error) {
+	var list []soaker.Schedule
+	for _, path := range c.Schedule {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		var s soaker.Schedule
+		if err := json.Unmarshal(data, &s); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		list = append(list, s)
+	}
+	for seed := c.Seed; len(c.Schedule) == 0 && seed < c.Seed+c.Runs; seed++ {
+		list = append(list, soaker.Draw(c.config(seed)))
+	}
+	return list, nil
+}
+
+// play plays one schedule and reports whether all promises were kept.
+func (c *soakCommand) play(ctx context.Context, s soaker.Schedule) (bool, error) {
+	config := c.config(s.Seed)
+	var err error
+	if config.Folder, err = os.MkdirTemp("", "cherviltide-soak-"); err != nil {
+		return false, err
+	}
+	report, err := soaker.Run(ctx, config, s)
+	if err != nil {
+		return false, err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+		return false, err
+	}
+	if len(report.Violations) > 0 {
+		return false, nil
+	}
+	return true, os.RemoveAll(config.Folder)
+}
+
 type command interface {
 	run(ctx context.Context) error
 }
@@ -107,6 +190,7 @@
 	Target    *targetCommand    `arg:"subcommand:target" help:"serve requests as a target"`
 	Demo      *demoCommand      `arg:"subcommand:demo" help:"run the whole path on this machine"`
 	Subscribe *subscribeCommand `arg:"subcommand:subscribe" help:"run followers in one process and print their usage as JSON"`
+	Soak      *soakCommand      `arg:"subcommand:soak" help:"disturb the programs by a seed and check what they promise"`
 	Measure   *measureCommand   `arg:"subcommand:measure" help:"run measurements and print JSON lines"`
 }
 
--- a/supervisor/drain.go
+++ b/supervisor/drain.go
@@ -10,10 +10,12 @@
 	Quiet cherviltide.Millis
 	// Limit is when it ends although others still rely on it.
 	Limit cherviltide.Millis
+	// End bounds the last announcement, which follows.
+	End cherviltide.Millis
 }
 
 // DefaultPace keeps the grace and the way of the announcement together below 3 s.
-var DefaultPace = Pace{Grace: 2_000, Quiet: 1_000, Limit: 8_000}
+var DefaultPace = Pace{Grace: 2_000, Quiet: 1_000, Limit: 8_000, End: 2_000}
 
 // drain decides when a stopping process takes nothing any more.
 type drain struct {
@@ -27,9 +29,6 @@
 
 // newDrain returns the decision for a process that was told to stop at the given time.
 func newDrain(now cherviltide.Millis, activity uint64, pace Pace) *drain {
-	if pace == (Pace{}) {
-		pace = DefaultPace
-	}
 	return &drain{since: now, changed: now, activity: activity, pace: pace}
 }
 
--- a/supervisor/drain_test.go
+++ b/supervisor/drain_test.go
@@ -22,7 +22,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			const start = 1_000_000
-			d, activity := newDrain(start, 7, Pace{}), uint64(7)
+			d, activity := newDrain(start, 7, DefaultPace), uint64(7)
 			now := cherviltide.Millis(start)
 			for !d.done(now, activity) {
 				now += 100
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -13,12 +13,8 @@
 	"cherviltide.example/cherviltide/runner"
 )
 
-const (
-	// endTimeout bounds the last announcement of a process that stops.
-	endTimeout = 2 * time.Second
-	// drainInterval is the time between two looks at a stopping process.
-	drainInterval = 100 * time.Millisecond
-)
+// drainInterval is the time between two looks at a stopping process.
+const drainInterval = 100 * time.Millisecond
 
 // Work is what a process does beside following control.
 type Work struct {
@@ -38,6 +34,9 @@
 // heard of it, lets the work finish, and only then stops the follower and what supports the work. The end of any part
 // stops the others.
 func (w Work) Run(ctx context.Context, f *follower.Follower, log *zap.Logger) error {
+	if w.Pace == (Pace{}) {
+		w.Pace = DefaultPace
+	}
 	supportCtx, stopSupport := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSupport()
 	serveCtx, stopServing := context.WithCancel(supportCtx)
@@ -109,7 +108,7 @@
 	if w.Restarts {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	ctx, cancel := context.WithTimeout(ctx, w.Pace.End.Duration())
 	defer cancel()
 	if err := f.End(ctx); err != nil {
 		log.Info("EndNotAnnounced", zap.Error(err))
