--- a/commands/commands.go
+++ b/commands/commands.go
@@ -42,6 +42,7 @@
 	Status   *statusCommand    `arg:"subcommand:status" help:"show members and the revision each has in force"`
 	Drain    *drainCommand     `arg:"subcommand:drain" help:"make a member finish its work and end"`
 	Report   *reportCommand    `arg:"subcommand:report" help:"show the service-level report"`
+	Explain  *explainCommand   `arg:"subcommand:explain" help:"join the log lines of a flow and name the one that decided it"`
 	Settings *settingsCommand  `arg:"subcommand:settings" help:"check a settings file and print it in full"`
 	Version  *versionCommand   `arg:"subcommand:version" help:"print the version"`
 }
