--- a/logger/logger.go
+++ b/logger/logger.go
@@ -22,9 +22,6 @@
 	further = 100
 	// queueSize is the number of lines between the process and the output.
 	queueSize = 4096
-	// writeInterval is the time after a write in which further lines wait for the next one. Each write is a system call; a
-	// process that is killed loses the lines of this time.
-	writeInterval = 5 * time.Millisecond
 	// gatherSize bounds the lines of one write, in bytes.
 	gatherSize = 64 << 10
 	// countInterval is the time between two lines about lines that were left out.
@@ -116,7 +113,6 @@
 			if err := write(out, l.gather(line)); err != nil {
 				return err
 			}
-			time.Sleep(writeInterval)
 		case <-ticker.C:
 			if s, d := l.Sampled(), l.Dropped(); s != sampled || d != dropped {
 				l.Warn("LinesLeftOut", zap.Uint64("Sampled", s-sampled), zap.Uint64("Dropped", d-dropped))
@@ -128,7 +124,8 @@
 	}
 }
 
-// gather adds the lines that came since the last write.
+// gather adds the lines that came during the last write. It waits for none, so that a process that is killed has written
+// what it logged before.
 func (l *Log) gather(lines []byte) []byte {
 	for len(lines) < gatherSize && len(l.queue) > 0 {
 		lines = append(lines, <-l.queue...)
