Remember the former services of routes in the configuration log

After all entries had restarted within the life of a flow whose route had moved, its packets were searched among the new service's agents only and dropped as NoHolder; cherviltide explain showed the last Stage decision and the drops after it. Ruled out: the agents (none of that service had restarted) and the target (alive). The follower's own function moved to the root package.

--- a/controller/edits.go
+++ b/controller/edits.go
@@ -24,7 +24,8 @@
 
 // apply accepts an edit at the leader; another instance passes it on.
 func (c *Controller) apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
-	if _, err := c.config.Parse(req.Text); err != nil {
+	rules, err := c.config.Parse(req.Text)
+	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
@@ -34,10 +35,10 @@
 		return nil, err
 	}
 	if r.here && req.Number > 0 {
-		return c.acceptNumbered(ctx, req)
+		return c.acceptNumbered(ctx, req, rules)
 	}
 	if r.here {
-		return c.acceptEdit(ctx, req)
+		return c.acceptEdit(ctx, req, rules)
 	}
 	if req.Forwarded || r.url == "" {
 		return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
@@ -49,7 +50,7 @@
 
 // acceptEdit proposes an edit. Nothing is proposed before a majority has confirmed this instance, so a refusal without a
 // majority means that the edit was not accepted.
-func (c *Controller) acceptEdit(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+func (c *Controller) acceptEdit(ctx context.Context, req *messenger.ApplyRequest, rules cherviltide.Rules) (*messenger.ApplyResponse, error) {
 	if !c.confirmed(ctx, c.configuration) {
 		return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
 	}
@@ -57,6 +58,7 @@
 	answer := make(chan error, 1)
 	var number uint64
 	err := c.do(ctx, func() {
+		edit.Former = c.former(rules)
 		c.propose(edit, func(n uint64, err error) { number = n; answer <- err })
 	})
 	if err != nil {
@@ -73,7 +75,7 @@
 // acceptNumbered proposes an edit whose number is above that of the accepted file, until it or a higher one is accepted.
 // An edit with another number is answered only after a majority has confirmed this instance, so that what it compares with
 // is the newest.
-func (c *Controller) acceptNumbered(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+func (c *Controller) acceptNumbered(ctx context.Context, req *messenger.ApplyRequest, rules cherviltide.Rules) (*messenger.ApplyResponse, error) {
 	for ctx.Err() == nil {
 		if !c.confirmed(ctx, c.configuration) {
 			return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
@@ -83,7 +85,7 @@
 		err := c.do(ctx, func() {
 			if current = c.registrar.Current(); current.Edit.Number < req.Number {
 				edit := registrar.Edit{ID: uuid.NewString(), Operator: req.Operator, Base: current.Number, Number: req.Number,
-					Text: req.Text, Time: c.config.Clock.Now()}
+					Text: req.Text, Time: c.config.Clock.Now(), Former: c.former(rules)}
 				c.propose(edit, func(_ uint64, err error) { answer <- err })
 			}
 		})
@@ -108,6 +110,11 @@
 	return nil, fault("controller.apply", cherviltide.KindUnavailable, errUnknown)
 }
 
+// former returns the services that routes would have had before the current rules are replaced.
+func (c *Controller) former(next cherviltide.Rules) []cherviltide.Former {
+	return cherviltide.Remember(c.members.rules.Routes, next.Routes, c.registrar.Current().Edit.Former)
+}
+
 // propose calls done from the loop with the revision that the edit became or the reason of its refusal.
 func (c *Controller) propose(edit registrar.Edit, done func(uint64, error)) {
 	if c.registrar.Known(edit.ID) || edit.Base != c.registrar.Current().Number {
--- a/controller/edits_test.go
+++ b/controller/edits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/clock"
 	"cherviltide.example/cherviltide/journaler"
 	"cherviltide.example/cherviltide/messenger"
@@ -39,3 +41,46 @@
 		require.NoError(t, c.membership.journal.Close())
 	}
 }
+
+// routes reads a text as the names of the services that the only route has.
+func routes(text string) (cherviltide.Rules, error) {
+	route := cherviltide.Route{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443")}
+	for _, name := range strings.Fields(text) {
+		route.Shares = append(route.Shares, cherviltide.Share{Service: name, Weight: 1})
+	}
+	return cherviltide.Rules{Routes: []cherviltide.Route{route}}, nil
+}
+
+// TestFormerServices guards against a control instance that restarts and no longer tells followers which services may hold
+// open flows of a route.
+func TestFormerServices(t *testing.T) {
+	folder := t.TempDir()
+	for run, texts := range [][]string{{"a", "b", "b c"}, {}, {"d"}} {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := New(Config{
+			Name: "control-1", Clock: clock.NewManual(1_800_000_000_000), Log: zap.NewNop(), Data: folder, Parse: routes,
+			Files: journaler.NewSystem(), Voters: []Voter{{Name: "control-1"}}, New: true, inline: true,
+		})
+		require.NoError(t, c.open())
+		ends := make(chan runner.End, 1)
+		runner.Start(ctx, "loop", ends, c.loop)
+		var base uint64
+		require.Eventually(t, func() bool {
+			res, err := c.current(ctx, &messenger.CurrentRequest{})
+			base = res.Revision
+			return err == nil && res.Confirmed
+		}, 10*time.Second, time.Millisecond)
+		for _, text := range texts {
+			accept(ctx, t, c, text, text, base)
+			base++
+		}
+		var got []cherviltide.Former
+		require.NoError(t, c.do(ctx, func() { got = c.registrar.Current().Edit.Former }))
+		want := [][]string{{"a"}, {"a"}, {"b", "c", "a"}}[run]
+		require.Equal(t, []cherviltide.Former{{Address: netip.MustParseAddrPort("198.18.0.1:443"), Services: want}}, got)
+		cancel()
+		<-ends
+		require.NoError(t, c.configuration.journal.Close())
+		require.NoError(t, c.membership.journal.Close())
+	}
+}
--- a/controller/members.go
+++ b/controller/members.go
@@ -116,6 +116,7 @@
 	c.distributor.Publish(distributor.State{
 		Revision: current.Number,
 		Text:     current.Edit.Text,
+		Former:   current.Edit.Former,
 		Base:     c.tracker.Base(),
 		Position: c.tracker.Position(),
 		Oldest:   oldest,
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -35,6 +35,8 @@
 type State struct {
 	Revision uint64
 	Text     string
+	// Former has the services that routes had under earlier rules.
+	Former []cherviltide.Former
 	// Base and Position are of the membership log; both are 0 before the log is founded.
 	Base     uint64
 	Position uint64
--- a/distributor/history.go
+++ b/distributor/history.go
@@ -49,7 +49,7 @@
 
 // rules returns the newest text as deltas from the follower's text, or whole when that is unknown here or not longer.
 func (h *history) rules(state State, held *messenger.FollowRequest) *messenger.RulesUpdate {
-	u := &messenger.RulesUpdate{Revision: state.Revision, Digest: messenger.TextDigest(state.Text)}
+	u := &messenger.RulesUpdate{Revision: state.Revision, Digest: messenger.TextDigest(state.Text), Former: state.Former}
 	for i, c := range h.changes {
 		if c.revision == held.Revision+1 && c.base == held.RulesDigest {
 			size := 0
--- a/follower/accept.go
+++ b/follower/accept.go
@@ -101,6 +101,7 @@
 		f.config.Log.Error("RulesNotParsed", zap.Uint64("Revision", u.Revision), zap.Error(err))
 		return view, nil
 	}
+	rules.Former = u.Former
 	return view.WithRules(rules.WithRevision(u.Revision)), nil
 }
 
--- a/follower/route.go
+++ b/follower/route.go
@@ -8,9 +8,6 @@
 	"cherviltide.example/cherviltide/picker"
 )
 
-// formerLimit bounds the former services of a route that are remembered.
-const formerLimit = 4
-
 // RouteTables has the tables of the services that may hold flows of a route. It is immutable.
 type RouteTables struct {
 	Route cherviltide.Route
@@ -72,33 +69,6 @@
 	return slices.ContainsFunc(r.Route.Shares, func(s cherviltide.Share) bool { return s.Service == service && s.Weight > 0 })
 }
 
-// remember returns the former services of each route after a change of the rules.
-func remember(former map[netip.AddrPort][]string, before, after []cherviltide.Route) map[netip.AddrPort][]string {
-	shares := make(map[netip.AddrPort][]cherviltide.Share, len(before))
-	for _, r := range before {
-		shares[r.Address] = r.Shares
-	}
-	next := map[netip.AddrPort][]string{}
-	for _, r := range after {
-		var names []string
-		for _, s := range shares[r.Address] {
-			names = append(names, s.Service)
-		}
-		names = append(names, former[r.Address]...)
-		var kept []string
-		for _, name := range names {
-			current := slices.ContainsFunc(r.Shares, func(s cherviltide.Share) bool { return s.Service == name })
-			if !current && !slices.Contains(kept, name) && len(kept) < formerLimit {
-				kept = append(kept, name)
-			}
-		}
-		if len(kept) > 0 {
-			next[r.Address] = kept
-		}
-	}
-	return next
-}
-
 // changes returns the revision of the last change of each route's shares after a change of the rules.
 func changes(known map[netip.AddrPort]uint64, before, after cherviltide.Rules) map[netip.AddrPort]uint64 {
 	shares := make(map[netip.AddrPort][]cherviltide.Share, len(before.Routes))
@@ -124,13 +94,17 @@
 		}
 		return v.defined[service]
 	}
+	former := make(map[netip.AddrPort][]string, len(v.former))
+	for _, f := range v.former {
+		former[f.Address] = f.Services
+	}
 	for _, r := range v.Rules.Routes {
 		x := &RouteTables{Route: r, Changed: v.changed[r.Address]}
 		for _, s := range r.Shares {
 			x.tables = append(x.tables, table(s.Service))
 			x.total += uint64(s.Weight)
 		}
-		for _, name := range v.former[r.Address] {
+		for _, name := range former[r.Address] {
 			x.tables = append(x.tables, table(name))
 		}
 		routes[r.Address] = x
--- a/follower/route_test.go
+++ b/follower/route_test.go
@@ -56,6 +56,16 @@
 	require.Empty(t, view.Routes)
 }
 
+// TestFormerOfControl guards against open flows that are lost when an entry restarts after their route went elsewhere.
+func TestFormerOfControl(t *testing.T) {
+	rules := routeRules(3, share("c", 1))
+	rules.Former = []cherviltide.Former{{Address: routeAddress, Services: []string{"b", "a"}}}
+	view := NewView().WithRules(rules)
+	require.Equal(t, []string{"c", "b", "a"}, stages(t, view.Routes[routeAddress], 0))
+	view = view.WithRules(routeRules(4, share("a", 1)))
+	require.Equal(t, []string{"a", "c", "b"}, stages(t, view.Routes[routeAddress], 0))
+}
+
 // TestRouteShares guards against new flows that do not follow the shares, and against a search that tries a service twice.
 func TestRouteShares(t *testing.T) {
 	view := NewView().WithRules(routeRules(1, share("a", 900), share("b", 100)))
--- a/follower/view.go
+++ b/follower/view.go
@@ -26,8 +26,8 @@
 	Key [16]byte
 	// changed has the revision of the last change of each route's shares.
 	changed map[netip.AddrPort]uint64
-	// former has the services that routes had under earlier rules.
-	former map[netip.AddrPort][]string
+	// former has the services that routes had under earlier rules, as this process saw them or control remembers them.
+	former []cherviltide.Former
 	// defined has the tables that control sent, also those of services that the rules do not have yet or any more.
 	defined map[string]*picker.Table
 	// text is the rules file at the revision received, which may be newer than Rules when it could not be parsed.
@@ -48,7 +48,7 @@
 	}
 	next := *v
 	next.Rules = rules
-	next.former = remember(v.former, v.Rules.Routes, rules.Routes)
+	next.former = cherviltide.Remember(v.Rules.Routes, rules.Routes, rules.Former, v.former)
 	next.changed = changes(v.changed, v.Rules, rules)
 	next.received = max(v.received, rules.Revision)
 	next.Tables = make(map[string]*picker.Table, len(rules.Services))
--- a/messenger/follow.go
+++ b/messenger/follow.go
@@ -55,6 +55,8 @@
 	// Deltas lead from the follower's text to the text at Revision. They are empty when Text is whole.
 	Deltas []LineDelta
 	Text   string
+	// Former has the services that routes had under earlier rules, which a process that has restarted has not seen.
+	Former []cherviltide.Former
 }
 
 // MemberDelta is a member event in its short form.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -45,6 +45,8 @@
 	Number uint64
 	Text   string
 	Time   cherviltide.Millis
+	// Former has the services that routes had before this edit, as the leader knew them.
+	Former []cherviltide.Former
 }
 
 // Revision is an accepted edit.
@@ -64,6 +66,7 @@
 	Sum      uint64
 	Lines    []Span
 	Number   uint64
+	Former   []cherviltide.Former
 }
 
 // size returns the approximate number of bytes that the entry takes.
@@ -104,7 +107,7 @@
 	lines := difference(strings.Split(r.state.Text, "\n"), strings.Split(e.Text, "\n"))
 	return cbor.Marshal(entry{
 		ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Sum: xxhash.Sum64String(e.Text), Lines: lines,
-		Number: e.Number,
+		Number: e.Number, Former: e.Former,
 	})
 }
 
@@ -120,7 +123,7 @@
 	e := r.state.Kept[len(r.state.Kept)-1]
 	return Revision{
 		Number: r.number(),
-		Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Number: e.Number, Time: e.Time, Text: r.state.Text},
+		Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Number: e.Number, Time: e.Time, Text: r.state.Text, Former: e.Former},
 	}
 }
 
--- a/rules.go
+++ b/rules.go
@@ -1,6 +1,9 @@
 package cherviltide
 
-import "net/netip"
+import (
+	"net/netip"
+	"slices"
+)
 
 // Class tells how the requests of a kind share the slots of a target.
 type Class string
@@ -83,6 +86,45 @@
 	Class Class
 }
 
+// Former has the services that a route had under earlier rules and no longer has, newest first. They may hold open flows.
+type Former struct {
+	_        struct{} `cbor:",toarray"`
+	Address  netip.AddrPort
+	Services []string
+}
+
+// formerLimit bounds the former services of a route that are remembered.
+const formerLimit = 4
+
+// Remember returns the former services of the routes after a change, given what was remembered before.
+func Remember(before, after []Route, known ...[]Former) []Former {
+	services := make(map[netip.AddrPort][]string, len(before))
+	for _, r := range before {
+		for _, s := range r.Shares {
+			services[r.Address] = append(services[r.Address], s.Service)
+		}
+	}
+	for _, list := range known {
+		for _, f := range list {
+			services[f.Address] = append(services[f.Address], f.Services...)
+		}
+	}
+	var next []Former
+	for _, r := range after {
+		f := Former{Address: r.Address}
+		for _, name := range services[r.Address] {
+			current := slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == name })
+			if !current && !slices.Contains(f.Services, name) && len(f.Services) < formerLimit {
+				f.Services = append(f.Services, name)
+			}
+		}
+		if len(f.Services) > 0 {
+			next = append(next, f)
+		}
+	}
+	return next
+}
+
 // Rules is one accepted rules file. It is immutable.
 type Rules struct {
 	// Revision is 0 before the first file is accepted and grows by one with each accepted file.
@@ -93,6 +135,8 @@
 	Routes    []Route
 	// FlowIdle is how long a relayed flow may be silent before it may be forgotten; 0 means the default.
 	FlowIdle Millis
+	// Former is what control remembers of earlier rules, in the order of Routes.
+	Former []Former
 }
 
 // RulesParser reads rules from the text of a configuration and returns them with revision 0.
