Log pauses of the process, and fewer of the lines beyond the bound

ProcessPaused tells it; explain shows it around a flow. Beyond 200 lines of an event in a second every 1,000th is written instead of every 100th: at full load the hundredths were most of the lines.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -109,7 +109,7 @@
 var states = map[string]bool{
 	"EntryStarted": true, "AgentStarted": true, "ProcessEnded": true, "Leaving": true, "Expelled": true, "StateDiverged": true,
 	"TargetBeat": true, "TargetSilent": true, "TargetGone": true, "TargetLeft": true, "ControlStreamEnded": true,
-	"DatagramsDropped": true, "SendFailed": true, "LinesLeftOut": true,
+	"DatagramsDropped": true, "ProcessPaused": true, "SendFailed": true, "LinesLeftOut": true,
 }
 
 // window is how close to the last line of a flow a change of state must be to explain that nothing followed.
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -32,14 +32,14 @@
 
 // relayBench is an entry with the agents of two services, each a socket.
 type relayBench struct {
-	t      *testing.T
+	t      testing.TB
 	relay  *Relay
 	view   *follower.View
 	agents map[string]*net.UDPConn
 	caller *net.UDPConn
 }
 
-func newRelayBench(t *testing.T) *relayBench {
+func newRelayBench(t testing.TB) *relayBench {
 	x := &relayBench{t: t, view: follower.NewView(), agents: map[string]*net.UDPConn{}}
 	local := netip.MustParseAddrPort("127.0.0.1:0")
 	var err error
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -19,13 +19,19 @@
 const (
 	// first is how many lines of one event are written in a second; of those after them every further one of each.
 	first   = 200
-	further = 100
+	further = 1000
 	// queueSize is the number of lines between the process and the output.
 	queueSize = 4096
 	// gatherSize bounds the lines of one write, in bytes.
 	gatherSize = 64 << 10
 	// countInterval is the time between two lines about lines that were left out.
 	countInterval = 10 * time.Second
+	// parts is the number of goroutines of a log.
+	parts = 2
+	// pulseInterval is the time between two looks at the clock, and pauseLeast the time beyond it after which the process
+	// was paused: frozen, or without a processor.
+	pulseInterval = 500 * time.Millisecond
+	pauseLeast    = 500 * time.Millisecond
 	// closeTimeout bounds the wait for the output at the end.
 	closeTimeout = 500 * time.Millisecond
 )
@@ -44,10 +50,11 @@
 // New returns a log that writes JSON lines to out until Close.
 func New(out io.Writer) *Log {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Log{queue: make(chan []byte, queueSize), cancel: cancel, ends: make(chan runner.End, 1)}
+	l := &Log{queue: make(chan []byte, queueSize), cancel: cancel, ends: make(chan runner.End, parts)}
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), zapcore.AddSync(l), zapcore.InfoLevel)
 	l.Logger = zap.New(zapcore.NewSamplerWithOptions(core, time.Second, first, further, zapcore.SamplerHook(l.count)))
 	runner.Start(ctx, "log", l.ends, func(ctx context.Context) error { return l.run(ctx, out) })
+	runner.Start(ctx, "pauses", l.ends, l.watch)
 	return l
 }
 
@@ -95,9 +102,13 @@
 func (l *Log) Close() {
 	l.once.Do(func() {
 		l.cancel()
-		select {
-		case <-l.ends:
-		case <-time.After(closeTimeout):
+		timeout := time.After(closeTimeout)
+		for range parts {
+			select {
+			case <-l.ends:
+			case <-timeout:
+				return
+			}
 		}
 	})
 }
@@ -124,6 +135,23 @@
 	}
 }
 
+// watch writes a line after a time in which the process did not run. It does not share the writer's goroutine, which a
+// reader of the output can stop.
+func (l *Log) watch(ctx context.Context) error {
+	ticker := time.NewTicker(pulseInterval)
+	defer ticker.Stop()
+	for last := time.Now(); ; last = time.Now() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if gap := time.Since(last); gap > pulseInterval+pauseLeast {
+			l.Warn("ProcessPaused", zap.Int64("Ms", (gap-pulseInterval).Milliseconds()))
+		}
+	}
+}
+
 // gather adds the lines that came during the last write. It waits for none, so that a process that is killed has written
 // what it logged before.
 func (l *Log) gather(lines []byte) []byte {
