Announce a leaving target as leaving from the first announcement on

Ruled out: a signal (the log has Leaving 1 ms after the first heartbeat, no signal was sent), an operator's drain (no DrainAsked).

--- a/bench/soaker/soaker.go
+++ b/bench/soaker/soaker.go
@@ -209,7 +209,9 @@
 	if err := until(ctx, "all daemons are ready", func() bool { return w.allReady(ctx) }); err != nil {
 		w.record.violate("recover", err.Error())
 	}
-	w.operator.final(ctx)
+	reading, cancelReading := context.WithTimeout(run, recovery)
+	defer cancelReading()
+	w.operator.final(reading)
 	const tries = 40
 	served := 0
 	asking, cancelAsking := context.WithTimeout(run, recovery)
--- a/follower/announce.go
+++ b/follower/announce.go
@@ -21,12 +21,14 @@
 	f.signal()
 }
 
-// Appear announces a member in place of the present one, which has ended or was never there.
-func (f *Follower) Appear(m cherviltide.Member) {
-	f.member.Store(&m)
-	f.leaving.Store(false)
+// Appear announces a member in place of the present one, which has ended or was never there. A member that leaves is never
+// announced as one that stays: control would take the difference for an operator's order to end the process.
+func (f *Follower) Appear(m cherviltide.Member, leaving bool) {
+	// An announcement reads the member first, so that it never pairs the new member with what was said of the old one.
+	f.leaving.Store(leaving)
 	f.paused.Store(false)
 	f.gone.Store(false)
+	f.member.Store(&m)
 	f.absent.Store(false)
 	f.signal()
 }
@@ -121,8 +123,9 @@
 func (f *Follower) announce(ctx context.Context, client *http.Client, base string) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
+	member := f.Member()
 	req := &messenger.AnnounceRequest{
-		Member:       f.Member(),
+		Member:       member,
 		Leaving:      f.leaving.Load(),
 		Ended:        f.ended.Load() || f.gone.Load(),
 		Paused:       f.paused.Load(),
--- a/follower/lease_test.go
+++ b/follower/lease_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
 )
 
@@ -45,3 +46,36 @@
 		})
 	}
 }
+
+// TestAppearsLeaving guards against a process that control ends because its member, which leaves, was first announced as
+// one that stays.
+func TestAppearsLeaving(t *testing.T) {
+	announced := make(chan *messenger.AnnounceRequest, 100)
+	mux := http.NewServeMux()
+	messenger.Announce.Handle(mux, func(_ context.Context, req *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
+		announced <- req
+		return &messenger.AnnounceResponse{Lease: 3_600_000, Leave: !req.Leaving}, nil
+	})
+	server := httptest.NewUnstartedServer(mux)
+	server.Config = messenger.NewServer(mux, nil)
+	server.Start()
+	defer server.Close()
+	f := New(Config{
+		Control: []string{server.URL}, Absent: true, NewClient: func() *http.Client { return messenger.NewClient(nil) },
+		Report: func(*messenger.AnnounceRequest) {}, Log: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	f.Appear(cherviltide.Member{Name: "side-1", Role: cherviltide.RoleAgent, Incarnation: 7}, true)
+	first := <-announced
+	require.True(t, first.Leaving)
+	require.EqualValues(t, 7, first.Member.Incarnation)
+	cancel()
+	require.NoError(t, <-ended)
+	select {
+	case <-f.Drained():
+		t.Fatal("control ended the process")
+	default:
+	}
+}
