--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -36,7 +36,7 @@
 	return fmt.Sprintf(`{"Level":"info","Time":%q,"Event":%q%s}`, at.Format(time.RFC3339Nano), event, fields)
 }
 
-const flow = `"Flow":"f1","Copy":0,"Sequence":7`
+const flow = `"Flow":"f1","Copy":0,"Sequence":7,"Generation":117156106913841185`
 
 // TestExplain guards against an explanation that names a line which did not decide the flow's end.
 func TestExplain(t *testing.T) {
@@ -103,6 +103,7 @@
 	}}), Around)
 	require.NoError(t, err)
 	require.Equal(t, 2, r.Unread)
+	require.Equal(t, "117156106913841185", fmt.Sprint(r.Lines[0].Fields["Generation"]), "the field is rounded")
 	require.Equal(t, 7, r.LeftOut)
 	_, err = Explain("f1", []string{filepath.Join(t.TempDir(), "missing.log")}, Around)
 	require.ErrorContains(t, err, "missing.log")
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -33,9 +33,13 @@
 	return s
 }
 
-// number returns a field that is a number.
+// amount returns a field that is a number.
 func (l Line) amount(name string) float64 {
-	f, _ := l.Fields[name].(float64)
+	n, _ := l.Fields[name].(json.Number)
+	f, err := n.Float64()
+	if err != nil {
+		return 0 // The field is missing or holds something else, as in the log of another program.
+	}
 	return f
 }
 
@@ -73,7 +77,10 @@
 
 func decode(object []byte) (Line, bool) {
 	var l Line
-	if err := json.Unmarshal(object, &l.Fields); err != nil {
+	// Generations do not fit a floating-point number.
+	decoder := json.NewDecoder(bytes.NewReader(object))
+	decoder.UseNumber()
+	if err := decoder.Decode(&l.Fields); err != nil {
 		return Line{}, false
 	}
 	at, err := time.Parse(time.RFC3339Nano, l.text("Time"))
