--- a/bench/soaker/daemon.go
+++ b/bench/soaker/daemon.go
@@ -19,7 +19,7 @@
 
 // Machines of a run.
 const (
-	firstControl, callersMachine, firstEntry, firstAgent = 1, 10, 20, 40
+	firstControl, callersMachine, firstEntry, firstAgent, lastMachine = 1, 10, 20, 40, 255
 )
 
 // daemon is a process of the system. A fault holds it while it lasts.
--- a/bench/soaker/fault.go
+++ b/bench/soaker/fault.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -96,7 +96,7 @@
 		lock, subject = &w.links[d.Machine].fault, w.links[d.Machine].name
 	}
 	if !lock.TryLock() {
-		w.record.skip()
+		w.record.count(func(c *Counts) { c.Skipped++ })
 		return nil
 	}
 	defer lock.Unlock()
@@ -163,7 +163,7 @@
 // reload changes the seeds in a settings file while the process runs.
 func (w *world) reload(ctx context.Context, d *daemon, span time.Duration) error {
 	seeds := w.seeds()
-	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	slices.Reverse(seeds)
 	if _, err := w.site.Settings(d.Daemon, false, seeds[:1+len(seeds)/2]...); err != nil {
 		return err
 	}
@@ -206,7 +206,7 @@
 // loseDisk ends a control instance and removes its state. The next one is lost only after this one has a copy again.
 func (w *world) loseDisk(ctx context.Context, d *daemon, span time.Duration) error {
 	if !w.disk.TryLock() {
-		w.record.skip()
+		w.record.count(func(c *Counts) { c.Skipped++ })
 		return nil
 	}
 	before := admissions(d.process)
--- a/bench/soaker/record.go
+++ b/bench/soaker/record.go
@@ -18,14 +18,17 @@
 
 // Counts tell what callers and operators saw.
 type Counts struct {
-	Flows, Unopened, Answers           int
-	ResetsAllowed, Silent, UnknownEnds int
-	Edits, EditsAcknowledged           int
-	Reads, ReadsRefused                int
+	Flows, Unopened, Answers int
+	// Reset and Silent count open flows that ended while no promise held, UnknownEnds those that may not have been open.
+	Reset, Silent, UnknownEnds int
+	Edits, EditsAcknowledged   int
+	Reads, ReadsRefused        int
 	// RoutesChecked and ConfigsChecked count new flows whose service was compared with the configurations in force.
 	RoutesChecked, ConfigsChecked int
 	Drains, Restarts              int
 	AskedAtEnd, ServedAtEnd       int
+	// Skipped counts faults that met another one on the same process.
+	Skipped int
 }
 
 // disturbance is a time in which something was disturbed from outside. It ends at the zero time while it is under way.
@@ -42,7 +45,6 @@
 	disturbances []*disturbance
 	list         []Violation
 	tally        Counts
-	passedOver   int
 }
 
 func newRecord() *record { return &record{start: time.Now()} }
@@ -99,16 +101,3 @@
 	defer r.mu.Unlock()
 	return r.tally
 }
-
-// skip counts a fault that met another one on the same process.
-func (r *record) skip() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.passedOver++
-}
-
-func (r *record) skipped() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.passedOver
-}
--- a/bench/soaker/soaker.go
+++ b/bench/soaker/soaker.go
@@ -33,11 +33,27 @@
 	Callers int
 }
 
+// Check returns an error for sizes that do not fit the addresses of a run.
+func (c Config) Check() error {
+	for _, x := range []struct {
+		name               string
+		value, least, most int
+	}{
+		{"controls", c.Controls, 1, callersMachine - firstControl},
+		{"entries", c.Entries, 1, firstAgent - firstEntry},
+		{"agents", c.Agents, len(serviceNames), lastMachine - firstAgent},
+		{"callers", c.Callers, 1, maxTasks / 2},
+	} {
+		if x.value < x.least || x.value > x.most {
+			return errors.Errorf("%s: found %d, expected %d to %d", x.name, x.value, x.least, x.most)
+		}
+	}
+	return nil
+}
+
 // Report is the result of one run.
 type Report struct {
 	Schedule
-	// Skipped counts faults that met another one on the same process.
-	Skipped    int
 	Counts     Counts
 	Violations []Violation
 	// Folder has the logs of a run with violations.
@@ -79,6 +95,9 @@
 
 // Run plays a schedule. An error means that the run itself failed and has no result.
 func Run(ctx context.Context, config Config, schedule Schedule) (Report, error) {
+	if err := config.Check(); err != nil {
+		return Report{}, err
+	}
 	w := newWorld(config)
 	defer w.close()
 	background, stop := context.WithCancel(ctx)
@@ -93,9 +112,7 @@
 	if ended := w.wait(); err == nil {
 		err = ended
 	}
-	report := Report{
-		Schedule: schedule, Skipped: w.record.skipped(), Counts: w.record.counts(), Violations: w.record.violations(),
-	}
+	report := Report{Schedule: schedule, Counts: w.record.counts(), Violations: w.record.violations()}
 	if len(report.Violations) > 0 {
 		report.Folder = config.Folder
 	}
--- a/bench/soaker/soaker_test.go
+++ b/bench/soaker/soaker_test.go
@@ -83,3 +83,21 @@
 		}
 	}
 }
+
+// TestCheck guards against sizes that end in a panic or in two processes at one address.
+func TestCheck(t *testing.T) {
+	valid := config(1)
+	valid.Callers = 40
+	require.NoError(t, valid.Check())
+	for name, change := range map[string]func(*Config){
+		"controls: found 10": func(c *Config) { c.Controls = 10 },
+		"entries: found 0":   func(c *Config) { c.Entries = 0 },
+		"agents: found 1":    func(c *Config) { c.Agents = 1 },
+		"agents: found 300":  func(c *Config) { c.Agents = 300 },
+		"callers: found -1":  func(c *Config) { c.Callers = -1 },
+	} {
+		c := valid
+		change(&c)
+		require.ErrorContains(t, c.Check(), name)
+	}
+}
--- a/bench/soaker/traffic.go
+++ b/bench/soaker/traffic.go
@@ -95,22 +95,16 @@
 // broken judges the end of an open flow. Only planned work and calm times promise that there is none.
 func (w *world) broken(f *relaypath.Flow, target string, asked time.Time, err error) {
 	w.damage(err)
-	reset := errors.Is(err, relaypath.ErrReset)
-	w.record.count(func(c *Counts) {
-		if reset {
-			c.ResetsAllowed++
-		} else {
-			c.Silent++
-		}
-	})
 	if !w.backends.alive(target) || !w.record.calm(asked, time.Now(), unplanned) {
+		w.record.count(func(c *Counts) {
+			if errors.Is(err, relaypath.ErrReset) {
+				c.Reset++
+			} else {
+				c.Silent++
+			}
+		})
 		return
 	}
-	w.record.count(func(c *Counts) {
-		if reset {
-			c.ResetsAllowed--
-		}
-	})
 	w.record.violate("flow", fmt.Sprintf("flow %d of %s ended %v after a question: %v", f.Port(), target, time.Since(asked).Round(time.Millisecond), err))
 }
 
--- a/cmd/cherviltide-bench/main.go
+++ b/cmd/cherviltide-bench/main.go
@@ -116,6 +116,9 @@
 
 // run plays schedules and prints a JSON line for each. Logs stay after a run with violations.
 func (c *soakCommand) run(ctx context.Context) error {
+	if err := c.config(c.Seed).Check(); err != nil {
+		return err
+	}
 	schedules, err := c.schedules()
 	if err != nil {
 		return err
