--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -180,3 +181,37 @@
 		})
 	}
 }
+
+// waiting is a context that calls a function when somebody begins to wait for its end.
+type waiting struct {
+	context.Context
+	begins func()
+}
+
+func (w waiting) Done() <-chan struct{} {
+	w.begins()
+	return w.Context.Done()
+}
+
+// TestWaitsForMajority guards against followers that are sent away in the moment of an election, and against one that waits
+// for good at an instance which is cut off.
+func TestWaitsForMajority(t *testing.T) {
+	d := New()
+	d.Publish(State{Base: 10, Position: 20, Stale: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	elected := sync.OnceFunc(func() { d.Publish(State{Base: 10, Position: 21}) })
+	var got []uint64
+	err := d.Serve(waiting{ctx, elected}, &messenger.FollowRequest{}, func(u *messenger.FollowUpdate) error {
+		got = append(got, u.Position)
+		cancel()
+		return nil
+	})
+	require.NoError(t, err)
+	require.Equal(t, []uint64{21}, got)
+
+	d.Publish(State{Base: 10, Position: 22, Stale: true})
+	err = d.Serve(t.Context(), &messenger.FollowRequest{}, func(*messenger.FollowUpdate) error { return nil })
+	var refused *Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, cherviltide.KindUnavailable, refused.Kind)
+}
