--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 
 	"cherviltide.example/cherviltide/bench/launcher"
 )
@@ -23,6 +24,7 @@
 	outboundPort, appPort = 33_104, 33_105
 	// forwardedPort is where a control instance listens that is behind a forwarder at its admin port.
 	forwardedPort = 33_106
+	metricsPort   = 33_107
 	internalPort  = 33_110
 	internalPorts = 6
 )
@@ -129,7 +131,8 @@
 	if d.Role == RoleControl && s.Forwarded {
 		environment = append(environment, "CHERVILTIDE_CONTROL_LISTEN="+s.Listen(d.Machine).String())
 	}
-	return launcher.StartProcess(s.Folder, d.Name(), environment, s.Binary, "platform", d.Role)
+	return launcher.StartProcess(s.Folder, d.Name(), environment, s.Binary,
+		"platform", d.Role, "--metrics-port", strconv.Itoa(metricsPort))
 }
 
 // StartTarget starts a target on the machine of an agent.
@@ -147,6 +150,16 @@
 	return status
 }
 
+// Metrics returns the metrics of the daemon on a machine.
+func (s *Site) Metrics(ctx context.Context, machine int) (map[string]any, error) {
+	_, body, err := call(ctx, http.MethodGet, s.Address(machine, metricsPort), "/debug/vars", nil)
+	if err != nil {
+		return nil, err
+	}
+	var metrics map[string]any
+	return metrics, json.Unmarshal(body, &metrics)
+}
+
 // Put sends a configuration to a control instance and returns the status of the answer.
 func (s *Site) Put(ctx context.Context, machine int, body []byte) (int, error) {
 	status, _, err := call(ctx, http.MethodPut, s.Address(machine, adminPort), "/config", body)
