--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -34,8 +34,9 @@
 func Explain(flow string, paths []string, around cherviltide.Millis) (Report, error) {
 	report := Report{Flow: flow}
 	var all []Line
+	keep := func(l Line) bool { return l.text("Flow") == flow || states[l.Event] }
 	for i, path := range paths {
-		lines, unread, err := readFile(i, path)
+		lines, unread, err := readFile(i, path, keep)
 		if err != nil {
 			return Report{}, &Error{cherviltide.Fault{Op: "explainer.Explain", Kind: cherviltide.KindInvalid, Err: err}}
 		}
@@ -46,7 +47,7 @@
 	return report, nil
 }
 
-func readFile(i int, path string) ([]Line, int, error) {
+func readFile(i int, path string, keep func(Line) bool) ([]Line, int, error) {
 	var r io.Reader = os.Stdin
 	if path != "-" {
 		file, err := os.Open(path)
@@ -56,7 +57,7 @@
 		defer func() { _ = file.Close() }()
 		r = file
 	}
-	lines, unread, err := read(i, path, r)
+	lines, unread, err := read(i, path, r, keep)
 	if err != nil {
 		return nil, 0, fmt.Errorf("%s: %w", path, err)
 	}
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -46,9 +46,9 @@
 // maxLine bounds a line, in bytes; longer ones are cut by collectors of logs.
 const maxLine = 1 << 20
 
-// read reads the lines of one log. A collector may have put the name of the process before each line. Lines that are not
-// JSON objects of this program are counted.
-func read(file int, path string, r io.Reader) (lines []Line, unread int, err error) {
+// read reads the lines of one log that are to be kept, so that a long log does not fill the memory. A collector may have put
+// the name of the process before each line. Lines that are not JSON objects of this program are counted.
+func read(file int, path string, r io.Reader, keep func(Line) bool) (lines []Line, unread int, err error) {
 	name := strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLine)
@@ -70,7 +70,9 @@
 			}
 			l.Process = name
 		}
-		lines = append(lines, l)
+		if keep(l) {
+			lines = append(lines, l)
+		}
 	}
 	return lines, unread, scanner.Err()
 }
