Bound what an edit carries of former services

Cause (read-through): every kept revision held the former services of all routes, up to 20,000 copies that no bound counted. Change: the state keeps those of the newest revision only; four services for a route and 256 routes, the last moved first. rules_test.go covers the bounds and the order.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -66,7 +66,8 @@
 	Sum      uint64
 	Lines    []Span
 	Number   uint64
-	Former   []cherviltide.Former
+	// Former is of the log only; the state needs that of the newest revision alone.
+	Former []cherviltide.Former
 }
 
 // size returns the approximate number of bytes that the entry takes.
@@ -86,6 +87,8 @@
 	First uint64
 	Text  string
 	Kept  []entry
+	// Former has the services that routes had before the newest revision.
+	Former []cherviltide.Former
 }
 
 // Registrar holds the accepted revisions: the newest text, and what each kept revision changed. One goroutine uses it.
@@ -123,7 +126,7 @@
 	e := r.state.Kept[len(r.state.Kept)-1]
 	return Revision{
 		Number: r.number(),
-		Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Number: e.Number, Time: e.Time, Text: r.state.Text, Former: e.Former},
+		Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Number: e.Number, Time: e.Time, Text: r.state.Text, Former: r.state.Former},
 	}
 }
 
@@ -145,7 +148,7 @@
 	if !ok || xxhash.Sum64String(text) != e.Sum {
 		return
 	}
-	r.state.Text = text
+	r.state.Text, r.state.Former, e.Former = text, e.Former, nil
 	e.Lines = reverse(before, e.Lines)
 	r.state.Kept = append(r.state.Kept, e)
 	r.byID[e.ID] = r.number()
--- a/rules.go
+++ b/rules.go
@@ -93,38 +93,59 @@
 	Services []string
 }
 
-// formerLimit bounds the former services of a route that are remembered.
-const formerLimit = 4
+// Bounds of what is remembered; both keep an edit small that carries it.
+const (
+	// formerServices is for one route. A route moves seldom within the life of a flow.
+	formerServices = 4
+	// formerRoutes is for all routes; those that moved last are kept.
+	formerRoutes = 256
+)
 
-// Remember returns the former services of the routes after a change, given what was remembered before.
+// Remember returns the former services of the routes after a change, given what was remembered before. The routes that have
+// just moved come first.
 func Remember(before, after []Route, known ...[]Former) []Former {
-	services := make(map[netip.AddrPort][]string, len(before))
-	for _, r := range before {
-		for _, s := range r.Shares {
-			services[r.Address] = append(services[r.Address], s.Service)
-		}
-	}
-	for _, list := range known {
-		for _, f := range list {
-			services[f.Address] = append(services[f.Address], f.Services...)
-		}
+	shares := make(map[netip.AddrPort][]Share, len(after))
+	for _, r := range after {
+		shares[r.Address] = r.Shares
 	}
+	index := map[netip.AddrPort]int{}
 	var next []Former
-	for _, r := range after {
-		f := Former{Address: r.Address}
-		for _, name := range services[r.Address] {
-			current := slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == name })
-			if !current && !slices.Contains(f.Services, name) && len(f.Services) < formerLimit {
-				f.Services = append(f.Services, name)
+	for _, list := range append([][]Former{served(before)}, known...) {
+		for _, f := range list {
+			for _, name := range f.Services {
+				current, exists := shares[f.Address]
+				if !exists || slices.ContainsFunc(current, func(s Share) bool { return s.Service == name }) {
+					continue
+				}
+				i, found := index[f.Address]
+				if !found && len(next) == formerRoutes {
+					continue
+				}
+				if !found {
+					i = len(next)
+					index[f.Address], next = i, append(next, Former{Address: f.Address})
+				}
+				if !slices.Contains(next[i].Services, name) && len(next[i].Services) < formerServices {
+					next[i].Services = append(next[i].Services, name)
+				}
 			}
 		}
-		if len(f.Services) > 0 {
-			next = append(next, f)
-		}
 	}
 	return next
 }
 
+// served returns the services of routes in the form of what is remembered.
+func served(routes []Route) []Former {
+	list := make([]Former, len(routes))
+	for i, r := range routes {
+		list[i].Address = r.Address
+		for _, s := range r.Shares {
+			list[i].Services = append(list[i].Services, s.Service)
+		}
+	}
+	return list
+}
+
 // Rules is one accepted rules file. It is immutable.
 type Rules struct {
 	// Revision is 0 before the first file is accepted and grows by one with each accepted file.
@@ -135,7 +156,7 @@
 	Routes    []Route
 	// FlowIdle is how long a relayed flow may be silent before it may be forgotten; 0 means the default.
 	FlowIdle Millis
-	// Former is what control remembers of earlier rules, in the order of Routes.
+	// Former is what control remembers of earlier rules.
 	Former []Former
 }
 
--- /dev/null
+++ b/rules_test.go
@@ -0,0 +1,46 @@
+package cherviltide
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRemember guards against flows that are lost because the service that holds them is forgotten too early, and against a
+// list that grows with each change.
+func TestRemember(t *testing.T) {
+	route := func(port int, services ...string) Route {
+		r := Route{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), uint16(port))}
+		for _, name := range services {
+			r.Shares = append(r.Shares, Share{Service: name, Weight: 1})
+		}
+		return r
+	}
+	former := func(port int, services ...string) Former {
+		return Former{Address: route(port).Address, Services: services}
+	}
+	for name, test := range map[string]struct {
+		before, after []Route
+		known         []Former
+		want          []Former
+	}{
+		"nothing moves":                 {[]Route{route(1, "a")}, []Route{route(1, "a"), route(2, "b")}, nil, nil},
+		"route moves":                   {[]Route{route(1, "a", "b")}, []Route{route(1, "b", "c")}, nil, []Former{former(1, "a")}},
+		"newest first":                  {[]Route{route(1, "a")}, []Route{route(1, "b")}, []Former{former(1, "c")}, []Former{former(1, "a", "c")}},
+		"route moves back":              {[]Route{route(1, "a")}, []Route{route(1, "b")}, []Former{former(1, "b")}, []Former{former(1, "a")}},
+		"route ends":                    {[]Route{route(1, "a")}, nil, []Former{former(1, "c")}, nil},
+		"bound for a route":             {[]Route{route(1, "a")}, []Route{route(1, "b")}, []Former{former(1, "c", "d", "e", "f")}, []Former{former(1, "a", "c", "d", "e")}},
+		"what has moved comes first":    {[]Route{route(1, "a"), route(2, "a")}, []Route{route(1, "a"), route(2, "b")}, []Former{former(1, "c")}, []Former{former(2, "a"), former(1, "c")}},
+		"rules of a process that began": {nil, []Route{route(1, "b")}, []Former{former(1, "a")}, []Former{former(1, "a")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.want, Remember(test.before, test.after, test.known))
+		})
+	}
+	var before, after []Route
+	for port := range 2 * formerRoutes {
+		before, after = append(before, route(port, "a")), append(after, route(port, "b"))
+	}
+	require.Len(t, Remember(before, after), formerRoutes)
+}
