--- a/explainer/order.go
+++ b/explainer/order.go
@@ -1,8 +1,6 @@
 package explainer
 
-import (
-	"time"
-)
+import "time"
 
 // order returns lines by time, but never against what is known: the lines of one process stay in their order, and an agent
 // decides about a packet after the process that sent it there. A line that its time would put elsewhere is marked.
@@ -22,19 +20,10 @@
 	var latest time.Time
 	done := make([]bool, len(lines))
 	for range lines {
-		next := -1
-		for i := range lines {
-			if !done[i] && before[i] == 0 && (next < 0 || times[i].Before(times[next])) {
-				next = i
-			}
-		}
+		next := earliest(times, func(i int) bool { return !done[i] && before[i] == 0 })
 		if next < 0 {
 			// Contradictory lines, for example of two flows with one identifier, stay in the order of their time.
-			for i := range lines {
-				if !done[i] && (next < 0 || times[i].Before(times[next])) {
-					next = i
-				}
-			}
+			next = earliest(times, func(i int) bool { return !done[i] })
 		}
 		done[next] = true
 		for _, j := range after[next] {
@@ -50,6 +39,17 @@
 	return placed
 }
 
+// earliest returns the index of the first time among those that are allowed, or -1.
+func earliest(times []time.Time, allowed func(i int) bool) int {
+	first := -1
+	for i := range times {
+		if allowed(i) && (first < 0 || times[i].Before(times[first])) {
+			first = i
+		}
+	}
+	return first
+}
+
 // steady returns the times of lines, with those of one file never going back.
 func steady(lines []Line) []time.Time {
 	times := make([]time.Time, len(lines))
