--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/runner"
 )
 
 // tickInterval is the longest time between two decisions about waiting requests.
@@ -67,18 +68,11 @@
 
 // Run decides about waiting requests at regular times until ctx ends.
 func (a *Admitter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			a.mu.Lock()
-			a.publish(a.core.Tick(a.clock.Now()))
-			a.mu.Unlock()
-		}
-	}
+	return runner.Every(ctx, tickInterval, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.publish(a.core.Tick(a.clock.Now()))
+	})
 }
 
 // MayRetry takes one retry out of the budget and reports whether there was one.
--- a/bench/soaker/daemon.go
+++ b/bench/soaker/daemon.go
@@ -35,10 +35,25 @@
 	return &daemon{Daemon: relaypath.Daemon{Role: role, Machine: machine, Service: service}, mayEnd: &atomic.Bool{}}
 }
 
-// role returns the daemons of a role.
-func (w *world) role(role string) []*daemon {
+// newDaemons returns the daemons of a run, which have not started.
+func newDaemons(config Config) []*daemon {
 	var list []*daemon
-	for _, d := range w.daemons {
+	for i := range config.Controls {
+		list = append(list, newDaemon(relaypath.RoleControl, firstControl+i, ""))
+	}
+	for i := range config.Entries {
+		list = append(list, newDaemon(relaypath.RoleEntry, firstEntry+i, ""))
+	}
+	for i := range config.Agents {
+		list = append(list, newDaemon(relaypath.RoleAgent, firstAgent+i, serviceNames[i%len(serviceNames)]))
+	}
+	return list
+}
+
+// ofRole returns the daemons of a role.
+func ofRole(daemons []*daemon, role string) []*daemon {
+	var list []*daemon
+	for _, d := range daemons {
 		if d.Role == role {
 			list = append(list, d)
 		}
@@ -49,7 +64,7 @@
 // seeds returns the machines of all control instances.
 func (w *world) seeds() []int {
 	var list []int
-	for _, d := range w.role(relaypath.RoleControl) {
+	for _, d := range ofRole(w.daemons, relaypath.RoleControl) {
 		list = append(list, d.Machine)
 	}
 	return list
--- a/bench/soaker/operator.go
+++ b/bench/soaker/operator.go
@@ -107,7 +107,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.acknowledged) == 0 || o.newest() < version {
+	if o.newest() < version {
 		o.acknowledged = append(o.acknowledged, acknowledged{version: version, at: time.Now()})
 	}
 	return true
@@ -242,7 +242,6 @@
 // check compares the service of a new flow with the configurations that may have decided about it.
 func (o *operator) check(v virtual, started time.Time, target string) {
 	service := serviceOf(target)
-	o.world.record.count(func(c *Counts) { c.RoutesChecked++ })
 	if v.service != "" {
 		if v.service != service {
 			o.world.record.violate("route", fmt.Sprintf("a flow to %s went to %s", v.address, target))
--- a/bench/soaker/record.go
+++ b/bench/soaker/record.go
@@ -23,10 +23,10 @@
 	Reset, Silent, UnknownEnds int
 	Edits, EditsAcknowledged   int
 	Reads, ReadsRefused        int
-	// RoutesChecked and ConfigsChecked count new flows whose service was compared with the configurations in force.
-	RoutesChecked, ConfigsChecked int
-	Drains, Restarts              int
-	AskedAtEnd, ServedAtEnd       int
+	// ConfigsChecked counts new flows whose service was compared with the configurations in force.
+	ConfigsChecked          int
+	Drains, Restarts        int
+	AskedAtEnd, ServedAtEnd int
 	// Skipped counts faults that met another one on the same process.
 	Skipped int
 }
--- a/bench/soaker/schedule.go
+++ b/bench/soaker/schedule.go
@@ -53,9 +53,9 @@
 	p := Schedule{Seed: config.Seed, Duration: cherviltide.MillisOf(config.Duration), Planned: config.Seed%plannedOnlyOf == 0}
 	p.Power = !p.Planned && random.IntN(powerOf) == 0
 	names := slices.Sorted(maps.Keys(kinds))
-	w := newWorld(config)
+	daemons := newDaemons(config)
 	// A larger system gets more faults in a burst.
-	most := mostInBurst + len(w.daemons)/machinesInOneBurst
+	most := mostInBurst + len(daemons)/machinesInOneBurst
 	for at := time.Duration(0); at+burst <= config.Duration; at += burst + quiet {
 		for range leastInBurst + random.IntN(most-leastInBurst+1) {
 			f := Fault{
@@ -65,7 +65,7 @@
 			for f.Kind == "" || p.Planned && !kinds[f.Kind].planned {
 				f.Kind = names[random.IntN(len(names))]
 			}
-			f.Daemon = pick(w, kinds[f.Kind].role, random).Name()
+			f.Daemon = pick(daemons, kinds[f.Kind].role, random).Name()
 			p.Faults = append(p.Faults, f)
 		}
 	}
@@ -74,10 +74,10 @@
 }
 
 // pick returns a daemon of a role, or of any role when it is empty.
-func pick(w *world, role string, random *rand.Rand) *daemon {
+func pick(daemons []*daemon, role string, random *rand.Rand) *daemon {
 	if role == "" {
 		role = []string{relaypath.RoleControl, relaypath.RoleEntry, relaypath.RoleAgent}[random.IntN(3)]
 	}
-	list := w.role(role)
+	list := ofRole(daemons, role)
 	return list[random.IntN(len(list))]
 }
--- a/bench/soaker/soaker.go
+++ b/bench/soaker/soaker.go
@@ -127,20 +127,11 @@
 
 func newWorld(config Config) *world {
 	w := &world{
-		config: config, links: map[int]*link{}, record: newRecord(),
+		config: config, daemons: newDaemons(config), links: map[int]*link{}, record: newRecord(),
 		site: &relaypath.Site{Net: loopbackNet(), Folder: config.Folder, Binary: config.Binary, Forwarded: true},
 		// Each goroutine of a run reports its end once.
 		ends: make(chan runner.End, maxTasks),
 	}
-	for i := range config.Controls {
-		w.daemons = append(w.daemons, newDaemon(relaypath.RoleControl, firstControl+i, ""))
-	}
-	for i := range config.Entries {
-		w.daemons = append(w.daemons, newDaemon(relaypath.RoleEntry, firstEntry+i, ""))
-	}
-	for i := range config.Agents {
-		w.daemons = append(w.daemons, newDaemon(relaypath.RoleAgent, firstAgent+i, serviceNames[i%len(serviceNames)]))
-	}
 	w.backends = newBackends(w)
 	w.operator = newOperator(w)
 	return w
@@ -168,7 +159,7 @@
 
 // start starts all processes and targets and gives the system its first configuration.
 func (w *world) start(ctx context.Context) error {
-	for _, d := range w.role(relaypath.RoleControl) {
+	for _, d := range ofRole(w.daemons, relaypath.RoleControl) {
 		l, err := newLink(w.site, d)
 		if err != nil {
 			return err
@@ -183,7 +174,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	for _, d := range w.role(relaypath.RoleAgent) {
+	for _, d := range ofRole(w.daemons, relaypath.RoleAgent) {
 		if err := until(ctx, d.Name()+" answers", func() bool { return w.site.Readiness(ctx, d.Machine) != 0 }); err != nil {
 			return err
 		}
@@ -195,7 +186,7 @@
 		return err
 	}
 	var addresses []netip.AddrPort
-	for _, d := range w.role(relaypath.RoleEntry) {
+	for _, d := range ofRole(w.daemons, relaypath.RoleEntry) {
 		if err := until(ctx, d.Name()+" is ready", func() bool { return w.ready(ctx, d) }); err != nil {
 			return err
 		}
--- a/bench/soaker/soaker_test.go
+++ b/bench/soaker/soaker_test.go
@@ -62,7 +62,7 @@
 	files, err := filepath.Glob("testdata/*.json")
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
-	w := newWorld(config(1))
+	daemons := newDaemons(config(1))
 	for _, file := range files {
 		data, err := os.ReadFile(file)
 		require.NoError(t, err)
@@ -76,7 +76,7 @@
 			require.Contains(t, kinds, f.Kind, file)
 			require.True(t, f.At < s.Duration, file)
 			known := false
-			for _, d := range w.daemons {
+			for _, d := range daemons {
 				known = known || d.Name() == f.Daemon
 			}
 			require.True(t, known, "%s: %s", file, f.Daemon)
--- a/bench/sprayer/health.go
+++ b/bench/sprayer/health.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"cherviltide.example/cherviltide/runner"
 )
 
 // healthInterval is the time between two health checks of an entry, as a fabric's link checks would do.
@@ -45,16 +47,7 @@
 		defer func() { _ = conn.Close() }()
 		probes = append(probes, conn)
 	}
-	ticker := time.NewTicker(healthInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			h.check(probes)
-		}
-	}
+	return runner.Every(ctx, healthInterval, func() { h.check(probes) })
 }
 
 // check sends a datagram to each entry and takes away those whose port is closed.
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/runner"
 )
 
 const (
@@ -51,16 +52,7 @@
 
 // Run follows the membership until ctx ends.
 func (c *Claimer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(updateInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.update()
-		}
-	}
+	return runner.Every(ctx, updateInterval, c.update)
 }
 
 // Claim asks the key's home for the right to run. A granted verdict holds at the moment of the return.
--- a/controller/edits_test.go
+++ b/controller/edits_test.go
@@ -17,28 +17,40 @@
 	"cherviltide.example/cherviltide/runner"
 )
 
+// live runs an only instance with the state of a folder while f uses it, which gets the revision that it confirms.
+func live(t *testing.T, folder string, parse cherviltide.RulesParser, f func(ctx context.Context, c *Controller, revision uint64)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := New(Config{
+		Name: "control-1", Clock: clock.NewManual(1_800_000_000_000), Log: zap.NewNop(), Data: folder, Parse: parse,
+		Files: journaler.NewSystem(), Voters: []Voter{{Name: "control-1"}}, New: true, inline: true,
+	})
+	require.NoError(t, c.open())
+	ends := make(chan runner.End, 1)
+	runner.Start(ctx, "loop", ends, c.loop)
+	var revision uint64
+	require.Eventually(t, func() bool {
+		res, err := c.current(ctx, &messenger.CurrentRequest{})
+		if err == nil {
+			revision = res.Revision
+		}
+		return err == nil && res.Confirmed
+	}, 10*time.Second, time.Millisecond)
+	f(ctx, c, revision)
+	cancel()
+	<-ends
+	require.NoError(t, c.configuration.journal.Close())
+	require.NoError(t, c.membership.journal.Close())
+}
+
 // TestRestartKeepsEdits guards against an only instance that forgets accepted edits or their IDs with its process.
 func TestRestartKeepsEdits(t *testing.T) {
 	folder := t.TempDir()
 	for run := range 3 {
-		ctx, cancel := context.WithCancel(context.Background())
-		c := New(Config{
-			Name: "control-1", Clock: clock.NewManual(1_800_000_000_000), Log: zap.NewNop(), Data: folder,
-			Files: journaler.NewSystem(), Voters: []Voter{{Name: "control-1"}}, New: true, inline: true,
+		live(t, folder, nil, func(ctx context.Context, c *Controller, revision uint64) {
+			require.EqualValues(t, run, revision)
+			accept(ctx, t, c, string(rune('a'+run)), desk+strings.Repeat("# end\n", run+1), uint64(run))
+			accept(ctx, t, c, "a", desk+"# end\n", 0)
 		})
-		require.NoError(t, c.open())
-		ends := make(chan runner.End, 1)
-		runner.Start(ctx, "loop", ends, c.loop)
-		require.Eventually(t, func() bool {
-			res, err := c.current(ctx, &messenger.CurrentRequest{})
-			return err == nil && res.Confirmed && res.Revision == uint64(run)
-		}, 10*time.Second, time.Millisecond)
-		accept(ctx, t, c, string(rune('a'+run)), desk+strings.Repeat("# end\n", run+1), uint64(run))
-		accept(ctx, t, c, "a", desk+"# end\n", 0)
-		cancel()
-		<-ends
-		require.NoError(t, c.configuration.journal.Close())
-		require.NoError(t, c.membership.journal.Close())
 	}
 }
 
@@ -56,31 +68,15 @@
 func TestFormerServices(t *testing.T) {
 	folder := t.TempDir()
 	for run, texts := range [][]string{{"a", "b", "b c"}, {}, {"d"}} {
-		ctx, cancel := context.WithCancel(context.Background())
-		c := New(Config{
-			Name: "control-1", Clock: clock.NewManual(1_800_000_000_000), Log: zap.NewNop(), Data: folder, Parse: routes,
-			Files: journaler.NewSystem(), Voters: []Voter{{Name: "control-1"}}, New: true, inline: true,
+		live(t, folder, routes, func(ctx context.Context, c *Controller, base uint64) {
+			for _, text := range texts {
+				accept(ctx, t, c, text, text, base)
+				base++
+			}
+			var got []cherviltide.Former
+			require.NoError(t, c.do(ctx, func() { got = c.registrar.Current().Edit.Former }))
+			want := [][]string{{"a"}, {"a"}, {"b", "c", "a"}}[run]
+			require.Equal(t, []cherviltide.Former{{Address: netip.MustParseAddrPort("198.18.0.1:443"), Services: want}}, got)
 		})
-		require.NoError(t, c.open())
-		ends := make(chan runner.End, 1)
-		runner.Start(ctx, "loop", ends, c.loop)
-		var base uint64
-		require.Eventually(t, func() bool {
-			res, err := c.current(ctx, &messenger.CurrentRequest{})
-			base = res.Revision
-			return err == nil && res.Confirmed
-		}, 10*time.Second, time.Millisecond)
-		for _, text := range texts {
-			accept(ctx, t, c, text, text, base)
-			base++
-		}
-		var got []cherviltide.Former
-		require.NoError(t, c.do(ctx, func() { got = c.registrar.Current().Edit.Former }))
-		want := [][]string{{"a"}, {"a"}, {"b", "c", "a"}}[run]
-		require.Equal(t, []cherviltide.Former{{Address: netip.MustParseAddrPort("198.18.0.1:443"), Services: want}}, got)
-		cancel()
-		<-ends
-		require.NoError(t, c.configuration.journal.Close())
-		require.NoError(t, c.membership.journal.Close())
 	}
 }
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -119,7 +119,7 @@
 // Serve sends updates to one follower until ctx ends, sending fails or the instance becomes stale. An error of kind
 // Unavailable means that the follower is to try another instance, after the time that the error names.
 func (d *Distributor) Serve(ctx context.Context, req *messenger.FollowRequest, send func(*messenger.FollowUpdate) error) error {
-	state := d.settled(ctx)
+	state := d.awaitMajority(ctx)
 	leave, err := d.admission.enter(d.now(), !state.covers(req))
 	if err != nil {
 		return err
@@ -132,8 +132,8 @@
 // power all followers come back before it is over, and a refusal would cost each a retry of several hundred milliseconds.
 const staleWait = 300 * time.Millisecond
 
-// settled returns the state once the instance has a majority, or as it is after the wait.
-func (d *Distributor) settled(ctx context.Context) *published {
+// awaitMajority returns the state once the instance has a majority, or as it is after the wait.
+func (d *Distributor) awaitMajority(ctx context.Context) *published {
 	timer := time.NewTimer(staleWait)
 	defer timer.Stop()
 	for {
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -66,13 +66,12 @@
 
 // choose fills in a report from all lines.
 func (r *Report) choose(all []Line, around cherviltide.Millis) {
-	own := slices.Collect(func(yield func(Line) bool) {
-		for _, l := range all {
-			if l.text("Flow") == r.Flow && !yield(l) {
-				return
-			}
+	var own []Line
+	for _, l := range all {
+		if l.text("Flow") == r.Flow {
+			own = append(own, l)
 		}
-	})
+	}
 	if len(own) == 0 {
 		r.Cause = "no line names the flow; see LinesLeftOut and DatagramsDropped of the entries, and whether the logs reach back far enough"
 		return
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -276,19 +276,12 @@
 
 // expire forgets flows until ctx ends.
 func (r *Relayer) expire(ctx context.Context) error {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return runner.Every(ctx, expireInterval, func() {
 		x, _ := r.state(r.config.View())
 		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.core.Expire(x)
-		r.mu.Unlock()
-	}
+	})
 }
 
 // SetTarget takes what the target says of itself; fresh is true for another target than before.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -65,3 +65,17 @@
 		return true
 	}
 }
+
+// Every calls f at regular times until ctx ends, and returns nil.
+func Every(ctx context.Context, interval time.Duration, f func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f()
+		}
+	}
+}
