Let new flows wait at the agent for a slot of the target

Cause: an agent opened a new flow at its target as soon as three other agents had declined it.

Change: package queuer decides which waiting flow takes the next slot. Flows that can still meet the goal of their route go first, by priority and latest start; flows that have missed it take what is left, in the order in which their callers give up; what cannot be served before that is refused with a true reset. Bulky flows leave one slot to others. The age of a flow is known from the copy number of its opening packet. The number of open flows follows the slots, with an overlap for the round trip to the request. Offers carry the expected wait instead of a queue length. Waiting flows are handed on when the target leaves or the agent stops.

Ruled out: refusing late flows by the load of the last 500 ms.

bench/replayer plays the worst loads against the deciders in simulated time; its bounds fail with the targets' own queues for the outage, the burst and the lasting overload.

--- /dev/null
+++ b/bench/replayer/patterns.go
@@ -0,0 +1,30 @@
+package replayer
+
+import "cherviltide.example/cherviltide"
+
+// Patterns returns the load patterns that the decisions about waiting flows answer.
+func Patterns() []Pattern {
+	speeds := []float64{0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 1}
+	view := Kind{Name: "view", Route: cherviltide.Route{Priority: 3, Goal: 250, Deadline: 2_500, Class: cherviltide.ClassNormal},
+		PerSecond: 290, ServiceTime: 55, Packets: 2}
+	edit := Kind{Name: "edit", Route: cherviltide.Route{Priority: 2, Goal: 300, Deadline: 3_000, AtMostOnce: true, Class: cherviltide.ClassNormal},
+		PerSecond: 83, ServiceTime: 72, Packets: 1}
+	sheet := Kind{Name: "sheet", Route: cherviltide.Route{Priority: 3, Goal: 500, Deadline: 5_000, Class: cherviltide.ClassBulky},
+		PerSecond: 60, ServiceTime: 40, Packets: 34}
+	base := Pattern{Slots: 7, Queue: 28, Speeds: speeds, Kinds: []Kind{view, edit}, Duration: 12_000}
+	named := func(name string, change func(*Pattern)) Pattern {
+		p := base
+		p.Name = name
+		p.Kinds = append([]Kind(nil), base.Kinds...)
+		change(&p)
+		return p
+	}
+	return []Pattern{
+		named("outage", func(p *Pattern) { p.Outage = Interval{4_000, 5_200} }),
+		named("burst", func(p *Pattern) { p.Burst, p.BurstFactor = Interval{4_000, 6_000}, 3 }),
+		named("targets-lost", func(p *Pattern) { p.Lost, p.LostFrom, p.LostNotice = 2, 4_000, 1_500 }),
+		named("slow-target", func(p *Pattern) { p.Slow, p.SlowFactor = Interval{4_000, 8_000}, 6 }),
+		named("bulky", func(p *Pattern) { p.Kinds = append(p.Kinds, sheet); p.Burst, p.BurstFactor = Interval{4_000, 5_000}, 2 }),
+		named("overload", func(p *Pattern) { p.Burst, p.BurstFactor = Interval{2_000, 12_000}, 2.5 }),
+	}
+}
--- /dev/null
+++ b/bench/replayer/replayer.go
@@ -0,0 +1,432 @@
+// Package replayer plays load patterns against the decisions of agents in simulated time: callers that send copies of their
+// opening packets and come back after a refusal, agents with their deciders, and targets with slots, a queue and a cold start.
+package replayer
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/relayer"
+)
+
+// Times of the model, in milliseconds. Callers follow the schedule that agents expect of them.
+const (
+	callerDelay       cherviltide.Millis = 2
+	agentDelay        cherviltide.Millis = 1
+	openingTimeout    cherviltide.Millis = 1_400
+	retryDelay        cherviltide.Millis = 20
+	tickInterval      cherviltide.Millis = 10
+	expireInterval    cherviltide.Millis = 250
+	coldTime          cherviltide.Millis = 2_000
+	coldFactor                           = 1.6
+	maxAttempts                          = 3
+	expireEvery                          = expireInterval / tickInterval
+	fullPacketPayload                    = 1_200
+)
+
+var openingRetransmissions = []cherviltide.Millis{200, 600}
+
+// Kind is a kind of request; each request opens a flow of its own.
+type Kind struct {
+	Name  string
+	Route cherviltide.Route
+	// PerSecond is the rate of requests, ServiceTime the mean time that one takes a slot, in milliseconds.
+	PerSecond, ServiceTime float64
+	// Packets is the number of packets of an answer. They leave the target one millisecond apart, after the slot is free.
+	Packets int
+}
+
+// Pattern is a load pattern with its service.
+type Pattern struct {
+	Name string
+	// Slots and Queue are those of each target. A target rejects requests beyond them.
+	Slots, Queue int
+	// Speeds has the speed of each target relative to the service times of the kinds.
+	Speeds []float64
+	Kinds  []Kind
+	// Duration is how long requests arrive.
+	Duration cherviltide.Millis
+	// Outage, if its end is above 0, is the time in which all agents and targets are off. They lose all state.
+	Outage Interval
+	// Burst is the time in which BurstFactor times the usual requests arrive.
+	Burst       Interval
+	BurstFactor float64
+	// Lost targets are off from LostFrom on, without notice until the table follows LostNotice later.
+	Lost                 int
+	LostFrom, LostNotice cherviltide.Millis
+	// SlowFactor multiplies the service times of target 0 during Slow.
+	Slow       Interval
+	SlowFactor float64
+	// TargetQueues makes agents deliver all opening packets at once, so that flows wait in the targets' queues. It is the
+	// baseline for comparison.
+	TargetQueues bool
+}
+
+// Interval is a time interval.
+type Interval struct{ From, To cherviltide.Millis }
+
+func (i Interval) contains(t cherviltide.Millis) bool { return t >= i.From && t < i.To }
+
+// Result has the counts of requests of one kind by their outcome, for the requests of one second.
+type Result struct {
+	// Timely requests met their goal, Late ones their deadline; Refused ones were reset in their last attempt, or rejected by
+	// a target, and Failed ones got no answer.
+	Asked, Timely, Late, Refused, Failed int
+}
+
+// Report is the outcome of a pattern.
+type Report struct {
+	// PerSecond has the results by kind and second of arrival.
+	PerSecond map[string][]Result
+	// Doubled counts attempts that two targets ran, FalseRefusals those that were reset and ran, Offers the offers between
+	// agents, and Attempts the flows that callers tried to open.
+	Doubled, FalseRefusals, Offers, Attempts int
+	// LongestWaitMs is the longest time that a flow waited at an agent before it was opened.
+	LongestWaitMs cherviltide.Millis
+	// LeftWaiting is the number of flows that still waited at the end.
+	LeftWaiting int
+}
+
+// Sum returns the results of all kinds whose requests arrived in an interval of whole seconds.
+func (r *Report) Sum(from, to int, kinds ...string) Result {
+	var sum Result
+	for name, seconds := range r.PerSecond {
+		if len(kinds) > 0 && name != kinds[0] {
+			continue
+		}
+		for s := from; s < min(to, len(seconds)); s++ {
+			sum.Asked += seconds[s].Asked
+			sum.Timely += seconds[s].Timely
+			sum.Late += seconds[s].Late
+			sum.Refused += seconds[s].Refused
+			sum.Failed += seconds[s].Failed
+		}
+	}
+	return sum
+}
+
+// TimelyShare returns the share of timely requests.
+func (r Result) TimelyShare() float64 { return float64(r.Timely) / float64(max(r.Asked, 1)) }
+
+// request is a caller's request with its attempts.
+type request struct {
+	kind      *Kind
+	startedAt cherviltide.Millis
+	attempts  int
+	done      bool
+}
+
+// attempt is one flow of a request.
+type attempt struct {
+	request *request
+	key     cherviltide.FlowKey
+	// openAt is the target that the caller has acknowledged, or nil.
+	openAt *target
+	// ranAt is the target that ran the request, or nil.
+	ranAt *target
+	ended bool
+	reset bool
+}
+
+// event is a call at a point in time; events at the same time keep their order.
+type event struct {
+	at   cherviltide.Millis
+	seq  int
+	call func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// replay is the state of a simulation.
+type replay struct {
+	pattern  Pattern
+	random   *rand.Rand
+	now      cherviltide.Millis
+	seq      int
+	events   eventHeap
+	table    *picker.Table
+	targets  []*target
+	attempts map[cherviltide.FlowKey]*attempt
+	routes   map[netip.AddrPort]cherviltide.Route
+	lastPort int
+	report   *Report
+}
+
+// Run plays a pattern. Runs with the same seed are equal.
+func Run(p Pattern, seed uint64) *Report {
+	r := &replay{
+		pattern: p, random: rand.New(rand.NewPCG(seed, 0)), attempts: map[cherviltide.FlowKey]*attempt{},
+		routes: map[netip.AddrPort]cherviltide.Route{}, report: &Report{PerSecond: map[string][]Result{}},
+	}
+	r.table = picker.New(cherviltide.Service{Name: serviceName, ID: cherviltide.ServiceIDOf(serviceName), Buckets: 512})
+	for i, speed := range p.Speeds {
+		r.targets = append(r.targets, newTarget(r, i, speed))
+		r.addEvent(cherviltide.EventJoined, i)
+	}
+	for i := range p.Kinds {
+		r.scheduleKind(i)
+	}
+	r.scheduleFaults()
+	r.after(0, r.tick)
+	end := p.Duration + 5_000
+	for len(r.events) > 0 && r.events[0].at <= end {
+		e := heap.Pop(&r.events).(event)
+		r.now = e.at
+		e.call()
+	}
+	for _, t := range r.targets {
+		r.report.LeftWaiting += t.decider.Waiting()
+	}
+	return r.report
+}
+
+// after schedules a call.
+func (r *replay) after(delay cherviltide.Millis, call func()) {
+	r.seq++
+	heap.Push(&r.events, event{at: r.now + delay, seq: r.seq, call: call})
+}
+
+// scheduleKind schedules the arrivals of a kind as a Poisson process.
+func (r *replay) scheduleKind(index int) {
+	kind := &r.pattern.Kinds[index]
+	kind.Route.Address = virtualAddress(index)
+	r.routes[kind.Route.Address] = kind.Route
+	r.report.PerSecond[kind.Name] = make([]Result, r.pattern.Duration/1000+1)
+	var next func()
+	next = func() {
+		if r.now >= r.pattern.Duration {
+			return
+		}
+		r.startAttempt(&request{kind: kind, startedAt: r.now})
+		r.report.PerSecond[kind.Name][r.now/1000].Asked++
+		rate := kind.PerSecond
+		if r.pattern.Burst.contains(r.now) {
+			rate *= r.pattern.BurstFactor
+		}
+		r.after(cherviltide.Millis(r.random.ExpFloat64()*1000/rate+r.random.Float64()), next)
+	}
+	r.after(cherviltide.Millis(r.random.IntN(10)), next)
+}
+
+// scheduleFaults schedules the outage and the loss of targets.
+func (r *replay) scheduleFaults() {
+	if o := r.pattern.Outage; o.To > 0 {
+		r.after(o.From, func() {
+			for _, t := range r.targets {
+				t.stop()
+			}
+		})
+		for _, t := range r.targets {
+			// Machines do not come back at the same moment.
+			r.after(o.To+cherviltide.Millis(r.random.IntN(150)), t.start)
+		}
+	}
+	for i := range r.pattern.Lost {
+		r.after(r.pattern.LostFrom, r.targets[i].stop)
+		r.after(r.pattern.LostFrom+r.pattern.LostNotice, func() { r.addEvent(cherviltide.EventDied, i) })
+	}
+}
+
+// addEvent adds an event about the agent of a target to the table.
+func (r *replay) addEvent(kind cherviltide.EventType, index int) {
+	r.table = r.table.WithEvent(r.table.Generation()+1, cherviltide.MemberEvent{Type: kind, Member: r.targets[index].member})
+}
+
+// tick examines waiting flows at all agents at regular intervals.
+func (r *replay) tick() {
+	for _, t := range r.targets {
+		if !t.running {
+			continue
+		}
+		if r.now/tickInterval%expireEvery == 0 {
+			t.decider.Expire(r.input(t))
+		}
+		if t.decider.Waiting() > 0 {
+			t.decider.ExpireActive(r.input(t))
+			r.startWaiting(t)
+		}
+	}
+	r.after(tickInterval, r.tick)
+}
+
+func (r *replay) input(t *target) relayer.Input {
+	return relayer.Input{Now: r.now, Self: t.member, Table: r.table, Rules: rules(r.routes), Revision: 1}
+}
+
+// rules implements relayer.Rules; all routes lead to the one service.
+type rules map[netip.AddrPort]cherviltide.Route
+
+func (r rules) AcceptsNewFlows(netip.AddrPort) bool            { return true }
+func (r rules) RouteRevision(netip.AddrPort) uint64            { return 1 }
+func (r rules) Route(virtual netip.AddrPort) cherviltide.Route { return r[virtual] }
+
+const serviceName = "desk"
+
+func virtualAddress(index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(index + 1)}), 443)
+}
+
+// startAttempt opens a flow for a request, with the copies of its opening packet.
+func (r *replay) startAttempt(q *request) {
+	q.attempts++
+	r.report.Attempts++
+	r.lastPort++
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.lastPort >> 14), byte(r.lastPort >> 22)}), uint16(1024+r.lastPort&(1<<14-1)))
+	a := &attempt{request: q, key: cherviltide.FlowKey{Caller: caller, Virtual: q.kind.Route.Address}}
+	r.attempts[a.key] = a
+	r.sendOpening(a, 0)
+	for i, delay := range openingRetransmissions {
+		r.after(delay, func() { r.sendOpening(a, uint32(i+1)) })
+	}
+	r.after(openingTimeout, func() {
+		if a.openAt == nil {
+			r.endAttempt(a, false)
+		}
+	})
+}
+
+func (r *replay) sendOpening(a *attempt, copyNumber uint32) {
+	if a.ended || a.openAt != nil {
+		return
+	}
+	r.send(a, cherviltide.Packet{Flags: cherviltide.PacketOpen, Sequence: 100, Retransmission: copyNumber})
+}
+
+// send sends a caller's packet to the agent that owns the flow's bucket.
+func (r *replay) send(a *attempt, p cherviltide.Packet) {
+	p.Source, p.Destination = a.key.Caller, a.key.Virtual
+	owner, ok := r.table.Pick(a.key)
+	if !ok {
+		return
+	}
+	arrival := relayer.Arrival{
+		Header: framer.Header{Type: framer.TypeForward, Flow: a.key, Revision: 1, ServiceCount: 1, Generation: r.table.Generation()},
+		Sender: netip.MustParseAddrPort("10.9.9.9:1"), Packet: p,
+	}
+	r.after(callerDelay, func() { r.deliver(owner.Address, arrival) })
+}
+
+// deliver gives a datagram to an agent.
+func (r *replay) deliver(to netip.AddrPort, a relayer.Arrival) {
+	t := r.targets[to.Addr().As4()[3]-1]
+	if !t.running {
+		return
+	}
+	r.execute(t, t.decider.FromPeer(r.input(t), a), a.Header.Flow, a.Packet)
+	r.startWaiting(t)
+}
+
+func (r *replay) startWaiting(t *target) {
+	for {
+		a, decision, ok := t.decider.NextWaiting(r.input(t))
+		if !ok {
+			return
+		}
+		if decision.Reason == relayer.ReasonOpened {
+			r.report.LongestWaitMs = max(r.report.LongestWaitMs, decision.Wait)
+		}
+		r.execute(t, decision, a.Header.Flow, a.Packet)
+	}
+}
+
+// execute carries out a decision of an agent.
+func (r *replay) execute(t *target, d relayer.Decision, key cherviltide.FlowKey, p cherviltide.Packet) {
+	if d.Notify.IsValid() {
+		notice := relayer.Arrival{Header: framer.Header{Flow: key, Flags: framer.FlagHolderNotice}, Sender: t.member.Address}
+		r.after(agentDelay, func() { r.deliver(d.Notify, notice) })
+	}
+	switch d.Action {
+	case relayer.ActionForward:
+		if d.Reason == relayer.ReasonOffered {
+			r.report.Offers++
+		}
+		forwarded := relayer.Arrival{Header: d.Header, Sender: t.member.Address, Packet: p}
+		r.after(agentDelay, func() { r.deliver(d.To, forwarded) })
+	case relayer.ActionDeliver:
+		t.receive(r.attempts[key], p)
+	case relayer.ActionRefuse:
+		a := r.attempts[key]
+		a.reset = true
+		if a.ranAt != nil {
+			r.report.FalseRefusals++
+		}
+		r.after(callerDelay, func() {
+			if a.openAt == nil {
+				r.endAttempt(a, true)
+			}
+		})
+	}
+}
+
+// endAttempt ends an attempt without an answer. The caller opens another flow while its deadline allows it.
+func (r *replay) endAttempt(a *attempt, reset bool) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	q := a.request
+	if q.attempts == maxAttempts || r.now+retryDelay >= q.startedAt+q.kind.Route.Deadline {
+		r.finish(q, func(result *Result) {
+			if reset {
+				result.Refused++
+			} else {
+				result.Failed++
+			}
+		})
+		return
+	}
+	r.after(retryDelay+cherviltide.Millis(r.random.IntN(int(retryDelay))), func() { r.startAttempt(q) })
+}
+
+// finish counts the outcome of a request.
+func (r *replay) finish(q *request, count func(*Result)) {
+	if q.done {
+		return
+	}
+	q.done = true
+	count(&r.report.PerSecond[q.kind.Name][q.startedAt/1000])
+}
+
+// answer gives the caller the complete answer.
+func (r *replay) answer(a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	age := r.now - a.request.startedAt
+	r.finish(a.request, func(result *Result) {
+		switch route := a.request.kind.Route; {
+		case age <= route.Goal:
+			result.Timely++
+		case age <= route.Deadline:
+			result.Late++
+		default:
+			result.Failed++
+		}
+	})
+}
+
+// memberOf returns the agent with the given index.
+func memberOf(index int) cherviltide.Member {
+	return cherviltide.Member{
+		Name: fmt.Sprintf("agent-%03d", index), Role: cherviltide.RoleAgent, Incarnation: 1, Service: serviceName,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(index + 1)}), 7000), Weight: cherviltide.NominalWeight,
+	}
+}
--- /dev/null
+++ b/bench/replayer/target.go
@@ -0,0 +1,155 @@
+package replayer
+
+import (
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/relayer"
+)
+
+// target is a target with the agent beside it.
+type target struct {
+	replay  *replay
+	index   int
+	speed   float64
+	member  cherviltide.Member
+	decider *relayer.Decider
+	running bool
+	// incarnation grows with each stop, so that events of a former incarnation do nothing.
+	incarnation int
+	startedAt   cherviltide.Millis
+	flows       map[*attempt]bool
+	busy        int
+	waiting     []*attempt
+}
+
+// newTarget returns a target that has been running for long.
+func newTarget(r *replay, index int, speed float64) *target {
+	t := &target{replay: r, index: index, speed: speed, member: memberOf(index)}
+	t.member.Weight = uint32(speed * cherviltide.NominalWeight)
+	t.start()
+	t.startedAt = -coldTime
+	return t
+}
+
+// start starts the agent and the target without any state.
+func (t *target) start() {
+	slots := t.replay.pattern.Slots
+	if t.replay.pattern.TargetQueues {
+		slots += t.replay.pattern.Queue
+	}
+	t.decider = relayer.NewDecider(relayer.Limits{
+		MaxFlowAge: 60_000, MaxPayload: fullPacketPayload, OpeningRetransmissions: openingRetransmissions, OpeningTimeout: openingTimeout,
+	}, t.replay.now)
+	t.decider.SetTarget(relayer.Target{Slots: slots, AcceptsNewFlows: true, LastResort: true}, false)
+	t.flows, t.running, t.startedAt = map[*attempt]bool{}, true, t.replay.now
+	t.busy, t.waiting = 0, nil
+}
+
+func (t *target) stop() {
+	t.running = false
+	t.incarnation++
+	for a := range t.flows {
+		if a.openAt == t {
+			// The caller notices at its deadline; its request fails unless it may be sent again.
+			t.replay.after(1_000, func() { t.replay.endAttempt(a, false) })
+		}
+	}
+}
+
+// later schedules a call that does nothing when the target has stopped meanwhile.
+func (t *target) later(delay cherviltide.Millis, call func()) {
+	incarnation := t.incarnation
+	t.replay.after(delay, func() {
+		if t.running && t.incarnation == incarnation {
+			call()
+		}
+	})
+}
+
+// sequence is the first sequence number of the target.
+func (t *target) sequence() uint32 { return uint32(t.index+1) * 10_000_000 }
+
+// receive handles a packet that the agent has delivered.
+func (t *target) receive(a *attempt, p cherviltide.Packet) {
+	if p.OpensFlow() {
+		t.flows[a] = true
+		t.send(a, cherviltide.Packet{Flags: cherviltide.PacketOpen | cherviltide.PacketAck, Sequence: t.sequence()})
+		t.replay.after(callerDelay, func() { t.acknowledge(a) })
+		return
+	}
+	if !t.flows[a] || p.Length == 0 {
+		return
+	}
+	if a.ranAt != nil && a.ranAt != t {
+		t.replay.report.Doubled++
+	}
+	if a.reset {
+		t.replay.report.FalseRefusals++
+	}
+	a.ranAt = t
+	switch {
+	case t.busy < t.replay.pattern.Slots:
+		t.work(a)
+	case len(t.waiting) < t.replay.pattern.Queue:
+		t.waiting = append(t.waiting, a)
+	default:
+		t.reject(a)
+	}
+}
+
+// acknowledge lets the caller acknowledge the first target that answers, and send its request.
+func (t *target) acknowledge(a *attempt) {
+	if a.ended || a.openAt != nil {
+		return
+	}
+	a.openAt = t
+	t.replay.send(a, cherviltide.Packet{Flags: cherviltide.PacketAck, Sequence: 101, Acknowledgement: t.sequence() + 1, Length: 500})
+}
+
+// work runs a request in a slot.
+func (t *target) work(a *attempt) {
+	t.busy++
+	mean := a.request.kind.ServiceTime / t.speed
+	if t.replay.now-t.startedAt < coldTime {
+		mean *= coldFactor
+	}
+	if t.index == 0 && t.replay.pattern.Slow.contains(t.replay.now) {
+		mean *= t.replay.pattern.SlowFactor
+	}
+	// Half of the time is the same for all requests, so that the spread is half of the mean.
+	took := cherviltide.Millis(mean/2 + t.replay.random.ExpFloat64()*mean/2 + t.replay.random.Float64())
+	t.later(took, func() {
+		t.busy--
+		t.respond(a)
+		if len(t.waiting) > 0 {
+			next := t.waiting[0]
+			t.waiting = t.waiting[1:]
+			t.work(next)
+		}
+	})
+}
+
+// respond sends the answer, whose last packet is not full.
+func (t *target) respond(a *attempt) {
+	last := cherviltide.Millis(max(a.request.kind.Packets, 1) - 1)
+	for i := range last {
+		t.later(i, func() { t.send(a, cherviltide.Packet{Flags: cherviltide.PacketAck, Length: fullPacketPayload}) })
+	}
+	t.later(last, func() {
+		t.send(a, cherviltide.Packet{Flags: cherviltide.PacketAck | cherviltide.PacketFinish, Length: 500})
+		t.replay.after(callerDelay, func() { t.replay.answer(a) })
+	})
+}
+
+// reject answers that the target is full and has not run the request; the caller may try again.
+func (t *target) reject(a *attempt) {
+	a.ranAt = nil
+	t.send(a, cherviltide.Packet{Flags: cherviltide.PacketAck | cherviltide.PacketFinish, Length: 100})
+	t.replay.after(callerDelay, func() { t.replay.endAttempt(a, true) })
+}
+
+// send gives a packet of the target to its agent.
+func (t *target) send(a *attempt, p cherviltide.Packet) {
+	p.Source, p.Destination = a.key.Virtual, a.key.Caller
+	t.replay.execute(t, t.decider.FromTarget(t.replay.input(t), p), a.key, p)
+	t.later(0, func() { t.replay.startWaiting(t) })
+}
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -36,10 +36,11 @@
 	}
 	if p.Length > 0 && f.requestedAt != 0 {
 		phase, duration = PhaseService, in.Now-f.requestedAt
-		d.load.addSample(duration)
+		d.load.serviceTime.add(duration)
 		f.requestedAt = 0
 	}
 	if p.Length > 0 {
+		d.markAnswered(f)
 		f.answering = true
 		if p.Length < d.limits.MaxPayload {
 			d.markIdle(f)
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -13,6 +13,7 @@
 	"cherviltide.example/cherviltide/detector"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/queuer"
 )
 
 // Timeouts and periods of the decisions.
@@ -23,8 +24,8 @@
 	// answerTimeout is how long the target may leave the opening of a flow unanswered; callers give up earlier.
 	answerTimeout cherviltide.Millis = 2_000
 	// requestTimeout is how long a new flow without a request counts as active. Callers send a request at once; those that
-	// have given up send none.
-	requestTimeout cherviltide.Millis = 500
+	// have given up send none. A request whose packet was lost makes the flow active again.
+	requestTimeout cherviltide.Millis = 100
 	// fullPacketTimeout is how long a flow still counts as active after a full-sized packet of the target, which may have
 	// been the last one of an answer. Senders retransmit lost packets sooner.
 	fullPacketTimeout cherviltide.Millis = 250
@@ -56,6 +57,10 @@
 	MaxFlowAge cherviltide.Millis
 	// MaxPayload is the largest payload of a packet, in bytes. A shorter packet of the target ends an answer.
 	MaxPayload int
+	// OpeningRetransmissions are the times after which callers send the retransmissions of an opening packet, from its first
+	// transmission. OpeningTimeout is how long callers wait for its answer; 0 means answerTimeout.
+	OpeningRetransmissions []cherviltide.Millis
+	OpeningTimeout         cherviltide.Millis
 	// OldRulesGrace is how long new flows are still opened with old rules after a flow was opened here with newer ones.
 	OldRulesGrace cherviltide.Millis
 }
@@ -77,6 +82,8 @@
 	AcceptsNewFlows(virtual netip.AddrPort) bool
 	// RouteRevision returns the revision that last changed the route shares of a virtual address.
 	RouteRevision(virtual netip.AddrPort) uint64
+	// Route returns the route of a virtual address, or the zero Route when there is none.
+	Route(virtual netip.AddrPort) cherviltide.Route
 }
 
 // Input is the state of the system that a decision depends on.
@@ -110,7 +117,9 @@
 	remoteFlows remoteFlows
 	tokens      tokens
 	load        load
-	detector    *detector.Detector
+	// queue has the new flows that wait for a slot of the target.
+	queue    *queuer.Queue[Arrival]
+	detector *detector.Detector
 	// unansweredSince is when the first opening packet was delivered after the target's last packet; 0 when there is none.
 	unansweredSince cherviltide.Millis
 	// targetFullUntil is until when new flows are offered to other agents because the target returned one.
@@ -134,6 +143,7 @@
 func NewDecider(limits Limits, now cherviltide.Millis) *Decider {
 	return &Decider{
 		limits: limits, started: now, target: Target{PredatesAgent: true}, flows: map[cherviltide.FlowKey]*flow{}, remoteFlows: newRemoteFlows(), detector: detector.New(),
+		queue: queuer.New[Arrival](),
 	}
 }
 
@@ -155,7 +165,7 @@
 func (d *Decider) Flows() int { return len(d.flows) }
 
 // ServiceTimeMs returns the smoothed service time of the target, in milliseconds; 0 when it is not known.
-func (d *Decider) ServiceTimeMs() float64 { return d.load.serviceTime }
+func (d *Decider) ServiceTimeMs() float64 { return d.load.serviceTime.value }
 
 // observeTable records a change of the table, and the idle timeout of the rules.
 func (d *Decider) observeTable(in Input) {
@@ -168,7 +178,7 @@
 // FromPeer decides about a caller's packet that an entry or another agent forwarded.
 func (d *Decider) FromPeer(in Input, a Arrival) Decision {
 	decision := d.decideFromPeer(in, a)
-	decision.Active, decision.Slots = d.load.active, d.target.Slots
+	decision.Active, decision.Slots, decision.Waiting = d.load.active, d.target.Slots, d.queue.Len()
 	return decision
 }
 
@@ -178,6 +188,7 @@
 		d.detector.MarkAlive(a.Sender)
 	}
 	if a.Header.Flags == framer.FlagHolderNotice {
+		d.queue.Remove(a.Header.Flow)
 		d.remoteFlows.set(a.Header.Flow, remoteFlow{state: remoteHeld, agent: a.Sender}, in.Now)
 		return Decision{Reason: ReasonNotice}
 	}
@@ -196,6 +207,8 @@
 // decideLaterPacket decides about a packet that does not open a flow.
 func (d *Decider) decideLaterPacket(in Input, a Arrival) Decision {
 	key := a.Header.Flow
+	// The caller sends such a packet after another target has answered, or when it gives up.
+	d.queue.Remove(key)
 	f := d.flows[key]
 	if f != nil && f.acknowledgesOtherTarget(a.Packet) {
 		d.removeFlow(key, f)
@@ -241,21 +254,53 @@
 
 // recordRequest updates a flow after a request, or a further part of one.
 func (d *Decider) recordRequest(in Input, f *flow) {
-	if !f.active {
-		f.active = true
-		d.load.active++
+	d.markActive(f)
+	if !f.requestSeen {
+		d.load.openingTime.add(in.Now - f.openedAt)
+	}
+	if !f.requestSeen || f.answering {
+		f.lastRequestAt = in.Now
+		if d.load.working < d.target.Slots {
+			f.requestedAt = in.Now
+		}
 	}
-	if (!f.requestSeen || f.answering) && d.load.active <= d.target.Slots {
-		f.requestedAt = in.Now
+	if !f.working {
+		f.working = true
+		d.load.working++
 	}
 	f.requestSeen, f.answering = true, false
 }
 
+// markActive adds a flow to the active flows.
+func (d *Decider) markActive(f *flow) {
+	if f.active {
+		return
+	}
+	f.active = true
+	d.load.active++
+	if f.bulky {
+		d.load.activeBulky++
+	}
+}
+
+// markAnswered ends the work of the target on a request.
+func (d *Decider) markAnswered(f *flow) {
+	if f.working {
+		f.working = false
+		d.load.working--
+	}
+}
+
 // markIdle removes a flow from the active flows.
 func (d *Decider) markIdle(f *flow) {
-	if f.active {
-		f.active = false
-		d.load.active--
+	d.markAnswered(f)
+	if !f.active {
+		return
+	}
+	f.active = false
+	d.load.active--
+	if f.bulky {
+		d.load.activeBulky--
 	}
 }
 
@@ -268,9 +313,7 @@
 // remote flows. Flows that wait too long for a request, or for more of an answer, stop counting as active.
 func (d *Decider) Expire(in Input) {
 	for key, f := range d.flows {
-		if (!f.requestSeen && in.Now-f.openedAt > requestTimeout) || (f.answering && in.Now-f.lastPacketAt > fullPacketTimeout) {
-			d.markIdle(f)
-		}
+		d.expireActive(in, f)
 		switch {
 		case f.endedAt != 0 && in.Now-f.endedAt > endedFlowRetention,
 			!f.answered && in.Now-f.openedAt > answerTimeout,
@@ -282,6 +325,25 @@
 	d.remoteFlows.expire(in.Now)
 }
 
+// ExpireActive removes the flows from the active ones that no longer load the target.
+func (d *Decider) ExpireActive(in Input) {
+	for _, f := range d.flows {
+		d.expireActive(in, f)
+	}
+}
+
+// expireActive removes a flow from the active ones when its caller sends no request, the target has finished its answer with
+// a full-sized packet, or the deadline of its request has passed.
+func (d *Decider) expireActive(in Input, f *flow) {
+	if !f.active {
+		return
+	}
+	if (!f.requestSeen && in.Now-f.openedAt > requestTimeout) || (f.answering && in.Now-f.lastPacketAt > fullPacketTimeout) ||
+		(f.requestSeen && f.deadline > 0 && in.Now-f.lastRequestAt > f.deadline) {
+		d.markIdle(f)
+	}
+}
+
 // OldestGeneration returns the lowest generation at which a kept flow was opened, or the given one when that is lower or no
 // flow is kept. The agent opens no flow at a lower generation afterwards. While the target may hold flows that the agent
 // does not know, their generations are unknown and the result is 0.
--- a/relayer/decider_test.go
+++ b/relayer/decider_test.go
@@ -54,10 +54,12 @@
 type rules struct {
 	accepts  bool
 	revision uint64
+	route    cherviltide.Route
 }
 
-func (r rules) AcceptsNewFlows(netip.AddrPort) bool { return r.accepts }
-func (r rules) RouteRevision(netip.AddrPort) uint64 { return r.revision }
+func (r rules) AcceptsNewFlows(netip.AddrPort) bool    { return r.accepts }
+func (r rules) RouteRevision(netip.AddrPort) uint64    { return r.revision }
+func (r rules) Route(netip.AddrPort) cherviltide.Route { return r.route }
 
 func inputAt(now cherviltide.Millis, self cherviltide.Member, table *picker.Table) Input {
 	return Input{Now: now, Self: self, Table: table, Revision: 1, Rules: rules{accepts: true, revision: 1}}
--- a/relayer/decision.go
+++ b/relayer/decision.go
@@ -17,6 +17,7 @@
 	ActionForward        // Another agent, or the entry, gets the packet with Decision.Header.
 	ActionAnswer         // The caller gets the packet.
 	ActionRefuse         // The caller gets a reset; the flow was not opened.
+	ActionWait           // The packet waits for a slot of the target.
 )
 
 // Reason is the reason for a decision. Its name is written to logs and metrics.
@@ -43,12 +44,14 @@
 	ReasonNotice             // Another agent sent a notice that it holds the flow.
 	ReasonGone               // The target returned a packet of a flow that it had held.
 	ReasonHops               // The packet exceeded the hop limit.
+	ReasonWaiting            // The new flow waits for a slot of the target.
+	ReasonOverloaded         // No target can serve the new flow before its caller gives up.
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"None", "Held", "Opened", "Unsure", "Offered", "Declined", "NotOwner", "Probed", "NotHeld", "Stage", "NoHolder",
-	"NoRoute", "OldRules", "Unavailable", "Forged", "Target", "Notice", "Gone", "Hops",
+	"NoRoute", "OldRules", "Unavailable", "Forged", "Target", "Notice", "Gone", "Hops", "Waiting", "Overloaded",
 }
 
 // String returns the name of the reason.
@@ -83,6 +86,10 @@
 	Notify netip.AddrPort
 	// Active and Slots are the active flows and the slots of the target when the decision was made, for the log.
 	Active, Slots int
+	// Waiting is the number of flows that wait for a slot. Wait is the expected wait of a flow that begins to wait or is
+	// refused, and the time that a flow has waited when it is opened; for the log.
+	Waiting int
+	Wait    cherviltide.Millis
 	// Phase is the phase of the flow that the packet ends, Duration is the length of the phase.
 	Phase    Phase
 	Duration cherviltide.Millis
@@ -96,4 +103,8 @@
 	// Sender is the address that the datagram came from.
 	Sender netip.AddrPort
 	Packet cherviltide.Packet
+	// Datagram is the header with the packet. It is valid only during the call, and kept only for a flow that waits.
+	Datagram []byte
+	// waitingSince is when a flow that waits began to wait here.
+	waitingSince cherviltide.Millis
 }
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -29,6 +29,12 @@
 	nextCallerSequence uint32
 	// answering is true from the first packet of an answer until the next request.
 	answering bool
+	// lastRequestAt is when the newest request began, deadline bounds requests of the route; 0 means no bound.
+	lastRequestAt, deadline cherviltide.Millis
+	// working is true from the arrival of a request until the first byte of its answer.
+	working bool
+	// bulky is true for a flow of a route with long transfers.
+	bulky bool
 	// active is true while the flow counts as load of the target.
 	active                         bool
 	callerFinished, targetFinished bool
@@ -51,18 +57,28 @@
 	// active is the number of active flows. A flow is active from its opening packet or a request until the target has
 	// finished its answer, one side has reset the flow, or a timeout has passed.
 	active int
-	// serviceTime is the smoothed time from a request to the first byte of its answer when no request waits for a slot, in
-	// milliseconds.
-	serviceTime float64
+	// activeBulky is the number of active flows that are bulky, working that of requests that the target has not begun to
+	// answer.
+	activeBulky, working int
+	// lastOrdinaryAt is when the last flow that is not bulky was opened; 0 when there was none.
+	lastOrdinaryAt cherviltide.Millis
+	// serviceTime is the smoothed time from a request to the first byte of its answer when no request waits for a slot.
+	serviceTime smoothedTime
+	// openingTime is the smoothed time from the delivery of an opening packet to the request.
+	openingTime smoothedTime
 }
 
-// serviceTimeWeight is the weight of a new sample in the smoothed service time.
-const serviceTimeWeight = 1.0 / 16
+// smoothedTimeWeight is the weight of a new sample in a smoothed time.
+const smoothedTimeWeight = 1.0 / 16
 
-func (l *load) addSample(duration cherviltide.Millis) {
-	if l.serviceTime == 0 {
-		l.serviceTime = float64(duration)
-		return
-	}
-	l.serviceTime += (float64(duration) - l.serviceTime) * serviceTimeWeight
+// smoothedTime is a moving average, in milliseconds; its value is 0 before the first sample.
+type smoothedTime struct {
+	value float64
+	count int
+}
+
+// add adds a sample. The first samples have equal weights, so that the very first one does not bias the average.
+func (t *smoothedTime) add(duration cherviltide.Millis) {
+	t.count++
+	t.value += (float64(duration) - t.value) * max(smoothedTimeWeight, 1/float64(t.count))
 }
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -12,7 +12,7 @@
 	ReasonOpened: "FlowOpened", ReasonOffered: "FlowOffered", ReasonDeclined: "FlowDeclined", ReasonUnavailable: "FlowRefused",
 	ReasonNotOwner: "PacketPassed", ReasonProbed: "PacketPassed", ReasonNotHeld: "PacketPassed", ReasonStage: "PacketPassed",
 	ReasonUnsure: "TargetAsked", ReasonNoHolder: "PacketDropped", ReasonNoRoute: "PacketDropped",
-	ReasonOldRules: "PacketDropped", ReasonForged: "PacketDropped", ReasonGone: "PacketDropped", ReasonHops: "PacketDropped",
+	ReasonOldRules: "PacketDropped", ReasonWaiting: "FlowWaits", ReasonOverloaded: "FlowRefused", ReasonForged: "PacketDropped", ReasonGone: "PacketDropped", ReasonHops: "PacketDropped",
 }
 
 // log writes a log line about a decision whose reason has an event.
@@ -31,6 +31,7 @@
 		zap.Stringer("Reason", decision.Reason), zap.Uint64("Revision", in.Revision), zap.Uint64("SenderRevision", header.Revision),
 		zap.Uint64("Generation", in.Table.Generation()), zap.Uint64("SenderGeneration", header.Generation),
 		zap.Uint8("Hops", header.Hops), zap.Int("Active", decision.Active), zap.Int("Slots", decision.Slots),
+		zap.Int("Waiting", decision.Waiting), zap.Int64("WaitMs", int64(decision.Wait)),
 	}
 	if decision.To.IsValid() {
 		fields = append(fields, zap.Stringer("To", decision.To))
--- a/relayer/model_test.go
+++ b/relayer/model_test.go
@@ -118,6 +118,19 @@
 		s.now++
 		p := s.agents[d.to]
 		s.execute(p, p.decider.FromPeer(s.input(p), d.arrival), d.arrival.Header.Flow, d.arrival.Packet)
+		s.startWaiting(p)
+	}
+}
+
+// startWaiting carries out the decisions about the waiting flows of an agent.
+func (s *simulation) startWaiting(p *pair) {
+	for {
+		p.decider.ExpireActive(s.input(p))
+		a, decision, ok := p.decider.NextWaiting(s.input(p))
+		if !ok {
+			return
+		}
+		s.execute(p, decision, a.Header.Flow, a.Packet)
 	}
 }
 
@@ -221,6 +234,9 @@
 			case 6:
 				s.startAgent(s.agents[agent], true)
 			}
+			for _, p := range s.agents {
+				s.startWaiting(p)
+			}
 			s.deliverAll()
 		}
 		s.checkOpenFlows()
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -5,29 +5,32 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/queuer"
 )
 
-// Layout of the position in the header of an offer: the number of the attempt, from 0, the number of flows that wait for a
-// slot at the offering agent, and a bit that is set when that agent cannot serve the flow itself.
+// Layout of the position in the header of an offer: the number of the attempt, from 0, the expected wait of the flow at the
+// offering agent in steps of waitStep, and a bit that is set when that agent cannot serve the flow itself.
 const (
-	attemptMask    = 3
-	queueShift     = 2
-	maxQueueLength = 31
-	cannotServeBit = 128
+	attemptMask                       = 3
+	waitShift                         = 2
+	maxWaitSteps                      = 31
+	waitStep       cherviltide.Millis = 16
+	cannotServeBit                    = 128
 )
 
 // offerPosition encodes the position of an offer.
-func (d *Decider) offerPosition(in Input, attempt int) uint8 {
-	position := uint8(attempt&attemptMask) | uint8(min(d.queueLength(), maxQueueLength))<<queueShift
+func (d *Decider) offerPosition(in Input, a Arrival, attempt int) uint8 {
+	wait, _ := d.queue.Predict(in.Now, d.waitingFlow(in, a))
+	position := uint8(attempt&attemptMask) | uint8(min(wait/waitStep, maxWaitSteps))<<waitShift
 	if !d.acceptsNewFlows(in.Now) {
 		position |= cannotServeBit
 	}
 	return position
 }
 
-// offeredQueue returns the number of flows that wait for a slot at the offering agent.
-func offeredQueue(position uint8) int {
-	return int(position&^cannotServeBit) >> queueShift
+// offeredWait returns the expected wait at the offering agent.
+func offeredWait(position uint8) cherviltide.Millis {
+	return cherviltide.Millis(position&^cannotServeBit) >> waitShift * waitStep
 }
 
 // decideOpeningPacket decides about a packet that opens a flow.
@@ -42,6 +45,9 @@
 		// The caller uses the port again, or the target did not answer.
 		d.removeFlow(key, f)
 	}
+	if decision, ok := d.absorbCopy(a); ok {
+		return decision
+	}
 	remote := d.remoteFlows.get(key, in.Now)
 	switch a.Header.Flags {
 	case framer.FlagProbe:
@@ -59,7 +65,7 @@
 	if a.Packet.Retransmission > 0 {
 		// Another agent may have opened the flow for an earlier transmission of the packet.
 		if remote.state == remoteHeld && remote.agent != a.Sender {
-			return d.forward(in, a, remote.agent, framer.FlagOffered, d.offerPosition(in, remote.attempt), ReasonOffered)
+			return d.forward(in, a, remote.agent, framer.FlagOffered, d.offerPosition(in, a, remote.attempt), ReasonOffered)
 		}
 		if remote.state == remoteOffered {
 			// The agent that was offered the first packet would have sent a holder notice if it had opened the flow.
@@ -83,14 +89,18 @@
 		return d.forward(in, a, owner.Address, 0, 0, ReasonNotOwner)
 	}
 	acceptsNewFlows := d.acceptsNewFlows(in.Now)
-	if acceptsNewFlows && (d.hasFreeSlot() || attempt >= maxOffers) {
+	bulky := d.isBulky(in, a)
+	if acceptsNewFlows && d.queue.Len() == 0 && d.hasFreeSlot(in.Now, bulky, 0) {
 		return d.openFlow(in, a)
 	}
 	d.candidates = d.appendAlternates(d.candidates[:0], 0, in, a.Header.Flow)
 	if attempt < len(d.candidates) {
 		return d.offerTo(in, a, d.candidates[attempt].Address, attempt)
 	}
-	if acceptsNewFlows || (d.target.LastResort && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil) {
+	if acceptsNewFlows {
+		return d.submit(in, a)
+	}
+	if d.target.LastResort && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil {
 		return d.openFlow(in, a)
 	}
 	d.remoteFlows.remove(a.Header.Flow)
@@ -120,16 +130,6 @@
 	return d.unansweredSince != 0 && now-d.unansweredSince > unresponsiveAfter
 }
 
-// hasFreeSlot reports whether the target has a free slot for a new flow.
-func (d *Decider) hasFreeSlot() bool {
-	return d.load.active < d.target.Slots
-}
-
-// queueLength returns the number of flows that would wait for a slot, including a new one.
-func (d *Decider) queueLength() int {
-	return max(d.load.active+1-d.target.Slots, 0)
-}
-
 // openFlow adds a flow and delivers its opening packet.
 func (d *Decider) openFlow(in Input, a Arrival) Decision {
 	openingGeneration, ok := in.Table.OpeningGeneration(a.Header.Flow, in.Self)
@@ -143,10 +143,17 @@
 	if revision > d.routeRevision {
 		d.routeRevision, d.routeRevisionAt = revision, in.Now
 	}
-	d.flows[a.Header.Flow] = &flow{
-		callerSequence: a.Packet.Sequence, openingGeneration: openingGeneration, openedAt: in.Now, lastPacketAt: in.Now, active: true,
+	route := in.Rules.Route(a.Header.Flow.Virtual)
+	f := &flow{
+		callerSequence: a.Packet.Sequence, openingGeneration: openingGeneration, openedAt: in.Now, lastPacketAt: in.Now,
+		deadline: route.Deadline, bulky: route.Class == cherviltide.ClassBulky,
+	}
+	d.flows[a.Header.Flow] = f
+	d.markActive(f)
+	if !f.bulky {
+		d.load.lastOrdinaryAt = in.Now
 	}
-	d.load.active++
+	d.queue.Started(in.Now, d.waitingFlow(in, a))
 	decision := d.deliverOpening(in, a)
 	decision.Reason = ReasonOpened
 	if a.Header.Flags == framer.FlagOffered {
@@ -203,18 +210,24 @@
 func (d *Decider) offerTo(in Input, a Arrival, agent netip.AddrPort, attempt int) Decision {
 	d.remoteFlows.set(a.Header.Flow, remoteFlow{state: remoteOffered, agent: agent, attempt: attempt}, in.Now)
 	d.detector.RecordProbe(agent, in.Now)
-	return d.forward(in, a, agent, framer.FlagOffered, d.offerPosition(in, attempt), ReasonOffered)
+	return d.forward(in, a, agent, framer.FlagOffered, d.offerPosition(in, a, attempt), ReasonOffered)
 }
 
 // handleOffer accepts or declines a new flow that its owner offers. If the owner can serve the flow itself, this agent
-// takes it only with a free slot or with a queue that is shorter than the owner's by more than the flow itself.
+// takes it only with a free slot or with an expected wait that is shorter than the owner's.
 func (d *Decider) handleOffer(in Input, a Arrival) Decision {
 	if decision, ok := d.rejectByRules(in, a); ok {
 		return decision
 	}
-	shorter := d.queueLength() < offeredQueue(a.Header.Position)-1
-	if d.acceptsNewFlows(in.Now) && (d.hasFreeSlot() || shorter || a.Header.Position&cannotServeBit != 0) {
-		return d.openFlow(in, a)
+	if d.acceptsNewFlows(in.Now) {
+		if d.queue.Len() == 0 && d.hasFreeSlot(in.Now, d.isBulky(in, a), 0) {
+			return d.openFlow(in, a)
+		}
+		wait, verdict := d.queue.Predict(in.Now, d.waitingFlow(in, a))
+		shorter := verdict == queuer.VerdictTimely && wait+waitStep < offeredWait(a.Header.Position)
+		if verdict != queuer.VerdictRefused && (shorter || a.Header.Position&cannotServeBit != 0) {
+			return d.submit(in, a)
+		}
 	}
 	return d.returnToSender(a, framer.FlagDeclined, ReasonDeclined)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -78,12 +78,17 @@
 	Counters Counters
 	// OpeningTimes and ServiceTimes are the durations of the phases of flows.
 	OpeningTimes, ServiceTimes *prober.Histogram
+	// WaitTimes are the times for which new flows waited for a slot before they were opened.
+	WaitTimes *prober.Histogram
+	// waiting has an element after a flow has begun to wait.
+	waiting chan struct{}
 }
 
 // Listen opens the sockets of an agent's data path.
 func Listen(config Config) (*Relayer, error) {
 	r := &Relayer{
 		config: config, started: time.Now(), OpeningTimes: prober.NewHistogram(), ServiceTimes: prober.NewHistogram(),
+		WaitTimes: prober.NewHistogram(), waiting: make(chan struct{}, 1),
 	}
 	r.decider = NewDecider(config.Limits, 0)
 	var err error
@@ -106,10 +111,11 @@
 	stop := context.AfterFunc(ctx, closeAll)
 	defer stop()
 	defer closeAll()
-	group := runner.NewGroup(ctx, 3)
+	group := runner.NewGroup(ctx, 4)
 	group.Go("data", func(ctx context.Context) error { return r.receive(ctx, r.data, r.handlePeerDatagram) })
 	group.Go("outbound", func(ctx context.Context) error { return r.receive(ctx, r.outbound, r.handleTargetPacket) })
 	group.Go("expire", r.expire)
+	group.Go("waiting", r.watchWaiting)
 	return group.Wait()
 }
 
@@ -170,6 +176,14 @@
 	return ok && route.AcceptsNewFlows(v.service)
 }
 
+// Route returns the route of a virtual address.
+func (v *viewRules) Route(virtual netip.AddrPort) cherviltide.Route {
+	if route, ok := v.view.Routes[virtual]; ok {
+		return route.Route
+	}
+	return cherviltide.Route{}
+}
+
 // RouteRevision returns the revision that last changed the route shares of a virtual address.
 func (v *viewRules) RouteRevision(virtual netip.AddrPort) uint64 {
 	route, ok := v.view.Routes[virtual]
@@ -188,7 +202,7 @@
 		r.Counters.Malformed.Add(1)
 		return
 	}
-	a := Arrival{Header: header, Sender: sender}
+	a := Arrival{Header: header, Sender: sender, Datagram: datagram}
 	if header.Flags != framer.FlagHolderNotice {
 		if a.Packet, err = r.config.Codec.Decode(packet); err != nil || a.Packet.Flags&cherviltide.PacketReturned != 0 {
 			r.Counters.Malformed.Add(1)
@@ -204,6 +218,7 @@
 	decision := r.decider.FromPeer(in, a)
 	r.mu.Unlock()
 	r.execute(in, decision, header, a.Packet, datagram, packet)
+	r.startWaiting(in)
 }
 
 // handleTargetPacket handles a packet from the target. The headroom of the buffer is for a header.
@@ -224,6 +239,7 @@
 	// Only decisions about returned packets use this flow; such a packet has the caller as its source.
 	header := framer.Header{Flow: cherviltide.FlowKey{Caller: p.Source, Virtual: p.Destination}}
 	r.execute(in, decision, header, p, buffer[:framer.HeaderSize+n], packet)
+	r.startWaiting(in)
 }
 
 // execute carries out a decision. datagram is the packet with headroom for a header.
@@ -253,6 +269,11 @@
 		r.Counters.Refused.Add(1)
 		reset := r.config.Codec.AppendReset(nil, key, resetSequence)
 		r.send(r.data, reset, netip.AddrPortFrom(key.Caller.Addr(), r.config.CallerPort))
+	case ActionWait:
+		select {
+		case r.waiting <- struct{}{}:
+		default:
+		}
 	case ActionDrop:
 		if decision.Reason != ReasonNotice {
 			r.Counters.Dropped.Add(1)
--- a/relayer/remoteflow.go
+++ b/relayer/remoteflow.go
@@ -92,6 +92,7 @@
 		// tokenCount has the same place in the ring as 0.
 		t.next = tokenCount
 	}
+	a.Datagram = nil
 	t.ring[t.next%tokenCount] = a
 	return t.next
 }
