--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -63,6 +63,8 @@
 	tablesDigest func() uint64
 	// snapshots has the tables with their encoded forms, which all streams and all states with the same table share.
 	snapshots map[string]encodedTable
+	// rules has the rules updates to the revision, which all states with the same revision share.
+	rules *sharedRules
 	// baseSince is when this instance first published the log's base.
 	baseSince cherviltide.Millis
 }
@@ -87,7 +89,7 @@
 	return &Distributor{
 		changed:   make(chan struct{}),
 		admission: newAdmission(limits),
-		state:     &publishedState{history: &history{}, tablesDigest: func() uint64 { return 0 }},
+		state:     &publishedState{history: &history{}, tablesDigest: func() uint64 { return 0 }, rules: newSharedRules()},
 		now:       func() cherviltide.Millis { return cherviltide.MillisOf(time.Since(started)) },
 	}
 }
@@ -100,9 +102,14 @@
 	if state.Base != d.state.Base {
 		baseSince = d.now()
 	}
+	rules := d.state.rules
+	if state.Revision != d.state.Revision || state.Text != d.state.Text {
+		rules = newSharedRules()
+	}
 	d.state = &publishedState{
 		State:        state,
 		baseSince:    baseSince,
+		rules:        rules,
 		snapshots:    encodeTables(state.Tables, d.state.snapshots),
 		history:      d.state.history.withText(d.state.Text, state.Revision, state.Text),
 		tablesDigest: sync.OnceValue(func() uint64 { return Digest(state.Tables) }),
--- a/distributor/update.go
+++ b/distributor/update.go
@@ -51,8 +51,16 @@
 func (p *publishedState) update(held *messenger.FollowRequest, heartbeat bool) (*messenger.FollowUpdate, error) {
 	u := &messenger.FollowUpdate{Base: p.Base, Position: p.Position}
 	if p.Revision > held.Revision {
-		u.Rules = p.history.rulesUpdate(p.State, held)
-		held.Revision, held.RulesDigest = p.Revision, u.Rules.Digest
+		shared, err := p.rules.get(heldRules{held.Revision, held.RulesDigest}, func() *messenger.RulesUpdate {
+			return p.history.rulesUpdate(p.State, held)
+		})
+		if err != nil {
+			return nil, err
+		}
+		if u.Rules = shared.update; shared.packed != nil && held.AcceptsPackedRules {
+			u.Rules, u.PackedRules = nil, shared.packed
+		}
+		held.Revision, held.RulesDigest = p.Revision, shared.update.Digest
 	}
 	var err error
 	if p.hasEventsFor(held) {
--- a/follower/accept.go
+++ b/follower/accept.go
@@ -19,6 +19,10 @@
 // acceptUpdate publishes the view after an update. After an error the caller closes the stream, and the next request asks
 // for whole tables or the whole rules text.
 func (f *Follower) acceptUpdate(u *messenger.FollowUpdate) error {
+	if err := u.UnpackRules(); err != nil {
+		f.needText.Store(true)
+		return err
+	}
 	view, err := f.acceptRules(f.View(), u.Rules)
 	if err != nil {
 		return err
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -196,6 +196,8 @@
 		Base:     view.Base,
 		Position: view.Position,
 		Service:  f.config.Service,
+
+		AcceptsPackedRules: true,
 	}
 	if f.needTables.Load() {
 		req.Position = 0
--- a/messenger/follow.go
+++ b/messenger/follow.go
@@ -18,6 +18,8 @@
 	Position uint64
 	// Service restricts the membership to one service; empty means all.
 	Service string
+	// AcceptsPackedRules is true when the follower reads FollowUpdate.PackedRules.
+	AcceptsPackedRules bool
 }
 
 // FollowUpdate is one message of a subscription. An update without events, tables and rules is a heartbeat. Its fields
@@ -40,6 +42,8 @@
 	ControlURLs []string `cbor:"8,keyasint,omitempty"`
 	// PacketKey is the packet key of the membership log; it is empty when it has not changed since the previous update.
 	PacketKey []byte `cbor:"9,keyasint,omitempty"`
+	// PackedRules is the compressed encoding of Rules, which is nil then; see PackRules.
+	PackedRules []byte `cbor:"10,keyasint,omitempty"`
 }
 
 // TableSnapshot is the table of one service in the format that picker.Restore reads. Data is empty when the table is
