Drop expired claims in the order of their expiry

Cause: the store dropped claims in the order in which they were made and stopped at the first one that had not expired. A key with an old timestamp that was claimed after a newer one stayed up to a lifetime longer, and counted towards the bound at which a home refuses all keys.

Change: keys are kept in the order of their expiry. TestOlderKeysExpireFirst failed before.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -90,6 +90,19 @@
 	require.Equal(t, 1, s.Len(), "claims of expired keys are dropped")
 }
 
+// TestOlderKeysExpireFirst guards against expired claims that stay because a key with a newer timestamp was claimed before.
+func TestOlderKeysExpireFirst(t *testing.T) {
+	s, now := NewStore(), 2*KeyLifetime
+	authority := HomeAuthority{LeaseLeft: 1_000}
+	s.Claim(now, authority, Claim{Key: keyAt(now, 1)})
+	s.Claim(now, authority, Claim{Key: keyAt(now-KeyLifetime, 2)})
+	s.Claim(now, authority, Claim{Key: keyAt(now-KeyLifetime/2, 3)})
+	require.Equal(t, 3, s.Len())
+	now += MaxClockSkew + 1
+	s.Claim(now, authority, Claim{Key: keyAt(now, 4)})
+	require.Equal(t, 3, s.Len(), "the claim of the oldest key is dropped")
+}
+
 // simulation has agents whose views of the membership lag by up to a lease, and counts the executions of each key.
 type simulation struct {
 	now        cherviltide.Millis
--- a/claimer/store.go
+++ b/claimer/store.go
@@ -1,6 +1,9 @@
 package claimer
 
 import (
+	"cmp"
+	"slices"
+
 	"cherviltide.example/cherviltide"
 )
 
@@ -23,7 +26,7 @@
 // serialize the calls.
 type Store struct {
 	claims map[Key]*record
-	// keys is in the order of the first claim.
+	// keys is in the order of the times at which the claims expire.
 	keys []Key
 	// answerBytes is the total size of the stored response bodies.
 	answerBytes int
@@ -70,7 +73,10 @@
 		}
 		r = &record{digest: c.Digest, state: StateRefused, expires: c.Key.IssuedAt() + KeyLifetime + MaxClockSkew}
 		s.claims[c.Key] = r
-		s.keys = append(s.keys, c.Key)
+		i, _ := slices.BinarySearchFunc(s.keys, r.expires, func(k Key, expires cherviltide.Millis) int {
+			return cmp.Compare(s.claims[k].expires, expires+1)
+		})
+		s.keys = slices.Insert(s.keys, i, c.Key)
 	}
 	if r.digest != c.Digest {
 		return refused(ReasonKeyReused)
