Clear the pending definition of a service under its own key

Cause: a committed event cleared the pending proposal under its member's name, which a definition of a table does not have. Another definition of the service waited for the proposal timeout of 2 s.

Change: proposals are marked and cleared under one key. TestServiceIsDefinedAgainAtOnce failed before.

--- a/tracker/maintain.go
+++ b/tracker/maintain.go
@@ -21,7 +21,7 @@
 	for _, s := range services {
 		wanted[s.Name] = true
 		if table, ok := t.tables[s.Name]; !ok || table.Service().Buckets != min(s.Buckets, picker.MaxBuckets) {
-			events = append(events, l.proposeUnlessPending("Service "+s.Name, newDefinedEvent(s.Name, s.Buckets))...)
+			events = append(events, l.proposeDefined(s.Name, s.Buckets)...)
 		}
 	}
 	for _, x := range t.live {
@@ -29,12 +29,26 @@
 	}
 	for name := range t.tables {
 		if !wanted[name] {
-			events = append(events, l.proposeUnlessPending("Service "+name, newDefinedEvent(name, 0))...)
+			events = append(events, l.proposeDefined(name, 0)...)
 		}
 	}
 	return events
 }
 
+// proposeDefined returns the event that defines the table of a service, unless one is pending.
+func (l *leaderState) proposeDefined(service string, buckets int) []cherviltide.MemberEvent {
+	e := newDefinedEvent(service, buckets)
+	return l.proposeUnlessPending(pendingKey(e), e)
+}
+
+// pendingKey returns the key under which a proposed event counts as pending.
+func pendingKey(e cherviltide.MemberEvent) string {
+	if e.Type == cherviltide.EventDefined {
+		return "Service " + e.Member.Service
+	}
+	return e.Member.Name
+}
+
 func newDefinedEvent(service string, buckets int) cherviltide.MemberEvent {
 	return cherviltide.MemberEvent{
 		Type: cherviltide.EventDefined, Member: cherviltide.Member{Service: service}, Buckets: buckets,
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -101,7 +101,7 @@
 	}
 	t.position = t.logBase + index
 	if t.leader != nil {
-		delete(t.leader.pendingProposals, e.Member.Name)
+		delete(t.leader.pendingProposals, pendingKey(e))
 	}
 	if !t.applyToMembers(e) {
 		return
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// TestServiceIsDefinedAgainAtOnce guards against a changed service that waits for its table because an event that is committed
+// already counts as pending.
+func TestServiceIsDefinedAgainAtOnce(t *testing.T) {
+	f := newFixture(0)
+	for buckets := range 3 {
+		events := f.tracker.ReconcileTables(f.now, []cherviltide.Service{{Name: "chart", Buckets: 64 << buckets}})
+		require.NotEmpty(t, events, "%d buckets", 64<<buckets)
+		f.commit(events)
+	}
+}
+
 // run advances the time; each member in announcing announces itself once a second.
 func (f *fixture) run(span cherviltide.Millis) {
 	for end := f.now + span; f.now < end; f.now += 250 {
