Bound the messages between processes

Cause: requests, responses and messages of streams were read whole, whatever their size, also after decompression; a single one could take a process to the memory limit of its machine.

Change: 32 MiB at most.

--- a/messenger/procedure.go
+++ b/messenger/procedure.go
@@ -10,6 +10,10 @@
 // compressMinBytes is the smallest size of a response that is compressed. Compression would make heartbeats larger.
 const compressMinBytes = 512
 
+// maxMessageBytes bounds a message, also after decompression. The largest messages are snapshots of the configuration, which
+// keeps at most 8 MiB of changed lines and one text.
+const maxMessageBytes = 32 << 20
+
 // Procedure is a unary remote procedure with its request and response types.
 type Procedure[Req, Res any] struct {
 	path string
@@ -23,13 +27,13 @@
 			return nil, encodeError(err)
 		}
 		return connect.NewResponse(res), nil
-	}, connect.WithCodec(codec{}), connect.WithCompressMinBytes(compressMinBytes))
+	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressMinBytes))
 	mux.Handle(p.path, requireRole(handler, allowedRoles[p.path]))
 }
 
 // Call calls the procedure at the peer with the given base URL. Errors are of type *Error.
 func (p Procedure[Req, Res]) Call(ctx context.Context, client *http.Client, base string, req *Req) (*Res, error) {
-	c := connect.NewClient[Req, Res](client, base+p.path, connect.WithCodec(codec{}))
+	c := connect.NewClient[Req, Res](client, base+p.path, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes))
 	res, err := c.CallUnary(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, decodeError("messenger.Call "+p.path, err)
@@ -50,7 +54,7 @@
 			return encodeError(err)
 		}
 		return nil
-	}, connect.WithCodec(codec{}), connect.WithCompressMinBytes(compressMinBytes))
+	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressMinBytes))
 	mux.Handle(s.path, requireRole(handler, allowedRoles[s.path]))
 }
 
@@ -58,7 +62,7 @@
 func (s Stream[Req, Res]) Call(ctx context.Context, client *http.Client, base string, req *Req, receive func(*Res) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := connect.NewClient[Req, Res](client, base+s.path, connect.WithCodec(codec{}))
+	c := connect.NewClient[Req, Res](client, base+s.path, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes))
 	stream, err := c.CallServerStream(ctx, connect.NewRequest(req))
 	if err != nil {
 		return decodeError("messenger.Call "+s.path, err)
