--- a/Makefile
+++ b/Makefile
@@ -47,4 +47,5 @@
 	$(GO) test ./proxier -run '^$$' -fuzz FuzzMetadata -fuzztime 3s
 	$(GO) test ./framer -run '^$$' -fuzz FuzzDecode -fuzztime 3s
 	$(GO) test ./platform -run '^$$' -fuzz FuzzPacket -fuzztime 3s
+	$(GO) test ./relayer -run '^$$' -fuzz FuzzDecider -fuzztime 3s
 	$(GO) test ./parser -run '^$$' -fuzz FuzzParse -fuzztime 3s
