Rank a bucket's proposals in one pass over the targets

Cause: each membership event makes every daemon assign the buckets of the service again; the costs of all targets were computed anew for the owner, the secondary and each displaced bucket.

Change: the first eight proposals of each bucket are ranked at once.

--- a/picker/assigner.go
+++ b/picker/assigner.go
@@ -24,8 +24,16 @@
 	previousRow func(bucket int) *row
 	owners      []uint16
 	secondaries []uint16
+	// ranked has the first proposals of each bucket in its order, rankedDepth for each bucket; it is empty until rank is
+	// called.
+	ranked      []proposal
+	rankedDepth int
 }
 
+// maxRankedDepth is the number of proposals of a bucket that are ranked in one pass over the targets. Few buckets need
+// more: an owner and a secondary take two, and a bucket that other buckets displace one more each time.
+const maxRankedDepth = 8
+
 // proposal offers a bucket to a target. Targets prefer low costs, then low bucket numbers.
 type proposal struct {
 	cost   uint64
@@ -57,6 +65,7 @@
 	a.owners, a.secondaries = make([]uint16, buckets), make([]uint16, buckets)
 	a.accepted = make([]proposalHeap, len(a.eligible))
 	a.capacity = a.capacities(uint64(buckets))
+	a.rank(buckets)
 	for b := range buckets {
 		a.assignOwner(b)
 	}
@@ -70,6 +79,45 @@
 	}
 }
 
+// rank computes the first proposals of each bucket, so that the costs of its targets are not computed again for each
+// proposal.
+func (a *assigner) rank(buckets int) {
+	depth := min(maxRankedDepth, len(a.eligible))
+	a.rankedDepth = depth
+	a.ranked = make([]proposal, buckets*depth)
+	for b := range buckets {
+		list := a.ranked[b*depth : b*depth : (b+1)*depth]
+		for index, i := range a.eligible {
+			p := proposal{cost: cost(a.targets[i].nameHash, uint64(b), a.targets[i].member.Weight), bucket: b, eligibleIndex: index}
+			if len(list) == depth && !p.precedes(list[depth-1]) {
+				continue
+			}
+			if len(list) < depth {
+				list = append(list, p)
+			}
+			at := len(list) - 1
+			for ; at > 0 && p.precedes(list[at-1]); at-- {
+				list[at] = list[at-1]
+			}
+			list[at] = p
+		}
+	}
+}
+
+// rankedProposal returns the first ranked proposal of a bucket that follows another one, or the first of all when after is
+// nil. It returns false when none of the ranked ones does.
+func (a *assigner) rankedProposal(bucket int, after *proposal) (proposal, bool) {
+	if len(a.ranked) == 0 {
+		return proposal{}, false
+	}
+	for _, p := range a.ranked[bucket*a.rankedDepth : (bucket+1)*a.rankedDepth] {
+		if after == nil || after.precedes(p) {
+			return p, true
+		}
+	}
+	return proposal{}, false
+}
+
 // capacities returns how many buckets each eligible target may own. Their sum is at least the number of buckets.
 func (a *assigner) capacities(buckets uint64) []int {
 	var total uint64
@@ -136,6 +184,11 @@
 // bestProposal returns a bucket's proposal with the lowest cost to an eligible target. If after is set, only proposals
 // that follow it in the bucket's order count. If restriction is set, only the targets that this row includes count.
 func (a *assigner) bestProposal(bucket int, after *proposal, restriction *row) (proposal, bool) {
+	if restriction == nil {
+		if p, ok := a.rankedProposal(bucket, after); ok {
+			return p, true
+		}
+	}
 	best, found := proposal{}, false
 	for index, i := range a.eligible {
 		if restriction != nil && !restriction.includes(i) {
