--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -27,6 +27,7 @@
 	{"control-restart", controlRestart},
 	{"journal-replay", journalReplay},
 	{"admission", runAdmission},
+	{"overload", runOverload},
 	{"at-most-once", runClaims},
 	{"placement-add", placementAdd},
 	{"placement-drain", placementDrain},
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -53,6 +53,10 @@
 			"agent-1": {logLine(1.01, "FlowOffered", flowFields+`,"Hops":1,"Reason":"Offered"`), logLine(1.03, "FlowRefused", flowFields+`,"Hops":3,"Reason":"Unavailable"`)},
 			"agent-2": {logLine(1.02, "FlowDeclined", flowFields+`,"Hops":2,"Reason":"Declined"`)},
 		}, "entry-1 FlowRouted, agent-1 FlowOffered, agent-2 FlowDeclined, *agent-1 FlowRefused", "every agent that was asked is full"},
+		"refused after a wait": {map[string][]string{
+			"entry-1": {routed},
+			"agent-1": {logLine(1.01, "FlowWaits", flowFields+`,"Hops":1,"Reason":"Waiting"`), logLine(2.4, "FlowRefused", flowFields+`,"Hops":1,"Reason":"Overloaded"`)},
+		}, "entry-1 FlowRouted, agent-1 FlowWaits, *agent-1 FlowRefused", "before its caller gave up"},
 		"clock of an agent is 10 s behind": {map[string][]string{
 			"entry-1": {routed},
 			"agent-1": {logLine(-8.99, "FlowOffered", flowFields+`,"Hops":1,"Reason":"Offered"`), logLine(-8.97, "FlowRefused", flowFields+`,"Hops":3,"Reason":"Unavailable"`)},
