Reset a connection of a dead agent only after half a second

Cause: an agent that was frozen joins again, and entries with the new table send it new connections. A later datagram of such a connection that came through an entry with the old table reached an agent with the old table, which still had the other one among the recently dead and reset the connection.

Change: datagrams of a connection with a dead agent are dropped for 500 ms before the connection is reset.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -53,6 +53,7 @@
 	conn            *net.UDPConn
 	flows           *flows
 	remoteFlows     *remoteFlows
+	pendingResets   pendingResets
 	detector        *detector.Detector
 	revisionInForce atomic.Uint64
 	sendBuffers     sync.Pool
--- a/holder/receive.go
+++ b/holder/receive.go
@@ -45,7 +45,11 @@
 		h.detector.MarkAlive(sender)
 	}
 	a.flow = h.flows.get(a.header.Flow)
-	return h.execute(a, h.decide(h.decisionInput(a), a.payload))
+	decision := h.decide(h.decisionInput(a), a.payload)
+	if decision.Action == ActionReset && !h.pendingResets.isDue(a.header.Flow, a.now) {
+		decision = Decision{Action: ActionDrop}
+	}
+	return h.execute(a, decision)
 }
 
 // decisionInput collects the input of the decision about a datagram.
