Wait until an added target of the test system listens

Cause: TestAcknowledgementRunsOnce failed once beside other load, "connection refused" from the target added at its sixth key: AddTarget returned as soon as the process was started, and the test then asked it for its executions. Asked right after AddTarget, it fails each time on an idle start too.

Change: AddTarget waits until the target listens; the test asks at once.

--- a/bench/launcher/faults.go
+++ b/bench/launcher/faults.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"time"
@@ -94,7 +96,24 @@
 	return executions, nil
 }
 
-// AddTarget starts an additional target of a service and its agent.
+// AddTarget starts an additional target of a service and its agent, and waits until the target listens.
 func (s *System) AddTarget(service ServicePlan, number int, serviceTime time.Duration) error {
-	return s.startTarget(service, number, serviceTime, s.callerIdentities[service.Name])
+	if err := s.startTarget(service, number, serviceTime, s.callerIdentities[service.Name]); err != nil {
+		return err
+	}
+	return awaitListener(s.Targets[fmt.Sprintf("%s-%d", service.Name, number+1)])
+}
+
+// awaitListener waits until a process listens at an address, so that it can be asked for its executions.
+func awaitListener(address netip.AddrPort) error {
+	for deadline := time.Now().Add(startTimeout); ; {
+		conn, err := net.DialTimeout("tcp", address.String(), startTimeout)
+		if err == nil {
+			return errors.Trace(conn.Close())
+		}
+		if time.Now().After(deadline) {
+			return errors.Annotatef(err, "no process listens at %s", address)
+		}
+		time.Sleep(pollInterval)
+	}
 }
--- a/bench/launcher/once_test.go
+++ b/bench/launcher/once_test.go
@@ -63,6 +63,8 @@
 		switch i {
 		case 5:
 			require.NoError(t, s.AddTarget(service, len(service.ServiceTimes), service.ServiceTimes[0]))
+			_, err := s.Executions(t.Context(), newKey())
+			require.NoError(t, err, "the added target does not answer")
 		case 10:
 			require.NoError(t, s.Signal(service.Name+"-1", syscall.SIGSTOP))
 		case 15:
