--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -62,6 +62,8 @@
 	{"outage, burst, lost, slow or overloaded targets, bulky transfers", "opening a relayed flow", "I1, I4", "bench/replayer", "TestWorstLoads", "0, 1", "the targets' own queues, in the same test", passes},
 	{"target leaves, agent stops, caller gives up or uses the port again", "a new flow waits for a slot", "I1, I4, I7", "relayer", "TestWaitingFlowEnds", "", "", passes},
 	{"packets with any header fields", "relayed flows", "I4", "relayer", "FuzzDecider", "fuzz", "", passes},
+	{"agent frozen, dead and back while another agent's table is behind", "connections opened after its return", "I1", "holder", "TestResetWaitsForRejoin", "", "cases \"stays dead\" and \"table stays behind\"", passes},
+	{"claim of an old key behind a newer one", "at-most-once", "I4", "claimer", "TestOlderKeysExpireFirst", "", "", passes},
 	{"heartbeat under way when the target deregisters, no start time", "target of an agent", "I6", "platform", "TestHeartbeats", "", "", passes},
 	{"230 followers read six changes of 2,000 routes slowly", "distribution", "I8", "distributor", "TestSlowFollowersOfLargeRules", "", "", passes},
 	{"oversized message, also compressed", "calls between processes", "I4", "messenger", "TestMessageBounds", "", "", passes},
