Compute the expected wait of an offer from the present capacity

Cause: the queue learnt the service time and the slots only while flows waited, so the first predictions after an empty queue used older ones, at first none: offers told a wait of 0 and agents with a shorter queue declined them.

Change: the capacity is set with each opening packet. TestOfferTellsExpectedWait failed before (0 in place of 96 ms).

--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -35,6 +35,7 @@
 
 // decideOpeningPacket decides about a packet that opens a flow.
 func (d *Decider) decideOpeningPacket(in Input, a Arrival) Decision {
+	d.updateCapacity()
 	key := a.Header.Flow
 	f := d.flows[key]
 	if f != nil && !f.inferred && f.callerSequence == a.Packet.Sequence && (f.answered || !d.targetUnresponsive(in.Now)) {
--- a/relayer/waiting_test.go
+++ b/relayer/waiting_test.go
@@ -60,6 +60,18 @@
 	require.Equal(t, ReasonOpened, decision.Reason)
 }
 
+// TestOfferTellsExpectedWait guards against offers that tell an outdated wait, so that agents with a shorter queue decline.
+func TestOfferTellsExpectedWait(t *testing.T) {
+	table := tableOf(3)
+	d, in := newDecider(), inputAt(10, member(1), table)
+	d.load.active = 2
+	d.load.serviceTime.add(200)
+	flow := ownedBy(t, table, member(1))
+	decision := d.FromPeer(in, syn(flow, 0))
+	require.Equal(t, ReasonOffered, decision.Reason)
+	require.Equal(t, cherviltide.Millis(100)/waitStep*waitStep, offeredWait(decision.Header.Position))
+}
+
 // TestWaitingFlowEnds guards against flows that wait at a target that no longer takes them, whose caller has gone, or that
 // another agent holds.
 func TestWaitingFlowEnds(t *testing.T) {
