Start test processes in process groups of their own

The shell that had started the script had ended, which orphaned its process group; the kernel then sends SIGHUP and SIGCONT to the stopped processes of the group, and the frozen entry went on. Reproduced: a leader that ends as soon as an entry is stopped gives the same failure, and with this change the test passes under it.

--- a/bench/launcher/process.go
+++ b/bench/launcher/process.go
@@ -36,7 +36,8 @@
 	cmd.Stdout, cmd.Stderr = file, file
 	cmd.Env = append(os.Environ(), environment...)
 	// The kernel kills the child when the launcher dies, so an interrupted demo leaves no processes behind.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// A process group of its own: when the leader of an orphaned group ends, the kernel continues its stopped processes.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return nil, errors.Annotatef(err, "starting %s", name)
 	}
