Set the load of a decision in one place

FromPeer and release wrote the same three fields, and lateWait had one caller and one line. No change of behaviour; the tests of relayer, queuer and bench/replayer pass.

--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -110,7 +110,7 @@
 	if now+wait <= q.startBy(f) {
 		return wait, VerdictTimely
 	}
-	wait = q.lateWait(now, f)
+	wait = q.waitBehind(now, q.lateIndex(f.GiveUpAt))
 	if now+wait > f.GiveUpAt {
 		return wait, VerdictRefused
 	}
@@ -256,11 +256,6 @@
 	}
 }
 
-// lateWait returns the expected wait of a late flow.
-func (q *Queue[T]) lateWait(now cherviltide.Millis, f Flow) cherviltide.Millis {
-	return q.waitBehind(now, q.lateIndex(f.GiveUpAt))
-}
-
 // waitBehind returns the expected wait behind all timely flows and a number of late ones. Timely flows that arrive meanwhile
 // go first, so late flows only get the share of the capacity that timely ones have left lately.
 func (q *Queue[T]) waitBehind(now cherviltide.Millis, late int) cherviltide.Millis {
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -177,7 +177,11 @@
 
 // FromPeer decides about a caller's packet that an entry or another agent forwarded.
 func (d *Decider) FromPeer(in Input, a Arrival) Decision {
-	decision := d.decideFromPeer(in, a)
+	return d.withLoad(d.decideFromPeer(in, a))
+}
+
+// withLoad returns a decision with the present load, for the log.
+func (d *Decider) withLoad(decision Decision) Decision {
 	decision.Active, decision.Slots, decision.Waiting = d.load.active, d.target.Slots, d.queue.Len()
 	return decision
 }
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -130,8 +130,7 @@
 // release removes a waiting flow from the queue and decides about it.
 func (d *Decider) release(in Input, f queuer.Flow, decide func(Arrival) Decision) (Arrival, Decision, bool) {
 	a, _ := d.queue.Remove(f.Key)
-	decision := decide(a)
-	decision.Active, decision.Slots, decision.Waiting = d.load.active, d.target.Slots, d.queue.Len()
+	decision := d.withLoad(decide(a))
 	decision.Wait = in.Now - a.waitingSince
 	return a, decision, true
 }
