--- a/review/_rig/agents.go
+++ b/review/_rig/agents.go
@@ -4,6 +4,9 @@
 	"time"
 )
 
+// agentGap is the time between two daemons that are stopped.
+const agentGap = 4 * time.Second
+
 // runAgents stops and starts the daemons beside the targets in turn.
 func runAgents(e *environment) (bool, error) {
 	ledger := newLedger()
@@ -38,7 +41,7 @@
 		} else {
 			go func() { done <- struct{}{} }()
 		}
-		time.Sleep(2500 * time.Millisecond)
+		time.Sleep(agentGap)
 	}
 	for range targetCount {
 		<-done
--- a/review/_rig/changes.go
+++ b/review/_rig/changes.go
@@ -16,7 +16,7 @@
 	// changeRoutes is the number of routes that the configuration grows by, changeVersions the number of versions.
 	changeRoutes   = 240 + 1400
 	changeVersions = 900
-	changesFor     = 86 * time.Second
+	changesFor     = 80 * time.Second
 	changePause    = 5 * time.Millisecond
 	restartDelay   = time.Second
 )
@@ -141,7 +141,7 @@
 	// RecoveryS passes before the operator reads the configuration back, repeatedly and for longer than ContactMs.
 	time.Sleep(15 * time.Second)
 	read := false
-	for end := time.Now().Add(8 * time.Second); time.Now().Before(end) && !read; time.Sleep(200 * time.Millisecond) {
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end) && !read; time.Sleep(200 * time.Millisecond) {
 		for _, n := range e.site.seeds {
 			status, body := call(http.MethodGet, e.site.address(n, e.site.p.admin), "/config", nil, time.Second)
 			e.note(false, "read at machine %d: status %d, %d bytes", n, status, len(body))
@@ -161,7 +161,7 @@
 		}
 	}
 	if !read {
-		e.note(true, "CONFIG: version %d was acknowledged, and no instance returned it from 15 s to 23 s after the last change", acknowledged)
+		e.note(true, "CONFIG: version %d was acknowledged, and no instance returned it from 15 s to 21 s after the last change", acknowledged)
 	}
 	if 2*ended >= 3 {
 		e.note(true, "Fault: on %d of 3 machines of the core a process ended three times or more", ended)
--- a/review/_rig/release.go
+++ b/review/_rig/release.go
@@ -23,7 +23,7 @@
 	keptFlows     = 600
 	requestSize   = 4500
 	deadline      = 5 * time.Second
-	shortPerS     = 70
+	shortPerS     = 100
 	flowAge       = 45 * time.Second
 )
 
