--- a/review/_rig/changes.go
+++ b/review/_rig/changes.go
@@ -14,7 +14,7 @@
 
 const (
 	// changeRoutes is the number of routes that the configuration grows by, changeVersions the number of versions.
-	changeRoutes   = 240 + 1400
+	changeRoutes   = 240 + 1400 + 1320
 	changeVersions = 900
 	changesFor     = 88 * time.Second
 	changePause    = 5 * time.Millisecond
