--- a/review/_rig/changes.go
+++ b/review/_rig/changes.go
@@ -77,7 +77,7 @@
 		}
 		m.e.note(m.kills[p.machine] < 3, "control on machine %d uses %.0f MB of %d MB and is killed; its files have %.0f MB", p.machine, used, ramMb, m.e.site.diskMb(p.machine))
 		_ = p.Signal(syscall.SIGKILL)
-		_ = p.Wait()
+		p.Wait()
 		m.mu.Lock()
 		m.kills[p.machine]++
 		m.mu.Unlock()
--- a/review/_rig/client.go
+++ b/review/_rig/client.go
@@ -12,8 +12,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"cherviltide.example/cherviltide/bench/relaypath"
 )
 
 // router is the platform's router in front of the entries: it hashes the addresses and ports of a packet over the
@@ -64,7 +62,7 @@
 	return list
 }
 
-func (r *router) entryFor(p relaypath.Packet) netip.AddrPort {
+func (r *router) entryFor(p packet) netip.AddrPort {
 	list := r.ready()
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, p.Source, p.Destination)
@@ -78,7 +76,7 @@
 	ip       netip.Addr
 	nextPort atomic.Uint32
 	mu       sync.Mutex
-	flows    map[netip.AddrPort]map[uint16]chan relaypath.Packet
+	flows    map[netip.AddrPort]map[uint16]chan packet
 	requests atomic.Uint64
 }
 
@@ -89,7 +87,7 @@
 		return nil, err
 	}
 	_ = conn.SetReadBuffer(4 << 20)
-	c := &clients{router: r, conn: conn, ip: address.Addr(), flows: map[netip.AddrPort]map[uint16]chan relaypath.Packet{}}
+	c := &clients{router: r, conn: conn, ip: address.Addr(), flows: map[netip.AddrPort]map[uint16]chan packet{}}
 	c.nextPort.Store(2000)
 	go c.receive()
 	return c, nil
@@ -102,7 +100,7 @@
 		if err != nil {
 			return
 		}
-		p, valid := relaypath.Decode(buffer[:n])
+		p, valid := decodePacket(buffer[:n])
 		if !valid {
 			continue
 		}
@@ -118,8 +116,8 @@
 	}
 }
 
-func (c *clients) send(p relaypath.Packet) {
-	_, _ = c.conn.WriteToUDPAddrPort(p.Encode(), c.router.entryFor(p))
+func (c *clients) send(p packet) {
+	_, _ = c.conn.WriteToUDPAddrPort(p.encode(), c.router.entryFor(p))
 }
 
 var (
@@ -133,9 +131,9 @@
 type clientFlow struct {
 	c              *clients
 	key            flowKey
-	received       chan relaypath.Packet
+	received       chan packet
 	next, expected uint32
-	early          map[uint32]relaypath.Packet
+	early          map[uint32]packet
 	data           []byte
 	finished       bool
 	openedAt       time.Time
@@ -146,30 +144,30 @@
 // open opens a flow: an opening packet, copies after 200 and 600 ms, and an end after 1.4 s.
 func (c *clients) open(virtual netip.AddrPort) (*clientFlow, error) {
 	port := uint16(2000 + c.nextPort.Add(1)%60000)
-	f := &clientFlow{c: c, key: flowKey{netip.AddrPortFrom(c.ip, port), virtual}, received: make(chan relaypath.Packet, 64),
-		next: rand.Uint32(), early: map[uint32]relaypath.Packet{}}
+	f := &clientFlow{c: c, key: flowKey{netip.AddrPortFrom(c.ip, port), virtual}, received: make(chan packet, 64),
+		next: rand.Uint32(), early: map[uint32]packet{}}
 	c.mu.Lock()
 	if c.flows[virtual] == nil {
-		c.flows[virtual] = map[uint16]chan relaypath.Packet{}
+		c.flows[virtual] = map[uint16]chan packet{}
 	}
 	c.flows[virtual][port] = f.received
 	c.mu.Unlock()
 	start := time.Now()
 	for i, wait := range []time.Duration{200, 600, 1400} {
-		c.send(f.packet(relaypath.Syn, f.next, uint32(i), nil))
+		c.send(f.packet(flagSyn, f.next, uint32(i), nil))
 		timer := time.NewTimer(time.Until(start.Add(wait * time.Millisecond)))
 		for waiting := true; waiting; {
 			select {
 			case p := <-f.received:
 				switch {
-				case p.Flags&relaypath.Rst != 0:
+				case p.Flags&flagRst != 0:
 					f.forget()
 					return nil, errReset
-				case p.Flags == relaypath.Syn|relaypath.Ack:
+				case p.Flags == flagSyn|flagAck:
 					f.next++
 					f.expected = p.Sequence + 1
 					f.openedAt = time.Now()
-					f.c.send(f.packet(relaypath.Ack, f.next, f.expected, nil))
+					f.c.send(f.packet(flagAck, f.next, f.expected, nil))
 					return f, nil
 				}
 			case <-timer.C:
@@ -181,8 +179,8 @@
 	return nil, errNoAnswer
 }
 
-func (f *clientFlow) packet(flags byte, sequence, ack uint32, data []byte) relaypath.Packet {
-	return relaypath.Packet{Source: f.key.client, Destination: f.key.virtual, Flags: flags, Sequence: sequence, Ack: ack, Data: data}
+func (f *clientFlow) packet(flags byte, sequence, ack uint32, data []byte) packet {
+	return packet{Source: f.key.client, Destination: f.key.virtual, Flags: flags, Sequence: sequence, Ack: ack, Data: data}
 }
 
 func (f *clientFlow) forget() {
@@ -192,17 +190,17 @@
 }
 
 // accept handles a packet of the target and reports the acknowledged sequence number.
-func (f *clientFlow) accept(p relaypath.Packet) (acked uint32, err error) {
-	if p.Flags&relaypath.Rst != 0 {
+func (f *clientFlow) accept(p packet) (acked uint32, err error) {
+	if p.Flags&flagRst != 0 {
 		if int32(p.Sequence-f.expected) > 76800 || int32(f.expected-p.Sequence) > 76800 {
 			return 0, nil
 		}
 		f.resets++
 		return 0, errReset
 	}
-	if p.Flags == relaypath.Syn|relaypath.Ack {
+	if p.Flags == flagSyn|flagAck {
 		if p.Sequence+1 == f.expected {
-			f.c.send(f.packet(relaypath.Ack, f.next, f.expected, nil))
+			f.c.send(f.packet(flagAck, f.next, f.expected, nil))
 		}
 		return 0, nil
 	}
@@ -210,7 +208,7 @@
 	if int32(p.Sequence-f.expected) > 76800 || int32(f.expected-p.Sequence) > 76800 {
 		return 0, nil
 	}
-	if len(p.Data) > 0 || p.Flags&relaypath.Fin != 0 {
+	if len(p.Data) > 0 || p.Flags&flagFin != 0 {
 		if int32(p.Sequence-f.expected) >= 0 {
 			f.early[p.Sequence] = p
 		}
@@ -218,12 +216,12 @@
 			delete(f.early, f.expected)
 			f.data = append(f.data, q.Data...)
 			f.expected += uint32(len(q.Data))
-			if q.Flags&relaypath.Fin != 0 {
+			if q.Flags&flagFin != 0 {
 				f.expected++
 				f.finished = true
 			}
 		}
-		f.c.send(f.packet(relaypath.Ack, f.next, f.expected, nil))
+		f.c.send(f.packet(flagAck, f.next, f.expected, nil))
 	}
 	return p.Ack, nil
 }
@@ -234,9 +232,9 @@
 	id = fmt.Sprintf("a%d", f.c.requests.Add(1))
 	body := fmt.Sprintf("REQ %s %d\n%s", id, size, strings.Repeat("b", size))
 	first := f.next
-	var segments []relaypath.Packet
+	var segments []packet
 	for at := 0; at < len(body); at += maxPayload {
-		segments = append(segments, f.packet(relaypath.Ack, first+uint32(at), 0, []byte(body[at:min(at+maxPayload, len(body))])))
+		segments = append(segments, f.packet(flagAck, first+uint32(at), 0, []byte(body[at:min(at+maxPayload, len(body))])))
 	}
 	f.next += uint32(len(body))
 	acked := first
@@ -303,7 +301,7 @@
 func (f *clientFlow) close() {
 	defer f.forget()
 	for i := range 3 {
-		f.c.send(f.packet(relaypath.Fin|relaypath.Ack, f.next, f.expected, nil))
+		f.c.send(f.packet(flagFin|flagAck, f.next, f.expected, nil))
 		timer := time.NewTimer(time.Duration(200<<i) * time.Millisecond)
 		for waiting := true; waiting; {
 			select {
@@ -311,7 +309,7 @@
 				ack, err := f.accept(p)
 				if err != nil || ack == f.next+1 {
 					if f.finished {
-						f.c.send(f.packet(relaypath.Ack, f.next+1, f.expected, nil))
+						f.c.send(f.packet(flagAck, f.next+1, f.expected, nil))
 					}
 					return
 				}
--- a/review/_rig/site.go
+++ b/review/_rig/site.go
@@ -10,14 +10,13 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
-
-	"cherviltide.example/cherviltide/bench/launcher"
 )
 
 // Bounds of the deployment, as on the sheet of the small sites.
@@ -56,9 +55,44 @@
 
 // process is a program of the system on a machine.
 type process struct {
-	*launcher.Process
 	role    string
 	machine int
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// startProcess starts a program with further environment variables and appends its output to a file.
+func startProcess(output string, environment []string, binary string, args ...string) (*process, error) {
+	file, err := os.OpenFile(output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	p := &process{command: exec.Command(binary, args...), ended: make(chan struct{})}
+	p.command.Stdout, p.command.Stderr = file, file
+	p.command.Env = append(os.Environ(), environment...)
+	// A script that is interrupted leaves no processes behind.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	if err := p.command.Start(); err != nil {
+		return nil, err
+	}
+	go func() { _ = p.command.Wait(); close(p.ended) }()
+	return p, nil
+}
+
+// ID returns the process ID.
+func (p *process) ID() int { return p.command.Process.Pid }
+
+// Signal sends a signal to the process.
+func (p *process) Signal(s os.Signal) error { return p.command.Process.Signal(s) }
+
+// Wait returns when the process has ended.
+func (p *process) Wait() { <-p.ended }
+
+// Kill kills the process and waits for its end.
+func (p *process) Kill() {
+	_ = p.command.Process.Kill()
+	p.Wait()
 }
 
 func newSite(dir, binary string) (*site, error) {
@@ -96,9 +130,12 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.a, s.b, byte(machine)}), port)
 }
 
+// name returns the name of a process.
+func name(role string, machine int) string { return fmt.Sprintf("%s-%d", role, machine) }
+
 // writeSettings writes the settings file of a role on a machine in the platform's format.
 func (s *site) writeSettings(role string, machine int, service string, bootstrap bool) (string, error) {
-	name := fmt.Sprintf("%s-%d", role, machine)
+	name := name(role, machine)
 	var seeds []string
 	for _, n := range s.seeds {
 		seeds = append(seeds, s.address(n, s.p.admin).String())
@@ -160,12 +197,12 @@
 		return nil, err
 	}
 	metrics := map[string]int{"entry": 9101, "agent": 9101, "control": 9102}[role]
-	p, err := launcher.StartProcess(s.dir, fmt.Sprintf("%s-%d", role, machine), append([]string{"CHERVILTIDE_SETTINGS=" + path}, s.environment...),
+	started, err := startProcess(filepath.Join(s.dir, name(role, machine)+".log"), append([]string{"CHERVILTIDE_SETTINGS=" + path}, s.environment...),
 		s.binary, "platform", role, "--metrics-port", strconv.Itoa(metrics))
 	if err != nil {
 		return nil, err
 	}
-	started := &process{Process: p, role: role, machine: machine}
+	started.role, started.machine = role, machine
 	s.mu.Lock()
 	s.processes = append(s.processes, started)
 	s.mu.Unlock()
@@ -175,13 +212,10 @@
 // terminate sends SIGTERM and kills the process after the grace period.
 func (p *process) terminate() {
 	_ = p.Signal(syscall.SIGTERM)
-	done := make(chan struct{})
-	go func() { _ = p.Wait(); close(done) }()
 	select {
-	case <-done:
+	case <-p.ended:
 	case <-time.After(graceS * time.Second):
 		p.Kill()
-		<-done
 	}
 }
 
--- a/review/_rig/target.go
+++ b/review/_rig/target.go
@@ -11,8 +11,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"cherviltide.example/cherviltide/bench/relaypath"
 )
 
 // maxPayload is the largest payload of a packet.
@@ -104,7 +102,7 @@
 	rcvNext, sndNext uint32
 	early            map[uint32][]byte
 	received         []byte
-	unacked          []relaypath.Packet
+	unacked          []packet
 	tries            int
 	finReceived      bool
 }
@@ -143,7 +141,7 @@
 		if err != nil {
 			return
 		}
-		p, valid := relaypath.Decode(buffer[:n])
+		p, valid := decodePacket(buffer[:n])
 		if !valid {
 			continue
 		}
@@ -153,12 +151,12 @@
 	}
 }
 
-func (t *target) send(p relaypath.Packet) {
-	_, _ = t.conn.WriteToUDPAddrPort(p.Encode(), t.outbound)
+func (t *target) send(p packet) {
+	_, _ = t.conn.WriteToUDPAddrPort(p.encode(), t.outbound)
 }
 
 // handle handles a packet with t.mu held.
-func (t *target) handle(p relaypath.Packet) {
+func (t *target) handle(p packet) {
 	key := flowKey{p.Source, p.Destination}
 	f := t.flows[key]
 	held := true
@@ -167,10 +165,10 @@
 		t.ledger.arrivals = append(t.ledger.arrivals, arrival{time.Now(), t.name, key, p.Flags, p.Sequence, len(p.Data), held})
 		t.ledger.mu.Unlock()
 	}()
-	if p.Flags == relaypath.Syn {
+	if p.Flags == flagSyn {
 		if f != nil && f.irs == p.Sequence {
 			if !f.open {
-				t.send(t.packet(f, relaypath.Syn|relaypath.Ack, f.iss, nil))
+				t.send(t.packet(f, flagSyn|flagAck, f.iss, nil))
 			}
 			return
 		}
@@ -178,26 +176,26 @@
 		f.sndNext = f.iss + 1
 		t.flows[key] = f
 		delete(t.ended, key)
-		t.send(t.packet(f, relaypath.Syn|relaypath.Ack, f.iss, nil))
+		t.send(t.packet(f, flagSyn|flagAck, f.iss, nil))
 		t.resendOpening(f, 200*time.Millisecond)
 		return
 	}
 	if f == nil && t.ended[key] {
 		switch {
-		case p.Flags&relaypath.Fin != 0:
-			t.send(relaypath.Packet{Source: key.virtual, Destination: key.client, Flags: relaypath.Ack, Sequence: p.Ack, Ack: p.Sequence + 1})
+		case p.Flags&flagFin != 0:
+			t.send(packet{Source: key.virtual, Destination: key.client, Flags: flagAck, Sequence: p.Ack, Ack: p.Sequence + 1})
 		case len(p.Data) > 0:
-			t.send(relaypath.Packet{Source: key.virtual, Destination: key.client, Flags: relaypath.Rst, Sequence: p.Ack})
+			t.send(packet{Source: key.virtual, Destination: key.client, Flags: flagRst, Sequence: p.Ack})
 		}
 		return
 	}
 	if f == nil || (!f.open && p.Ack != f.iss+1) {
 		held = false
-		p.Flags |= relaypath.Returned
+		p.Flags |= flagReturned
 		t.send(p)
 		return
 	}
-	if p.Flags&relaypath.Rst != 0 {
+	if p.Flags&flagRst != 0 {
 		t.end(f)
 		return
 	}
@@ -207,11 +205,11 @@
 		t.ledger.opened[key] = openFlow{t.name, time.Now()}
 		t.ledger.mu.Unlock()
 	}
-	if p.Flags&relaypath.Ack != 0 {
+	if p.Flags&flagAck != 0 {
 		kept := f.unacked[:0]
 		for _, u := range f.unacked {
 			end := u.Sequence + uint32(len(u.Data))
-			if u.Flags&relaypath.Fin != 0 {
+			if u.Flags&flagFin != 0 {
 				end++
 			}
 			if int32(end-p.Ack) > 0 {
@@ -232,13 +230,13 @@
 			f.rcvNext += uint32(len(data))
 			f.received = append(f.received, data...)
 		}
-		t.send(t.packet(f, relaypath.Ack, f.sndNext, nil))
+		t.send(t.packet(f, flagAck, f.sndNext, nil))
 		t.takeRequests(f)
 	}
-	if p.Flags&relaypath.Fin != 0 && p.Sequence == f.rcvNext {
+	if p.Flags&flagFin != 0 && p.Sequence == f.rcvNext {
 		f.rcvNext++
 		f.finReceived = true
-		t.send(t.packet(f, relaypath.Ack, f.sndNext, nil))
+		t.send(t.packet(f, flagAck, f.sndNext, nil))
 		t.sendFin(f)
 	}
 	if f.finReceived && f.finishing && len(f.unacked) == 0 {
@@ -246,8 +244,8 @@
 	}
 }
 
-func (t *target) packet(f *targetFlow, flags byte, sequence uint32, data []byte) relaypath.Packet {
-	return relaypath.Packet{Source: f.key.virtual, Destination: f.key.client, Flags: flags, Sequence: sequence, Ack: f.rcvNext, Data: data}
+func (t *target) packet(f *targetFlow, flags byte, sequence uint32, data []byte) packet {
+	return packet{Source: f.key.virtual, Destination: f.key.client, Flags: flags, Sequence: sequence, Ack: f.rcvNext, Data: data}
 }
 
 func (t *target) end(f *targetFlow) {
@@ -267,7 +265,7 @@
 			delete(t.flows, f.key)
 			return
 		}
-		t.send(t.packet(f, relaypath.Syn|relaypath.Ack, f.iss, nil))
+		t.send(t.packet(f, flagSyn|flagAck, f.iss, nil))
 		t.resendOpening(f, 2*after)
 	})
 }
@@ -297,7 +295,7 @@
 				return
 			}
 			answer := fmt.Sprintf("ANS %s %s ", id, t.name)
-			t.transmit(f, relaypath.Ack, []byte(answer+strings.Repeat("x", 600-len(answer)-1)+"\n"))
+			t.transmit(f, flagAck, []byte(answer+strings.Repeat("x", 600-len(answer)-1)+"\n"))
 			if t.draining {
 				t.sendFin(f)
 			}
@@ -312,7 +310,7 @@
 func (t *target) sendFin(f *targetFlow) {
 	if !f.finishing {
 		f.finishing = true
-		t.transmit(f, relaypath.Fin|relaypath.Ack, nil)
+		t.transmit(f, flagFin|flagAck, nil)
 	}
 }
 
@@ -320,7 +318,7 @@
 func (t *target) transmit(f *targetFlow, flags byte, data []byte) {
 	p := t.packet(f, flags, f.sndNext, data)
 	f.sndNext += uint32(len(data))
-	if flags&relaypath.Fin != 0 {
+	if flags&flagFin != 0 {
 		f.sndNext++
 	}
 	f.unacked = append(f.unacked, p)
