--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -20,8 +20,12 @@
 	"agents":   runAgents,
 	"replaced": runReplaced,
 	"moved":    runMoved,
+	"handover": runHandover,
 }
 
+// grownCases are the cases with the bounds and the memory of the grown sheets.
+var grownCases = map[string]bool{"bridge": true, "growth": true, "timeouts": true}
+
 // environment is what a scenario runs in.
 type environment struct {
 	site    *site
@@ -86,7 +90,7 @@
 	defer s.killAll()
 	e := &environment{site: s, trouble: os.Getenv("TROUBLE") != "0", record: bufio.NewWriter(file), started: time.Now()}
 	defer func() { _ = e.record.Flush() }()
-	s.grown = os.Args[1] != "agents" && os.Args[1] != "release" && os.Args[1] != "moved" && os.Args[1] != "replaced"
+	s.grown = grownCases[os.Args[1]]
 	held, err := cases[os.Args[1]](e)
 	if err != nil {
 		e.note(true, "the case could not run: %v", err)
--- a/review/_rig/replaced.go
+++ b/review/_rig/replaced.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -118,15 +119,15 @@
 	sent, acknowledged time.Time
 }
 
-// voterNumber returns how many voters a control instance counts in the configuration's group.
-func (r *replacedSite) voterNumber(machine int) string {
+// voterCounts returns how many voters a control instance counts in its groups, and which of them it leads.
+func (r *replacedSite) voterCounts(machine int) string {
 	_, body := call(http.MethodGet, r.site.address(machine, r.site.p.admin), "/debug/vars", nil, time.Second)
-	for _, line := range strings.Split(string(body), "\n") {
-		if strings.Contains(line, "Configuration.Voters") {
-			return strings.TrimSpace(line)
-		}
+	var vars map[string]any
+	if json.Unmarshal(body, &vars) != nil {
+		return "no metrics"
 	}
-	return "unknown"
+	return fmt.Sprintf("configuration: %v voters, leads %v; membership: %v voters, leads %v", vars["Configuration.Voters"],
+		vars["Configuration.Leads"], vars["Membership.Voters"], vars["Membership.Leads"])
 }
 
 // runReplaced replaces control instances one after the other and then stops and starts them in turn, as planned. Each time
@@ -191,7 +192,7 @@
 		}
 	}
 	for _, n := range e.site.seeds {
-		e.note(true, "control on machine %d: %s", n, r.voterNumber(n))
+		e.note(true, "control on machine %d: %s", n, r.voterCounts(n))
 	}
 	router := newRouter(e.site, entries)
 	c, err := startClients(router, clientMachine)
