Remove a control instance from the voters before it stops

Cause: the successor joins beside the instance that it replaces, so there are four voters with a majority of three. A stopped instance stayed a voter until the leader had missed it for 2 s. A wiped instance has no vote until a leader admits it, so two of four were left for good.

Evidence: Configuration.Voters and Membership.Voters stay at 4 at the intact instances, Leads never becomes true, and the wiped one shows 0 voters. Stale seeds and a damaged log are ruled out: the wiped instance reaches both others, and their logs are intact.

Change: a stopping instance announces it (MessageLeave) and goes on as a voter until its removal is committed or the leader replies that it is kept (MessageMayStop). The leader removes one of an even number of voters that are gone, or two of an odd number if enough are left for the losses in the settings. It takes the longest silent one first, and counts the silence of the former leader from its last message. A voter that joined under the present leader was admitted again after its removal, also by delayed requests; this is fixed with it.

Not covered: an instance that is killed without a signal after its successor has joined stays a voter for 2 s.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -51,7 +51,9 @@
 	// DynamicVoters admits voters that Voters does not list and lets them replace unresponsive ones. The name of each
 	// voter is then its address, and URL returns the base URL for a name.
 	DynamicVoters bool
-	URL           func(name string) string
+	// MinVoters is the number of voters that tolerates the failures that the deployment must survive; 0 if it is not known.
+	MinVoters int
+	URL       func(name string) string
 	// Parse reads rules from the operators' configuration; nil means the rules file.
 	Parse cherviltide.RulesParser
 	// Mount registers additional handlers on the server; nil registers none.
@@ -85,6 +87,9 @@
 	writeResults   chan writeResult
 	// syncTimes has the durations of disk writes.
 	syncTimes *prober.Histogram
+	// leaving is true from a call of Leave until left receives the names of the groups that have removed this instance.
+	leaving bool
+	left    chan []string
 	// senderExits receives the exits of the goroutines that send to peers. Its buffer holds all of them.
 	senderExits chan runner.Exit
 }
@@ -104,6 +109,7 @@
 		counterMerger: reporter.NewMerger(config.Clock.Now()),
 		calls:         make(chan call),
 		writeResults:  make(chan writeResult, 2),
+		left:          make(chan []string, 1),
 		senderExits:   make(chan runner.Exit, 2*maxPeers),
 		syncTimes:     prober.NewHistogram(),
 	}
@@ -238,6 +244,7 @@
 	monotonic := cherviltide.MillisOf(time.Since(c.started))
 	c.configuration.voter.Tick(monotonic)
 	c.membership.voter.Tick(monotonic)
+	c.checkLeave()
 	changed := c.members.log.IsLeader() != c.tracker.IsLeader() || c.members.log.IsCurrent() == c.members.stale
 	if changed || monotonic >= c.nextLeaseCheck {
 		c.nextLeaseCheck = monotonic + leaseCheckInterval
--- a/controller/group.go
+++ b/controller/group.go
@@ -68,6 +68,8 @@
 	// lastLedTerm is the newest term in which this instance was leader.
 	lastLedTerm uint64
 	admitted    bool
+	// leaving is true after a call of Leave.
+	leaving bool
 	// onApplied is called after entries or a snapshot were applied.
 	onApplied func()
 }
@@ -89,7 +91,7 @@
 		proposals:    map[uint64][]proposal{},
 		pendingReads: map[uint64]func(bool){},
 	}
-	g.voter = voter.New(voter.Config{Self: self, Names: names, DynamicVoters: config.DynamicVoters, Bootstrap: config.Bootstrap, Seed: rand.Uint64()}, stored, 0)
+	g.voter = voter.New(voter.Config{Self: self, Names: names, DynamicVoters: config.DynamicVoters, MinVoters: config.MinVoters, Bootstrap: config.Bootstrap, Seed: rand.Uint64()}, stored, 0)
 	config.Log.Info("GroupOpened", zap.String("Group", name), zap.Uint64("Identity", self.Number),
 		zap.Uint64("Snapshot", stored.Snapshot.Index), zap.Int("Entries", len(stored.Entries)))
 	return g, nil
@@ -126,7 +128,7 @@
 		if err := g.voter.Err(); err != nil {
 			return err
 		}
-		if g.voter.IsRemoved() {
+		if g.voter.IsRemoved() && !g.leaving {
 			return &ReplacedError{Group: g.name, Fault: cherviltide.Fault{
 				Op: "controller.processOutput", Kind: cherviltide.KindForbidden,
 				Err: fmt.Errorf("%w: group %s; empty its directory to join again", errRemoved, g.name),
--- a/voter/admission.go
+++ b/voter/admission.go
@@ -29,6 +29,9 @@
 		v.contactInstances()
 		return
 	}
+	if v.leaving {
+		return
+	}
 	v.nextJoin = v.now + HeartbeatInterval
 	if v.mayBootstrap() {
 		v.bootstrap()
@@ -152,7 +155,9 @@
 	}
 	if p := v.peers[m.From]; p != nil {
 		p.lastContact = v.now
-		p.joining = p.joining || !m.Reject
+		if p.removedAt == 0 || v.now-p.removedAt > 2*ElectionTimeout {
+			p.joining = p.joining || !m.Reject
+		}
 		return
 	}
 	p := &peer{nextIndex: 1, lastContact: v.now, joining: !m.Reject}
@@ -172,7 +177,7 @@
 
 // admitPeers makes a voter of a peer that has caught up. An older identity with the same name is removed first, in a
 // separate change: the majorities of two voter sets that differ by one voter always overlap. If there is no such peer, it
-// removes an unresponsive voter. It drops peers that are not voters and are unresponsive.
+// removes a voter that is gone. It drops peers that are not voters and are unresponsive.
 func (v *Voter) admitPeers() {
 	if v.commitIndex < v.termStart || (v.log.currentVoters().index > v.commitIndex && !v.config.disabled.oneChangeAtATime) {
 		return
@@ -192,29 +197,7 @@
 		v.addOrReplaceVoter(id)
 		return
 	}
-	v.removeUnresponsive()
-}
-
-// unresponsiveTimeout is how long the leader must be without contact with a dynamic voter before it may remove it.
-const unresponsiveTimeout cherviltide.Millis = 2_000
-
-// minDynamicVoters is the number of voters up to which unresponsive voters are not removed.
-const minDynamicVoters = 3
-
-// removeUnresponsive removes an unresponsive voter from a voter set of even size. The smaller set tolerates as many
-// failures, and its majority is one voter smaller.
-func (v *Voter) removeUnresponsive() {
-	ids := v.Voters()
-	if !v.config.DynamicVoters || len(ids)%2 != 0 || len(ids) <= minDynamicVoters {
-		return
-	}
-	for i, id := range ids {
-		p := v.peers[id]
-		if id != v.config.Self && p != nil && v.now-p.lastContact > unresponsiveTimeout {
-			v.proposeVoters(slices.Delete(ids, i, i+1))
-			return
-		}
-	}
+	v.removeGoneVoter()
 }
 
 // addOrReplaceVoter proposes to add a voter. If an older identity of its name is a voter, it proposes to remove that one
@@ -235,6 +218,11 @@
 
 func (v *Voter) proposeVoters(ids []ID) {
 	slices.SortFunc(ids, compareIDs)
+	for _, id := range v.log.currentVoters().ids {
+		if p := v.peers[id]; p != nil && !slices.Contains(ids, id) {
+			p.joining, p.removedAt = false, v.now
+		}
+	}
 	v.propose(EntryVoters, encodeVoters(ids))
 }
 
--- a/voter/disk.go
+++ b/voter/disk.go
@@ -45,7 +45,7 @@
 // send queues a message that does not depend on the state of the disk.
 func (v *Voter) send(m Message) {
 	m.From = v.config.Self
-	if m.Type != MessageJoin && m.Type != MessageEmptyLog && m.Type != MessageVoters && m.Term == 0 {
+	if m.Type.hasTerm() && m.Term == 0 {
 		m.Term = v.hardState.Term
 	}
 	v.output.Messages = append(v.output.Messages, m)
--- a/voter/election.go
+++ b/voter/election.go
@@ -106,6 +106,12 @@
 	case m.Type == MessageVoters:
 		v.addSeedIDs(m.Voters)
 		return
+	case m.Type == MessageLeave:
+		v.handleLeave(m)
+		return
+	case m.Type == MessageMayStop:
+		v.mayStop = v.leaving
+		return
 	case m.Term < v.hardState.Term:
 		v.rejectStaleTerm(m)
 		return
--- a/voter/leader.go
+++ b/voter/leader.go
@@ -25,6 +25,17 @@
 	snapshotOffset  int
 	// joining is true if the peer asked for admission.
 	joining bool
+	// removedAt is when the removal of the peer from the voters was proposed; 0 if it was not. A Join that the peer sent
+	// before its admission may arrive after that and must not admit it again.
+	removedAt cherviltide.Millis
+	// leaveAt is when the peer last announced that it is about to stop; 0 if it never did.
+	leaveAt cherviltide.Millis
+}
+
+// isLeaving reports whether the peer is about to stop or has stopped since it announced it. A peer that still replies an
+// election timeout later was started again.
+func (p *peer) isLeaving() bool {
+	return p.leaveAt > 0 && p.lastContact-p.leaveAt < ElectionTimeout
 }
 
 // pendingRead is a call of ConfirmLeadership that waits for a majority.
@@ -36,11 +47,15 @@
 
 func (v *Voter) becomeLeader() {
 	v.role, v.leader = leader, v.config.Self
+	formerLeaderVoted := v.votes[v.formerLeader]
 	v.votes = nil
 	v.peers = map[ID]*peer{}
 	v.termStart, v.admissionIndex, v.nextHeartbeat = v.log.lastIndex()+1, v.log.lastIndex()+1, v.now
 	v.appendEntries(Entry{Index: v.termStart, Term: v.hardState.Term})
 	v.addVoterPeers()
+	if p := v.peers[v.formerLeader]; p != nil && !formerLeaderVoted {
+		p.lastContact = v.leaderContact
+	}
 	v.broadcast()
 }
 
--- a/voter/message.go
+++ b/voter/message.go
@@ -71,8 +71,19 @@
 	MessageJoin     // Asks for admission, or with Reject, contacts an instance without asking for it.
 	MessageEmptyLog // Answers Join: the sender's log is empty, or with Reject, the sender has no disk to keep a log.
 	MessageVoters   // Answers Join: the sender does not lead and returns the voters that it knows.
+	MessageLeave    // Tells the leader that the sender is about to stop for good or for a restart.
+	MessageMayStop  // Answers Leave: the sender stays a voter, and the group does not need it to stay.
 )
 
+// hasTerm reports whether a message of this type belongs to a term of its sender.
+func (t MessageType) hasTerm() bool {
+	switch t {
+	case MessageJoin, MessageEmptyLog, MessageVoters, MessageLeave, MessageMayStop:
+		return false
+	}
+	return true
+}
+
 // Message is sent from one voter to another. It may be lost, delayed, duplicated or reordered.
 type Message struct {
 	_        struct{} `cbor:",toarray"`
--- a/voter/schedule_test.go
+++ b/voter/schedule_test.go
@@ -57,6 +57,7 @@
 	names []string
 	// dynamicVoters is set if only the first configuredCount instances bootstrap the group and the others join.
 	dynamicVoters bool
+	minVoters     int
 	disabled      disabledProtections
 	// keepIdentity lets an instance keep its identity when its disk is wiped, which the protocol forbids.
 	keepIdentity bool
@@ -83,7 +84,7 @@
 }
 
 func startCluster(c *cluster, seed uint64, size int) *cluster {
-	*c = cluster{dynamicVoters: c.dynamicVoters, disabled: c.disabled, keepIdentity: c.keepIdentity, random: rand.New(rand.NewPCG(seed, uint64(size))),
+	*c = cluster{dynamicVoters: c.dynamicVoters, minVoters: c.minVoters, disabled: c.disabled, keepIdentity: c.keepIdentity, random: rand.New(rand.NewPCG(seed, uint64(size))),
 		cutLinks: map[[2]string]bool{}, leaders: map[uint64]ID{}, nextNumber: 1}
 	for i := range size {
 		c.names = append(c.names, fmt.Sprintf("c%d", i+1))
@@ -109,7 +110,7 @@
 	if c.dynamicVoters {
 		names = names[:min(len(names), configuredCount)]
 	}
-	node.voter = New(Config{Self: node.id, Names: names, DynamicVoters: c.dynamicVoters, Bootstrap: true, Seed: c.random.Uint64(), BatchSize: 200, disabled: c.disabled}, node.stored, c.now+node.clockOffset)
+	node.voter = New(Config{Self: node.id, Names: names, DynamicVoters: c.dynamicVoters, MinVoters: c.minVoters, Bootstrap: true, Seed: c.random.Uint64(), BatchSize: 200, disabled: c.disabled}, node.stored, c.now+node.clockOffset)
 }
 
 // crash stops an instance. Its running write is lost or reaches the disk, completely or in part.
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -44,9 +44,12 @@
 	// Names are the instances that may be voters, including this one. Without DynamicVoters the first of them bootstraps
 	// a new group.
 	Names []string
-	// DynamicVoters admits voters that are not in Names; Names then only bootstrap the group. An unresponsive voter is
-	// removed if the smaller voter set tolerates as many failures.
+	// DynamicVoters admits voters that are not in Names; Names then only bootstrap the group. A voter that leaves or is
+	// unresponsive is removed if the smaller voter set tolerates as many failures.
 	DynamicVoters bool
+	// MinVoters is the number of voters that tolerates the failures that the deployment must survive. A set of odd size is
+	// reduced, by two voters that are gone, only if it keeps that many; 0 means that it is never reduced.
+	MinVoters int
 	// Bootstrap allows this voter to bootstrap a new group. It does so only after every other instance of Names has
 	// reported an empty log, or with DynamicVoters, every other known instance that has a disk.
 	Bootstrap bool
@@ -87,9 +90,9 @@
 	// snapshot is the newest snapshot; it is zero if there is none.
 	snapshot Snapshot
 	role     role
-	// leader is the zero ID if it is not known.
-	leader ID
-	random *rand.Rand
+	// leader is the zero ID if it is not known. formerLeader is the last leader that sent a message.
+	leader, formerLeader ID
+	random               *rand.Rand
 	// now adds up the forward steps of the time that Tick was given, so it never goes back; lastTick is the time of the
 	// last call.
 	now, lastTick    cherviltide.Millis
@@ -101,6 +104,10 @@
 	disk                      diskState
 	failure                   error
 	removed                   bool
+	// leaving is true after a call of Leave. mayStop is true once the leader has replied that this identity stays a voter.
+	leaving, mayStop bool
+	// nextLeave is when the next Leave message is due.
+	nextLeave cherviltide.Millis
 	// votes are the votes granted in the current election.
 	votes map[ID]bool
 	// emptyVoters are the voters, by instance name, that reported an empty log to this identity.
@@ -160,6 +167,7 @@
 		return
 	}
 	v.requestAdmission()
+	v.announceLeave()
 	if v.role == leader {
 		v.tickLeader()
 		return
