Keep the former services of all routes that a configuration moves

Cause: entries find the open flows of a moved route at its former services. UpdateFormerServices, which control, entries and agents use, kept them for 256 routes in the order of the configuration.

Evidence: no packet reaches the flows' own targets, agents of the new service count NoHolder, and the limit lies at 256 routes. New agents that deliver such packets to their own targets first only explain where the packets arrive.

Change: the former services of all routes are kept, 16 for each route instead of 4, and an entry tries as many services as the header can count instead of 8. The bound kept edits small. An edit in the log now contains only the routes whose former services it changes, and the state machine merges them. An entry of an older log, which has the whole list, still gives a superset.

On related paths: the hop limit of an agent counted the hops in all services searched before; it starts again with each service. An entry dropped packets of open flows when the new service of their route had no agent; it now tries the next service.

The check that at most 256 routes are kept asserted the fault; it is replaced by TestFormerServicesOfManyRoutes and TestFormerServicesInLog, which bound the list by the routes and an edit by what it changes. The table case of the bound for a route uses 16 in place of 4.

--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -71,6 +71,8 @@
 	{"target returns packets", "relayed flows", "I4", "relayer", "TestPacketsReturnedByTarget", "", "", passes},
 	{"agent restarts while its target keeps running", "relayed flows", "I1", "relayer", "TestRestartedAgent", "", "", passes},
 	{"route goes to another service", "open relayed flows", "I1, I2", "forwarder", "TestRelayTriesFormerServices", "", "", passes},
+	{"one revision moves thousands of routes, or one route moves many times", "open relayed flows", "I1", "follower", "TestManyRoutesMove", "", "", passes},
+	{"route goes to a service without agents", "open relayed flows", "I1", "forwarder", "TestRelaySkipsServiceWithoutAgents", "", "", passes},
 	{"entry restarts after the route has moved", "relayed flows", "I1", "follower", "TestFormerServicesFromControl", "", "", passes},
 	{"control restarts after the route has moved", "relayed flows", "I1", "controller", "TestFormerServices", "", "", passes},
 	{"agent restarts while its target is leaving", "relayed flows", "I1, I7", "follower", "TestLeavingMemberStartsAsLeaving", "", "", passes + "; soak seed 243"},
--- a/follower/route_test.go
+++ b/follower/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -68,6 +69,44 @@
 	require.Equal(t, []string{"a", "c", "b"}, serviceNames(t, view.Routes[routeAddress], 0))
 }
 
+// TestManyRoutesMove guards against open flows that are lost when one revision moves more routes than an edit used to keep
+// the former services of, at followers that see the change and at one that starts later, and when routes move through many
+// services or back.
+func TestManyRoutesMove(t *testing.T) {
+	const routes = 2_000
+	rules := func(revision uint64, service string) cherviltide.Rules {
+		next := cherviltide.Rules{Revision: revision}
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+			next.Services = append(next.Services, cherviltide.Service{Name: name, ID: cherviltide.ServiceIDOf(name), Buckets: 8})
+		}
+		for i := range routes {
+			address := netip.AddrPortFrom(routeAddress.Addr(), uint16(i+1))
+			next.Routes = append(next.Routes, cherviltide.Route{Address: address, Shares: []cherviltide.Share{share(service, 1)}})
+		}
+		return next
+	}
+	for name, moves := range map[string]string{"one move": "ab", "moved back": "aba", "series of moves": "abcdefghij"} {
+		t.Run(name, func(t *testing.T) {
+			view := NewView()
+			for i, service := range moves {
+				view = view.WithRules(rules(uint64(i+1), string(service)))
+			}
+			last := rules(uint64(len(moves)), moves[len(moves)-1:])
+			last.Former = view.formerServices
+			for _, v := range []*View{view, NewView().WithRules(last)} {
+				for _, r := range v.Routes {
+					names := serviceNames(t, r, 0)
+					for _, service := range moves {
+						if !slices.Contains(names, string(service)) {
+							require.Fail(t, "a service is not searched", "%v of route %v: %v", string(service), r.Route.Address, names)
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestRouteShares guards against new flows that are not distributed by the shares, and against a search that tries a
 // service twice.
 func TestRouteShares(t *testing.T) {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -149,7 +150,8 @@
 		return
 	}
 	header.ServiceIndex++
-	header.Flags, header.Position = 0, 0
+	// The hop limit is that of the search among the agents of one service.
+	header.Flags, header.Position, header.Hops = 0, 0, 1
 	r.send(view, datagram, header, false, out)
 }
 
@@ -161,35 +163,62 @@
 		r.Counters.countDrop(ReasonNoRoute)
 		return
 	}
-	hash := header.Flow.Hash()
-	serviceCount := min(route.ServiceCount(), maxServiceCount)
-	if int(header.ServiceIndex) >= serviceCount {
-		r.Counters.countDrop(ReasonNoHolder)
-		return
-	}
-	table, ok := route.TableAt(hash, int(header.ServiceIndex))
+	choose := chooseHolder
 	if opensFlow {
-		serviceCount = 1
-		table, ok = route.Pick(hash)
-	}
-	if !ok {
-		r.Counters.countDrop(ReasonNoService)
-		return
+		choose = chooseOpener
 	}
-	agent, ok := table.Pick(header.Flow)
+	next, reason, ok := choose(route, header)
 	if !ok {
-		r.Counters.countDrop(ReasonNoTarget)
+		r.Counters.countDrop(reason)
 		return
 	}
+	table, agent := next.table, next.agent
 	if opensFlow {
 		r.logNewFlow(header, agent, table, view.Rules.Revision)
 	}
-	header.ServiceCount, header.RouteRevision = uint8(serviceCount), route.RouteRevision
+	header.ServiceIndex, header.ServiceCount = next.serviceIndex, next.serviceCount
+	header.RouteRevision = route.RouteRevision
 	header.Service, header.Generation = table.Service().ID, table.Generation()
 	framer.New(view.Key).Encode(datagram, header, len(datagram)-framer.HeaderSize)
 	out.enqueue(datagram, agent.Address, netip.Addr{})
 }
 
+// relayHop is the agent that a packet is sent to next.
+type relayHop struct {
+	table *picker.Table
+	agent cherviltide.Member
+	// serviceIndex is the index of the agent's service among the serviceCount services that may hold the flow.
+	serviceIndex, serviceCount uint8
+}
+
+// chooseOpener returns the agent of the service that takes a new flow, or the reason why there is none.
+func chooseOpener(route *follower.RouteTables, header framer.Header) (relayHop, Reason, bool) {
+	table, ok := route.Pick(header.Flow.Hash())
+	if !ok {
+		return relayHop{}, ReasonNoService, false
+	}
+	agent, ok := table.Pick(header.Flow)
+	return relayHop{table: table, agent: agent, serviceCount: 1}, ReasonNoTarget, ok
+}
+
+// chooseHolder returns the agent to ask for an open flow, of the first service from the header's service index on that has
+// one, or the reason why there is none. A service without agents holds no flow, but a later one may.
+func chooseHolder(route *follower.RouteTables, header framer.Header) (relayHop, Reason, bool) {
+	count, reason := min(route.ServiceCount(), maxServiceCount), ReasonNoHolder
+	for i := int(header.ServiceIndex); i < count; i++ {
+		table, ok := route.TableAt(header.Flow.Hash(), i)
+		if !ok {
+			reason = ReasonNoService
+			continue
+		}
+		if agent, ok := table.Pick(header.Flow); ok {
+			return relayHop{table: table, agent: agent, serviceIndex: uint8(i), serviceCount: uint8(count)}, 0, true
+		}
+		reason = ReasonNoTarget
+	}
+	return relayHop{}, reason, false
+}
+
 // logNewFlow logs the agent that a new flow is sent to.
 func (r *Relay) logNewFlow(header framer.Header, agent cherviltide.Member, table *picker.Table, revision uint64) {
 	line := r.config.Log.Check(zap.InfoLevel, "FlowRouted")
@@ -201,8 +230,8 @@
 		zap.Uint64("Revision", revision), zap.Uint64("Generation", table.Generation()))
 }
 
-// maxServiceCount bounds the services that are tried for a packet.
-const maxServiceCount = 8
+// maxServiceCount is the largest number of services that the header can count.
+const maxServiceCount = math.MaxUint8
 
 // receiverEnded reports whether a receiver must stop after a receive error, since its socket is closed. After an error
 // that is not a timeout it pauses first.
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -121,6 +121,34 @@
 	require.EqualValues(t, 2, x.relay.Counters.Dropped(ReasonMalformed))
 }
 
+// TestRelaySkipsServiceWithoutAgents guards against losing an open flow when its route moves to a service that has no agent
+// yet, and against a search in the agents of a further service that fails because of the hops in the services before it.
+func TestRelaySkipsServiceWithoutAgents(t *testing.T) {
+	x := newRelayFixture(t)
+	x.setRules(1, "a")
+	rules := x.view.Rules.WithRevision(2)
+	rules.Services = append(rules.Services, cherviltide.Service{Name: "empty", ID: cherviltide.ServiceIDOf("empty"), Buckets: 8})
+	rules.Routes = []cherviltide.Route{{Name: "r", Address: relayFlow.Virtual, Shares: []cherviltide.Share{{Service: "empty", Weight: 1}}}}
+	x.view = x.view.WithRules(rules)
+	x.send("\x02data")
+	h, _ := x.receivedBy("a")
+	require.EqualValues(t, 1, h.ServiceIndex)
+	x.send("\x01new")
+	require.EqualValues(t, 1, x.relay.Counters.Dropped(ReasonNoTarget), "a new flow goes to a former service")
+
+	x.setRules(3, "b")
+	x.send("\x02data")
+	h, payload := x.receivedBy("b")
+	h.Flags, h.Hops = framer.FlagReturned, 50
+	datagram := append(make([]byte, framer.HeaderSize), payload...)
+	framer.New(x.view.Key).Encode(datagram, h, len(payload))
+	_, err := x.agents["b"].WriteToUDPAddrPort(datagram, h.Entry)
+	require.NoError(t, err)
+	x.handleOne(x.relay.internal, x.relay.tryNextService)
+	h, _ = x.receivedBy("a")
+	require.LessOrEqual(t, h.Hops, uint8(1))
+}
+
 // TestRelayTriesFormerServices guards against losing an open flow when its route moves to another service, and against
 // trying new flows at a former service.
 func TestRelayTriesFormerServices(t *testing.T) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -47,7 +47,7 @@
 	Number uint64
 	Text   string
 	Time   cherviltide.Millis
-	// Former has the services that routes had before this edit, as known to the leader.
+	// Former has the former services of all routes after this edit, as known to the leader.
 	Former []cherviltide.FormerServices
 }
 
@@ -69,7 +69,7 @@
 	Sum      uint64
 	Lines    []Hunk
 	Number   uint64
-	// Former is set only in the log; the state keeps it only for the newest revision.
+	// Former is set only in the log. It has the former services of the routes that the edit changes in that respect.
 	Former []cherviltide.FormerServices
 }
 
@@ -90,7 +90,7 @@
 	First uint64
 	Text  string
 	Kept  []editRecord
-	// Former has the services that routes had before the newest revision.
+	// Former has the former services of all routes at the newest revision.
 	Former []cherviltide.FormerServices
 }
 
@@ -114,7 +114,7 @@
 	lines := diffLines(strings.Split(r.state.Text, "\n"), strings.Split(e.Text, "\n"))
 	return cbor.Marshal(editRecord{
 		ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Sum: xxhash.Sum64String(e.Text), Lines: lines,
-		Number: e.Number, Former: e.Former,
+		Number: e.Number, Former: cherviltide.ChangedFormerServices(r.state.Former, e.Former),
 	})
 }
 
@@ -152,7 +152,8 @@
 	if !ok || xxhash.Sum64String(text) != e.Sum {
 		return
 	}
-	r.state.Text, r.state.Former, e.Former = text, e.Former, nil
+	r.state.Text, r.state.Former = text, cherviltide.MergeFormerServices(r.state.Former, e.Former)
+	e.Former = nil
 	e.Lines = invertDiff(before, e.Lines)
 	r.state.Kept = append(r.state.Kept, e)
 	r.byID[e.ID] = r.currentNumber()
--- a/rules.go
+++ b/rules.go
@@ -94,16 +94,13 @@
 	Services []string
 }
 
-// Bounds of the former services that are kept. They keep edits small, since an edit contains the former services.
-const (
-	// maxFormerServicesPerRoute is low because a route rarely changes its services several times during the life of a flow.
-	maxFormerServicesPerRoute = 4
-	// maxFormerRoutes bounds the routes with former services; those that changed last are kept.
-	maxFormerRoutes = 256
-)
+// maxFormerServicesPerRoute bounds the services that are tried for a packet of an unknown flow. A route rarely changes to so
+// many services during the life of a flow.
+const maxFormerServicesPerRoute = 16
 
 // UpdateFormerServices returns the former services of the routes after a change of the routes, given the former services
-// known before. Routes that this change moves to other services come first.
+// known before. Routes that this change moves to other services come first. Every route that was moved is kept, since each
+// may have open flows; ChangedFormerServices keeps edits small.
 func UpdateFormerServices(before, after []Route, known ...[]FormerServices) []FormerServices {
 	shares := make(map[netip.AddrPort][]Share, len(after))
 	for _, r := range after {
@@ -119,9 +116,6 @@
 					continue
 				}
 				i, found := index[f.Address]
-				if !found && len(next) == maxFormerRoutes {
-					continue
-				}
 				if !found {
 					i = len(next)
 					index[f.Address], next = i, append(next, FormerServices{Address: f.Address})
@@ -135,6 +129,49 @@
 	return next
 }
 
+// ChangedFormerServices returns the routes whose former services differ between two states, with those of the second one. A
+// route that has none any more has no services in the result.
+func ChangedFormerServices(before, after []FormerServices) []FormerServices {
+	known := make(map[netip.AddrPort][]string, len(before))
+	for _, f := range before {
+		known[f.Address] = f.Services
+	}
+	var changed []FormerServices
+	for _, f := range after {
+		if !slices.Equal(known[f.Address], f.Services) {
+			changed = append(changed, f)
+		}
+		delete(known, f.Address)
+	}
+	for _, f := range before {
+		if _, ended := known[f.Address]; ended {
+			changed = append(changed, FormerServices{Address: f.Address})
+		}
+	}
+	return changed
+}
+
+// MergeFormerServices returns the former services after changes that ChangedFormerServices has returned.
+func MergeFormerServices(before, changed []FormerServices) []FormerServices {
+	if len(changed) == 0 {
+		return before
+	}
+	replaced := make(map[netip.AddrPort]bool, len(changed))
+	var merged []FormerServices
+	for _, f := range changed {
+		replaced[f.Address] = true
+		if len(f.Services) > 0 {
+			merged = append(merged, f)
+		}
+	}
+	for _, f := range before {
+		if !replaced[f.Address] {
+			merged = append(merged, f)
+		}
+	}
+	return merged
+}
+
 // routeServices returns the services of each route.
 func routeServices(routes []Route) []FormerServices {
 	list := make([]FormerServices, len(routes))
--- a/rules_test.go
+++ b/rules_test.go
@@ -20,6 +20,10 @@
 	former := func(port int, services ...string) FormerServices {
 		return FormerServices{Address: route(port).Address, Services: services}
 	}
+	var many []string
+	for i := range maxFormerServicesPerRoute {
+		many = append(many, string(rune('A'+i)))
+	}
 	for name, test := range map[string]struct {
 		before, after []Route
 		known         []FormerServices
@@ -30,7 +34,7 @@
 		"newest first":             {[]Route{route(1, "a")}, []Route{route(1, "b")}, []FormerServices{former(1, "c")}, []FormerServices{former(1, "a", "c")}},
 		"route moves back":         {[]Route{route(1, "a")}, []Route{route(1, "b")}, []FormerServices{former(1, "b")}, []FormerServices{former(1, "a")}},
 		"route ends":               {[]Route{route(1, "a")}, nil, []FormerServices{former(1, "c")}, nil},
-		"bound for a route":        {[]Route{route(1, "a")}, []Route{route(1, "b")}, []FormerServices{former(1, "c", "d", "e", "f")}, []FormerServices{former(1, "a", "c", "d", "e")}},
+		"bound for a route":        {[]Route{route(1, "a")}, []Route{route(1, "b")}, []FormerServices{former(1, many...)}, []FormerServices{former(1, append([]string{"a"}, many[:maxFormerServicesPerRoute-1]...)...)}},
 		"last change comes first":  {[]Route{route(1, "a"), route(2, "a")}, []Route{route(1, "a"), route(2, "b")}, []FormerServices{former(1, "c")}, []FormerServices{former(2, "a"), former(1, "c")}},
 		"first rules of a process": {nil, []Route{route(1, "b")}, []FormerServices{former(1, "a")}, []FormerServices{former(1, "a")}},
 	} {
@@ -38,9 +42,35 @@
 			require.Equal(t, test.want, UpdateFormerServices(test.before, test.after, test.known))
 		})
 	}
-	var before, after []Route
-	for port := range 2 * maxFormerRoutes {
-		before, after = append(before, route(port, "a")), append(after, route(port, "b"))
+}
+
+// TestFormerServicesOfManyRoutes guards against open flows that are lost because many routes move at once or one after the
+// other, and against former services that grow with each change.
+func TestFormerServicesOfManyRoutes(t *testing.T) {
+	const routes, services, changes = 4_000, 6, 40
+	at := func(change int) []Route {
+		list := make([]Route, routes)
+		for i := range list {
+			list[i] = Route{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), uint16(i+1))}
+			list[i].Shares = []Share{{Service: string(rune('a' + change%services)), Weight: 1}}
+		}
+		return list
+	}
+	var former []FormerServices
+	for change := range changes {
+		next := UpdateFormerServices(at(change), at(change+1), former)
+		require.Equal(t, next, MergeFormerServices(former, ChangedFormerServices(former, next)))
+		former = next
+		require.Len(t, former, routes)
+		for _, f := range former {
+			require.Len(t, f.Services, min(change+1, services-1))
+			require.Equal(t, string(rune('a'+change%services)), f.Services[0])
+		}
 	}
-	require.Len(t, UpdateFormerServices(before, after), maxFormerRoutes)
+	moved := at(changes)
+	moved[7].Shares = []Share{{Service: "x", Weight: 1}}
+	changed := ChangedFormerServices(former, UpdateFormerServices(at(changes), moved, former))
+	require.Len(t, changed, 1, "an edit that moves one route contains the former services of others")
+	ended := UpdateFormerServices(moved, moved[1:], former)
+	require.Equal(t, []FormerServices{{Address: moved[0].Address}}, ChangedFormerServices(former, ended)[len(ChangedFormerServices(former, ended))-1:])
 }
