Unlock the directories of control when only one of them can be opened

Report of other operators: the disks of control machines were full for some seconds each, one after another; long after that changes were refused while all processes ran. It can happen here.

Cause: after a failed write a control instance opens its two directories again. When the first one opened and the second one did not, the first one stayed locked, and each later attempt failed at the instance's own lock until a garbage collection closed the file. With two such instances of three there is no majority.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -125,6 +125,7 @@
 	}
 	listener, err := net.Listen("tcp", c.config.Listen.String())
 	if err != nil {
+		c.closeJournals()
 		return fault("controller.Run", cherviltide.KindInternal, err)
 	}
 	server := messenger.NewServer(c.mux(), c.config.TLS)
@@ -148,13 +149,15 @@
 	return err
 }
 
-// openGroups opens the journals of both groups and starts their voters from the stored state.
+// openGroups opens the journals of both groups and starts their voters from the stored state. After an error no journal is
+// open, so that its directory can be opened again when the disk has room.
 func (c *Controller) openGroups() error {
 	var err error
 	if c.configuration, err = openGroup(c.config, groupConfiguration, c.registrar); err != nil {
 		return err
 	}
 	if c.membership, err = openGroup(c.config, groupMembership, c.tracker); err != nil {
+		_ = c.configuration.journal.Close()
 		return err
 	}
 	c.configuration.onApplied, c.membership.onApplied = c.publish, c.publish
@@ -164,6 +167,13 @@
 	return nil
 }
 
+// closeJournals closes the journals of a controller whose writers have not started.
+func (c *Controller) closeJournals() {
+	for _, g := range c.groups {
+		_ = g.journal.Close()
+	}
+}
+
 func (c *Controller) serve(server *http.Server, listener net.Listener) error {
 	var err error
 	if c.config.TLS == nil {
