--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -82,6 +82,8 @@
 	{"control instances replaced, and another one loses its disk before, during or after the stop", "planned stop of a voter", "I8", "platform", "TestDiskLossAroundReplacement", "", "", passes},
 	{"instances stop as planned among crashes, cuts and lost disks", "voters leave and join", "I8", "voter", "TestLeaveSchedules", "seeds 1 to 100", "", passes},
 	{"voters join and are removed while others are lost", "any", "I8", "voter", "TestDynamicVoterSchedules", "1 to 100", "the disabled mechanisms of TestSchedulesFindDisabledMechanisms", passes},
+	{"odd heartbeat of another writer: nested, numbers too large, port out of range", "target of an agent", "I6", "platform", "TestOddHeartbeats", "", "", passes},
+	{"announcement with the largest or missing values", "membership log, restart of control", "I6", "controller", "TestOddAnnouncements", "", "", passes},
 	{"disks full in turn, wholly or for one directory", "control instance opens its directories again", "I8", "platform", "TestFullDisksInTurn", "", "", passes},
 	{"disk stalls", "leader, follower", "I8", "voter", "TestStalledDisk", "", "", passes},
 	{"restart after many changes of the membership", "election", "I8", "controller", "TestMembershipSnapshots", "", "", passes},
