--- a/controller/odd_test.go
+++ b/controller/odd_test.go
@@ -23,7 +23,7 @@
 		Address: netip.MustParseAddrPort("10.0.0.1:8080"),
 	}
 	for name, change := range map[string]func(*messenger.AnnounceRequest){
-		"nothing odd":         func(r *messenger.AnnounceRequest) {},
+		"nothing odd":         func(*messenger.AnnounceRequest) {},
 		"largest weight":      func(r *messenger.AnnounceRequest) { r.Member.Weight = math.MaxUint32 },
 		"no weight":           func(r *messenger.AnnounceRequest) { r.Member.Weight = 0 },
 		"largest rate":        func(r *messenger.AnnounceRequest) { r.Rate = math.MaxUint32 },
