--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -79,7 +79,7 @@
 	{"rules of entry and agent differ", "opening a relayed flow", "I2, I8", "relayer", "TestRouteChangeOutdatesRules", "", "", passes},
 	{"late and unreadable heartbeats, heartbeats of another service", "target of an agent", "I2, I6", "platform", "TestHeartbeats", "", "", passes},
 	{"concurrent and repeated edits of operators, instances lost, replaced, without a disk or a majority", "edit", "I8", "platform", "TestOperatorAPI", "", "", passes},
-	{"control instances replaced, and another one loses its disk before, during or after the stop", "planned stop of a voter", "I8", "platform", "TestDiskLossAroundReplacement", "", "", passes},
+	{"control instances replaced, and another one loses its disk before or after the stop", "planned stop of a voter", "I8", "platform", "TestDiskLossAroundReplacement", "", "", passes},
 	{"instances stop as planned among crashes, cuts and lost disks", "voters leave and join", "I8", "voter", "TestLeaveSchedules", "seeds 1 to 100", "", passes},
 	{"voters join and are removed while others are lost", "any", "I8", "voter", "TestDynamicVoterSchedules", "1 to 100", "the disabled mechanisms of TestSchedulesFindDisabledMechanisms", passes},
 	{"odd heartbeat of another writer: nested, numbers too large, port out of range", "target of an agent", "I6", "platform", "TestOddHeartbeats", "", "", passes},
--- a/voter/leave_test.go
+++ b/voter/leave_test.go
@@ -107,6 +107,21 @@
 	}
 }
 
+// TestDiskLossAfterCrash guards against a group without a majority after a voter with a successor has crashed for good, without
+// leaving, and another one has lost its disk before the leader has found the first one unresponsive.
+func TestDiskLossAfterCrash(t *testing.T) {
+	for i := range scheduleCount(10) {
+		c := newSettledCluster(t, *firstSeed+uint64(i), 4, 3)
+		c.crash(c.instances[i%4])
+		lost := c.instances[(i+1)%4]
+		c.crash(lost)
+		c.wipe(lost)
+		c.start(lost)
+		lost.voter.AddSeeds(c.names)
+		c.requireProgress(t)
+	}
+}
+
 // TestLeaveAfterRestart guards against a voter that is removed, although it runs, because it announced a stop before its last
 // restart.
 func TestLeaveAfterRestart(t *testing.T) {
