--- a/voter/admission.go
+++ b/voter/admission.go
@@ -231,7 +231,7 @@
 	if v.role != leader || v.failure != nil {
 		return fault("voter.RemoveVoter", cherviltide.KindUnavailable, cherviltide.ErrNotLeader)
 	}
-	if v.commitIndex < v.termStart || v.log.currentVoters().index > v.commitIndex {
+	if !v.isVoterChangeSettled() {
 		return fault("voter.RemoveVoter", cherviltide.KindUnavailable, ErrChangePending)
 	}
 	ids := v.Voters()
