Bound the replicated log by bytes

A compaction that fails leaves the old file in use with the entries of the write, and is tried again after 2 s.

Why it works: no bound depends on the number or the size of past versions any more; the file has at most about twice the state.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -226,7 +226,7 @@
 			call.f()
 			done = call.done
 		case w := <-c.writeResults:
-			w.group.voter.WriteCompleted(w.sequence, w.err)
+			w.group.completeWrite(w.sequence, w.err)
 		case <-ticker.C:
 			c.tick()
 		}
--- a/controller/group.go
+++ b/controller/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -21,7 +22,8 @@
 	groupMembership    = "Membership"
 )
 
-// snapshotIntervals has the number of entries after which a group's log is replaced by a snapshot. A restarted instance
+// snapshotIntervals has the number of entries after which a group's log is replaced by a snapshot, unless the size of the
+// entries demands it earlier. A restarted instance
 // applies all entries after its snapshot in one go and neither votes nor responds meanwhile. A membership event is the more
 // expensive entry: it assigns all buckets of a service again, which takes milliseconds, while a configuration entry only
 // patches the text.
@@ -135,7 +137,7 @@
 			}}
 		}
 		if out.Write != nil && g.synchronousWrites {
-			g.voter.WriteCompleted(out.Write.Sequence, g.journal.Write(*out.Write))
+			g.completeWrite(out.Write.Sequence, g.journal.Write(*out.Write))
 		} else if out.Write != nil {
 			g.writes <- *out.Write
 		}
@@ -161,6 +163,16 @@
 	}
 }
 
+// completeWrite reports the result of a write to the voter.
+func (g *group) completeWrite(sequence uint64, err error) {
+	if errors.Is(err, journaler.ErrNotCompacted) {
+		g.log.Warn("CompactionPostponed", zap.String("Group", g.name), zap.Int("LogBytes", g.voter.UnsnapshottedBytes()), zap.Error(err))
+		g.voter.CompactionPostponed(sequence)
+		return
+	}
+	g.voter.WriteCompleted(sequence, err)
+}
+
 func (g *group) logAdmission() {
 	if admitted := g.voter.IsAdmitted(); admitted != g.admitted {
 		g.admitted = admitted
@@ -238,7 +250,7 @@
 }
 
 func (g *group) compact() {
-	if g.voter.Unsnapshotted() < snapshotIntervals[g.name] {
+	if !g.voter.NeedsCompaction(snapshotIntervals[g.name]) {
 		return
 	}
 	data, err := g.stateMachine.Snapshot()
--- a/controller/operators.go
+++ b/controller/operators.go
@@ -80,6 +80,9 @@
 	return o.finder.Origins(h)
 }
 
+// maxHistoryTextBytes is the size of texts from which on a response has no older revisions. The caller continues with Newest.
+const maxHistoryTextBytes = 4 << 20
+
 // history returns the accepted revisions from the leader of the configuration group; without a leader it uses the history of
 // this instance. Like rules, it compares the files outside the loop.
 func (c *Controller) history(ctx context.Context, req *messenger.HistoryRequest) (*messenger.HistoryResponse, error) {
@@ -100,11 +103,14 @@
 	if req.Newest > 0 {
 		newest = min(newest, req.Newest)
 	}
+	textBytes := 0
 	h.Backward(func(r registrar.Revision, before string) bool {
 		if r.Number <= newest {
-			res.Revisions = append(res.Revisions, summarize(before, r, req.WithText))
+			s := summarize(before, r, req.WithText)
+			res.Revisions = append(res.Revisions, s)
+			textBytes += len(s.Text)
 		}
-		return req.Limit <= 0 || len(res.Revisions) < req.Limit
+		return textBytes < maxHistoryTextBytes && (req.Limit <= 0 || len(res.Revisions) < req.Limit)
 	})
 	return res, nil
 }
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -16,6 +16,8 @@
 	// mailboxCapacity and maxRequestMessages are numbers of messages.
 	mailboxCapacity    = 64
 	maxRequestMessages = 8
+	// maxRequestBytes is the size from which on a request gets no further messages.
+	maxRequestBytes = 256 << 10
 	// maxPeers bounds the peers that a control instance sends to in each group until it restarts.
 	maxPeers = 256
 	// stepTimeout bounds a request to a peer. It is shorter than an election timeout, so that a connection that is dead
@@ -37,8 +39,9 @@
 		case m := <-mailbox:
 			req.Messages = append(req.Messages, m)
 		}
-		for len(req.Messages) < maxRequestMessages && len(mailbox) > 0 {
-			req.Messages = append(req.Messages, <-mailbox)
+		for size := req.Messages[0].Size(); len(req.Messages) < maxRequestMessages && size < maxRequestBytes && len(mailbox) > 0; {
+			m := <-mailbox
+			req.Messages, size = append(req.Messages, m), size+m.Size()
 		}
 		callCtx, cancel := context.WithTimeout(ctx, stepTimeout)
 		_, err := messenger.Step.Call(callCtx, client, c.instanceURL(peer), req)
--- a/filesystem.go
+++ b/filesystem.go
@@ -8,8 +8,8 @@
 	MkdirAll(path string) error
 	// Create creates a file or truncates an existing one.
 	Create(path string) (File, error)
-	// ReadFile returns an error that wraps fs.ErrNotExist when there is no such file.
-	ReadFile(path string) ([]byte, error)
+	// Open opens a file for reading. It returns an error that wraps fs.ErrNotExist when there is no such file.
+	Open(path string) (io.ReadCloser, error)
 	// Rename atomically replaces the file at the new path. It is durable after SyncDir.
 	Rename(from, to string) error
 	// Remove removes a file. It is durable after SyncDir. Removing a file that does not exist is not an error.
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -1,6 +1,7 @@
 package journaler_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -62,9 +63,9 @@
 	return d.files[p], nil
 }
 
-func (d *memoryDisk) ReadFile(p string) ([]byte, error) {
+func (d *memoryDisk) Open(p string) (io.ReadCloser, error) {
 	if f, ok := d.files[p]; ok {
-		return f.content, nil
+		return io.NopCloser(bytes.NewReader(f.content)), nil
 	}
 	return nil, fs.ErrNotExist
 }
@@ -175,6 +176,45 @@
 	}
 }
 
+// TestCompactionWithoutRoom guards against a voter that stops, or that loses an entry of the same write, because its disk has no
+// room for a second file. The journal keeps the old file and compacts again later.
+func TestCompactionWithoutRoom(t *testing.T) {
+	write := func(i uint64) voter.Write {
+		return voter.Write{Hard: voter.HardState{Term: i}, Entries: []voter.Entry{newEntry(i)}}
+	}
+	compaction := func(i uint64) voter.Write {
+		w := write(i)
+		w.Entries = []voter.Entry{newEntry(i - 1), newEntry(i)}
+		w.Snapshot, w.IsCompaction, w.NewFrom = &voter.Snapshot{Index: i - 2, Term: 1, Data: []byte("state")}, true, i
+		return w
+	}
+	for name, step := range map[string]int{"create": 1, "first write": 2, "last write": 5, "sync": 6} {
+		t.Run(name, func(t *testing.T) {
+			d := newMemoryDisk()
+			j, _, _, err := journaler.Open(d, "data", voter.ID{Name: "c1", Number: 7})
+			require.NoError(t, err)
+			for i := range uint64(4) {
+				require.NoError(t, j.Write(write(i+1)))
+			}
+			d.failAt = d.operations + step
+			err = j.Write(compaction(5))
+			require.ErrorIs(t, err, journaler.ErrNotCompacted)
+			require.ErrorIs(t, err, errInjected)
+			require.NotContains(t, d.files, "data/log.new")
+			require.NoError(t, j.Write(write(6)))
+			_, _, stored, err := journaler.Open(d.crash(), "data", voter.ID{Name: "c1", Number: 8})
+			require.NoError(t, err)
+			require.Len(t, stored.Entries, 6)
+			require.NoError(t, j.Write(compaction(7)))
+			_, _, stored, err = journaler.Open(d.crash(), "data", voter.ID{Name: "c1", Number: 8})
+			require.NoError(t, err)
+			require.EqualValues(t, 5, stored.Snapshot.Index)
+			require.Len(t, stored.Entries, 2)
+			require.EqualValues(t, 7, stored.Hard.Term)
+		})
+	}
+}
+
 // TestDamage guards against damage that goes unnoticed, and against a torn last write that keeps a voter from starting.
 func TestDamage(t *testing.T) {
 	directory := t.TempDir()
--- a/journaler/record.go
+++ b/journaler/record.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -41,16 +42,15 @@
 	return mode
 }()
 
-func encodeRecord(r record) ([]byte, error) {
-	payload, err := cbor.Marshal(r)
-	if err != nil {
-		return nil, err
+func encodeRecord(r record) (header, payload []byte, err error) {
+	if payload, err = cbor.Marshal(r); err != nil {
+		return nil, nil, err
 	}
-	b := make([]byte, headerSize, headerSize+len(payload))
-	binary.BigEndian.PutUint32(b, uint32(len(payload)))
-	binary.BigEndian.PutUint32(b[4:], crc32.Checksum(b[:4], castagnoli))
-	binary.BigEndian.PutUint32(b[8:], crc32.Checksum(payload, castagnoli))
-	return append(b, payload...), nil
+	header = make([]byte, headerSize)
+	binary.BigEndian.PutUint32(header, uint32(len(payload)))
+	binary.BigEndian.PutUint32(header[4:], crc32.Checksum(header[:4], castagnoli))
+	binary.BigEndian.PutUint32(header[8:], crc32.Checksum(payload, castagnoli))
+	return header, payload, nil
 }
 
 // fileContents is what a file holds.
@@ -61,26 +61,37 @@
 	tornBytes int
 }
 
-// decodeFile decodes a file. It leaves out a torn last write; any other damage is an error with its offset.
-func decodeFile(path string, data []byte) (fileContents, error) {
+// decodeFile decodes a file record by record, so that it takes little more memory than the state. It leaves out a torn last
+// write; any other damage is an error with its offset.
+func decodeFile(path string, file io.Reader) (fileContents, error) {
 	var contents fileContents
-	for offset := 0; offset < len(data); {
-		payload, err := nextPayload(data[offset:])
+	for offset := 0; ; {
+		data, err := readRecord(file)
 		if err != nil {
-			if offset > 0 && isTornWrite(data[offset:]) {
-				contents.tornBytes = len(data) - offset
+			return contents, internalError("journaler.Open", err)
+		}
+		if len(data) == 0 {
+			break
+		}
+		if !isIntact(data) {
+			rest, err := io.ReadAll(file)
+			if err != nil {
+				return contents, internalError("journaler.Open", err)
+			}
+			if data = append(data, rest...); offset > 0 && isTornWrite(data) {
+				contents.tornBytes = len(data)
 				return contents, nil
 			}
-			return contents, damagedError(path, offset, err)
+			return contents, damagedError(path, offset, errChecksum)
 		}
 		var r record
-		if err := recordDecoder.Unmarshal(payload, &r); err != nil {
+		if err := recordDecoder.Unmarshal(data[headerSize:], &r); err != nil {
 			return contents, damagedError(path, offset, err)
 		}
 		if err := contents.addRecord(r); err != nil {
 			return contents, damagedError(path, offset, err)
 		}
-		offset += headerSize + len(payload)
+		offset += len(data)
 	}
 	if contents.self == (voter.ID{}) {
 		return contents, damagedError(path, 0, errChecksum)
@@ -88,20 +99,39 @@
 	return contents, nil
 }
 
-// nextPayload returns the payload of the first record.
-func nextPayload(data []byte) ([]byte, error) {
-	if len(data) < headerSize || crc32.Checksum(data[:4], castagnoli) != binary.BigEndian.Uint32(data[4:]) {
-		return nil, errChecksum
+// readRecord returns the bytes of the next record with its header, or fewer where the file ends or the header is damaged.
+func readRecord(file io.Reader) ([]byte, error) {
+	data := make([]byte, headerSize)
+	n, err := io.ReadFull(file, data)
+	if n < headerSize {
+		return data[:n], ignoreEOF(err)
+	}
+	if !hasValidLength(data) {
+		return data, nil
 	}
-	size := int(binary.BigEndian.Uint32(data))
-	if len(data)-headerSize < size {
-		return nil, errChecksum
+	payload := io.LimitReader(file, int64(binary.BigEndian.Uint32(data)))
+	b := bytes.NewBuffer(data)
+	if _, err := b.ReadFrom(payload); err != nil {
+		return nil, err
 	}
-	payload := data[headerSize : headerSize+size]
-	if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(data[8:]) {
-		return nil, errChecksum
+	return b.Bytes(), nil
+}
+
+func ignoreEOF(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return nil
 	}
-	return payload, nil
+	return err
+}
+
+func hasValidLength(header []byte) bool {
+	return crc32.Checksum(header[:4], castagnoli) == binary.BigEndian.Uint32(header[4:])
+}
+
+// isIntact reports whether data is a complete record with correct checksums.
+func isIntact(data []byte) bool {
+	return len(data) >= headerSize && hasValidLength(data) && len(data)-headerSize == int(binary.BigEndian.Uint32(data)) &&
+		crc32.Checksum(data[headerSize:], castagnoli) == binary.BigEndian.Uint32(data[8:])
 }
 
 // isTornWrite reports whether the rest of a file is a write that was interrupted: the file ends within a record, or
@@ -113,7 +143,7 @@
 	if len(nonZero) < headerSize {
 		return true
 	}
-	if crc32.Checksum(rest[:4], castagnoli) != binary.BigEndian.Uint32(rest[4:]) {
+	if !hasValidLength(rest) {
 		return false
 	}
 	return len(nonZero) < headerSize+int(binary.BigEndian.Uint32(rest))
--- a/journaler/system.go
+++ b/journaler/system.go
@@ -29,9 +29,9 @@
 	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 }
 
-// ReadFile returns the content of a file.
-func (OSFileSystem) ReadFile(path string) ([]byte, error) {
-	return os.ReadFile(path)
+// Open opens a file for reading.
+func (OSFileSystem) Open(path string) (io.ReadCloser, error) {
+	return os.Open(path)
 }
 
 // Rename renames a file and atomically replaces an existing file at the new path.
--- a/voter/disk.go
+++ b/voter/disk.go
@@ -15,6 +15,8 @@
 	issuedWrite, completedWrite uint64
 	// issuedAt is when the newest write was issued.
 	issuedAt cherviltide.Millis
+	// nextCompaction is when a compaction that failed is tried again; 0 if none failed.
+	nextCompaction cherviltide.Millis
 	// writeLastIndex is the last index that the running write makes durable.
 	writeLastIndex uint64
 	// durableIndex is the last index up to which memory and disk have the same entries.
@@ -103,6 +105,7 @@
 		s := v.snapshot
 		w.Snapshot = &s
 		w.Entries = v.log.entries[s.Index-v.log.baseIndex:]
+		w.IsCompaction, w.NewFrom = !d.installing, d.firstDirtyIndex
 		d.writeLastIndex = v.log.lastIndex()
 	case d.firstDirtyIndex > 0:
 		w.Entries = v.log.entries[d.firstDirtyIndex-v.log.baseIndex-1:]
@@ -122,6 +125,30 @@
 		v.fail(fault("voter.WriteCompleted", cherviltide.KindInternal, err))
 		return
 	}
+	v.completeWrite(sequence)
+}
+
+// CompactionPostponed reports the end of a write whose entries are durable although its compaction failed. The voter
+// compacts its log again after compactionRetryDelay.
+func (v *Voter) CompactionPostponed(sequence uint64) {
+	if v.failure != nil || sequence != v.disk.issuedWrite {
+		return
+	}
+	v.disk.nextCompaction = v.now + compactionRetryDelay
+	v.completeWrite(sequence)
+}
+
+// compactionRetryDelay is the time from a failed compaction to the next one.
+const compactionRetryDelay cherviltide.Millis = 2_000
+
+// retryCompaction starts a compaction again that was postponed.
+func (v *Voter) retryCompaction() {
+	if d := &v.disk; d.nextCompaction > 0 && v.now >= d.nextCompaction {
+		d.nextCompaction, d.snapshotDirty = 0, true
+	}
+}
+
+func (v *Voter) completeWrite(sequence uint64) {
 	d := &v.disk
 	d.completedWrite = sequence
 	d.durableIndex = max(d.durableIndex, d.writeLastIndex)
--- a/voter/follower.go
+++ b/voter/follower.go
@@ -85,6 +85,16 @@
 	v.commitIndex = s.Index
 	v.disk.snapshotDirty, v.disk.installing = true, true
 	v.disk.firstDirtyIndex, v.disk.durableIndex, v.disk.writeLastIndex = 0, 0, 0
+	v.disk.nextCompaction, v.unsnapshottedBytes = 0, 0
+}
+
+// minCompactionBytes is the smallest size of the log after the snapshot that makes a compaction worthwhile.
+const minCompactionBytes = 1 << 20
+
+// NeedsCompaction reports whether more than maxEntries were applied since the last snapshot, or entries of more bytes than
+// the snapshot has. So the log takes at most about twice the size of the state, whatever the size of an entry.
+func (v *Voter) NeedsCompaction(maxEntries uint64) bool {
+	return v.Unsnapshotted() >= maxEntries || v.unsnapshottedBytes >= max(minCompactionBytes, len(v.snapshot.Data))
 }
 
 // Compact replaces the applied part of the log by a snapshot of the state machine taken at AppliedIndex.
@@ -94,8 +104,6 @@
 	}
 	term, _ := v.log.term(v.appliedIndex)
 	v.snapshot = Snapshot{Index: v.appliedIndex, Term: term, Voters: v.log.votersAt(v.appliedIndex).ids, Data: data}
-	v.disk.snapshotDirty, v.disk.firstDirtyIndex = true, 0
-	if v.appliedIndex > retainedEntries {
-		v.log.dropThrough(v.appliedIndex - retainedEntries)
-	}
+	v.disk.snapshotDirty, v.disk.nextCompaction, v.unsnapshottedBytes = true, 0, 0
+	v.log.dropThrough(v.log.retainedFrom(v.appliedIndex) - 1)
 }
--- a/voter/leader.go
+++ b/voter/leader.go
@@ -78,6 +78,8 @@
 		return 0, 0, fault("voter.Propose", cherviltide.KindUnavailable, cherviltide.ErrNotLeader)
 	case len(data) > MaxEntrySize:
 		return 0, 0, fault("voter.Propose", cherviltide.KindInvalid, ErrTooLarge)
+	case v.commitIndex < v.log.lastIndex() && v.log.sizeAfter(v.commitIndex)+len(data) > maxUncommittedBytes:
+		return 0, 0, fault("voter.Propose", cherviltide.KindUnavailable, ErrTooMuchUncommitted)
 	}
 	return v.propose(EntryNormal, data), v.hardState.Term, nil
 }
--- a/voter/log.go
+++ b/voter/log.go
@@ -123,6 +123,33 @@
 	m.baseIndex, m.baseTerm, m.voterSets = index, term, sets
 }
 
+// retainedFrom returns the index of the oldest entry to keep in memory once the entries up to applied are in a snapshot.
+func (m *memoryLog) retainedFrom(applied uint64) uint64 {
+	index, size := applied+1, 0
+	for index-1 > m.baseIndex && applied+1-index < retainedEntries {
+		size += len(m.entries[index-m.baseIndex-2].Data) + entryOverhead
+		if size > retainedBytes {
+			break
+		}
+		index--
+	}
+	return index
+}
+
+// sizeAfter returns the size in bytes of the entries after an index, which must not be below baseIndex.
+func (m *memoryLog) sizeAfter(index uint64) int {
+	return entriesSize(m.entries[index-m.baseIndex:])
+}
+
+// entriesSize returns the approximate encoded size of entries in bytes.
+func entriesSize(entries []Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Data) + entryOverhead
+	}
+	return size
+}
+
 func encodeVoters(ids []ID) []byte {
 	data, err := cbor.Marshal(ids)
 	if err != nil {
--- a/voter/message.go
+++ b/voter/message.go
@@ -105,6 +105,15 @@
 	Voters []ID
 }
 
+// Size returns the size in bytes of the data that the message carries.
+func (m Message) Size() int {
+	n := entriesSize(m.Entries)
+	if m.Chunk != nil {
+		n += len(m.Chunk.Data)
+	}
+	return n
+}
+
 // SnapshotChunk is a part of a snapshot.
 type SnapshotChunk struct {
 	_           struct{} `cbor:",toarray"`
@@ -124,6 +133,22 @@
 	Snapshot *Snapshot
 	// Entries replace the entries on the disk from the index of the first of them on.
 	Entries []Entry
+	// IsCompaction is true when Snapshot replaces only what this voter's disk has already. Without it the disk needs just
+	// the entries of NewEntries.
+	IsCompaction bool
+	// NewFrom is the index of the first of Entries that is not on the disk, or 0 if all of them are.
+	NewFrom uint64
+}
+
+// NewEntries returns the entries that are not on the disk.
+func (w Write) NewEntries() []Entry {
+	switch {
+	case w.Snapshot == nil:
+		return w.Entries
+	case w.NewFrom == 0:
+		return nil
+	}
+	return w.Entries[w.NewFrom-w.Snapshot.Index-1:]
 }
 
 // ReadResult is the result of ConfirmLeadership.
--- a/voter/schedule_test.go
+++ b/voter/schedule_test.go
@@ -247,9 +247,15 @@
 			continue
 		}
 		if w := node.pendingWrite; w != nil && c.random.IntN(node.diskDelay+2) < 2 {
-			node.completeWrite(w)
 			node.pendingWrite = nil
-			node.voter.WriteCompleted(w.Sequence, nil)
+			if w.IsCompaction && !c.disabled.syncBeforeSend && c.random.IntN(3) == 0 {
+				// The disk has no room for a second file.
+				node.completeWrite(&Write{Hard: w.Hard, Entries: w.NewEntries()})
+				node.voter.CompactionPostponed(w.Sequence)
+			} else {
+				node.completeWrite(w)
+				node.voter.WriteCompleted(w.Sequence, nil)
+			}
 		}
 		node.voter.Tick(c.now + node.clockOffset)
 		c.processOutput(node)
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -34,9 +34,16 @@
 	leaderlessTimeout cherviltide.Millis = 150
 )
 
-// retainedEntries is the number of entries before the snapshot that stay in memory, so that a voter that is a little
-// behind needs no snapshot.
-const retainedEntries = 4096
+// retainedEntries and retainedBytes bound the entries before the snapshot that stay in memory, so that a voter that is a
+// little behind needs no snapshot.
+const (
+	retainedEntries = 4096
+	retainedBytes   = 1 << 20
+)
+
+// maxUncommittedBytes bounds the entries that no majority has stored yet. Without it, operators who send an edit again
+// while the voters' disks stall would fill the leader's memory.
+const maxUncommittedBytes = MaxEntrySize
 
 // Config configures a voter.
 type Config struct {
@@ -101,9 +108,11 @@
 	leaderContact cherviltide.Millis
 	// commitIndex >= appliedIndex
 	commitIndex, appliedIndex uint64
-	disk                      diskState
-	failure                   error
-	removed                   bool
+	// unsnapshottedBytes is the size of the applied entries that are not covered by a snapshot.
+	unsnapshottedBytes int
+	disk               diskState
+	failure            error
+	removed            bool
 	// leaving is true after a call of Leave. mayStop is true once the leader has replied that this identity stays a voter.
 	leaving, mayStop bool
 	// nextLeave is when the next Leave message is due.
@@ -166,6 +175,7 @@
 	if v.failure != nil {
 		return
 	}
+	v.retryCompaction()
 	v.requestAdmission()
 	v.announceLeave()
 	if v.role == leader {
@@ -231,6 +241,11 @@
 	return v.failure
 }
 
+// UnsnapshottedBytes returns the size of the applied entries that are not covered by a snapshot.
+func (v *Voter) UnsnapshottedBytes() int {
+	return v.unsnapshottedBytes
+}
+
 // Unsnapshotted returns the number of applied entries that are not covered by a snapshot.
 func (v *Voter) Unsnapshotted() uint64 {
 	return v.appliedIndex - v.snapshot.Index
@@ -262,7 +277,9 @@
 	end := min(v.commitIndex, v.disk.durableIndex)
 	if end > v.appliedIndex {
 		from := v.appliedIndex - v.log.baseIndex
-		v.output.Committed = append(v.output.Committed, v.log.entries[from:end-v.log.baseIndex]...)
+		applied := v.log.entries[from : end-v.log.baseIndex]
+		v.unsnapshottedBytes += entriesSize(applied)
+		v.output.Committed = append(v.output.Committed, applied...)
 		v.appliedIndex = end
 	}
 	v.completeReads()
