Keep no whole text for each changed line of the configuration

What callers saw (review-rig growth): control exceeded 104 MB after some 200 versions of one changed line.

Cause: a line that is cut from a text keeps that text in memory. The diffs of kept revisions, the deltas for followers and the cache of canonical rules held one text of 470 KB for each version; the files had 1 MB.

Deltas are kept only up to the size of the text, since larger ones are never sent. At most 8 MiB of rules and tables are on their way to followers at once.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/picker"
@@ -75,7 +77,9 @@
 	state     *publishedState
 	changed   chan struct{}
 	admission *admission
-	now       func() cherviltide.Millis
+	// inFlight has the bytes of rules and tables that may be sent at the same time.
+	inFlight *semaphore.Weighted
+	now      func() cherviltide.Millis
 }
 
 // New returns a distributor with an empty state and the default limits.
@@ -89,6 +93,7 @@
 	return &Distributor{
 		changed:   make(chan struct{}),
 		admission: newAdmission(limits),
+		inFlight:  semaphore.NewWeighted(maxBytesInFlight),
 		state:     &publishedState{history: &history{}, tablesDigest: func() uint64 { return 0 }, rules: newSharedRules()},
 		now:       func() cherviltide.Millis { return cherviltide.MillisOf(time.Since(started)) },
 	}
@@ -181,7 +186,7 @@
 		if !slices.Equal(control, state.Control) {
 			control, u.ControlURLs = state.Control, state.Control
 		}
-		if err := send(u); err != nil {
+		if err := d.sendLimited(ctx, u, send); err != nil {
 			return err
 		}
 		heartbeat = false
@@ -200,6 +205,20 @@
 	}
 }
 
+// maxBytesInFlight bounds the rules and tables that are being sent to all followers together. A follower that accepts no bytes
+// occupies its share until its connection is closed.
+const maxBytesInFlight = 8 << 20
+
+// sendLimited sends an update once its rules and tables fit the bound of bytes in flight.
+func (d *Distributor) sendLimited(ctx context.Context, u *messenger.FollowUpdate, send func(*messenger.FollowUpdate) error) error {
+	size := int64(min(u.Size(), maxBytesInFlight))
+	if err := d.inFlight.Acquire(ctx, size); err != nil {
+		return nil // The stream has ended.
+	}
+	defer d.inFlight.Release(size)
+	return send(u)
+}
+
 // refusalFor returns the reason why a follower has to use another instance, or nil.
 func (p *publishedState) refusalFor(now cherviltide.Millis, held *messenger.FollowRequest) error {
 	switch {
--- a/distributor/history.go
+++ b/distributor/history.go
@@ -2,13 +2,8 @@
 
 import "cherviltide.example/cherviltide/messenger"
 
-// Bounds of the history of rules texts.
-const (
-	// maxHistoryChanges is how many revisions are kept as deltas. At 13,000 changes a day they cover an hour.
-	maxHistoryChanges = 600
-	// maxHistoryBytes bounds the size of the kept deltas.
-	maxHistoryBytes = 4 << 20
-)
+// maxHistoryChanges is how many revisions are kept as deltas. At 13,000 changes a day they cover an hour.
+const maxHistoryChanges = 600
 
 // change is the difference between the texts of two consecutive revisions.
 type change struct {
@@ -41,7 +36,8 @@
 		return &history{changes: []change{c}}
 	}
 	next := &history{changes: append(h.changes[:len(h.changes):len(h.changes)], c), bytes: h.bytes + c.delta.Size()}
-	for len(next.changes) > 1 && (len(next.changes) > maxHistoryChanges || next.bytes > maxHistoryBytes) {
+	// Deltas that are larger than the text together are never sent.
+	for len(next.changes) > 1 && (len(next.changes) > maxHistoryChanges || next.bytes > len(after)) {
 		next.bytes -= next.changes[0].delta.Size()
 		next.changes = next.changes[1:]
 	}
--- a/messenger/follow.go
+++ b/messenger/follow.go
@@ -46,6 +46,21 @@
 	PackedRules []byte `cbor:"10,keyasint,omitempty"`
 }
 
+// Size returns the approximate size of the rules and tables in bytes.
+func (u *FollowUpdate) Size() int {
+	n := len(u.PackedRules)
+	for _, t := range u.Tables {
+		n += len(t.Data)
+	}
+	if u.Rules == nil {
+		return n
+	}
+	for _, d := range u.Rules.Deltas {
+		n += d.Size()
+	}
+	return n + len(u.Rules.Text)
+}
+
 // TableSnapshot is the table of one service in the format that picker.Restore reads. Data is empty when the table is
 // removed.
 type TableSnapshot struct {
--- a/messenger/lines.go
+++ b/messenger/lines.go
@@ -31,7 +31,16 @@
 	for suffix < len(a)-prefix && suffix < len(b)-prefix && a[len(a)-1-suffix] == b[len(b)-1-suffix] {
 		suffix++
 	}
-	return LineDelta{PrefixLines: prefix, SuffixLines: suffix, Lines: b[prefix : len(b)-suffix]}
+	return LineDelta{PrefixLines: prefix, SuffixLines: suffix, Lines: cloneLines(b[prefix : len(b)-suffix])}
+}
+
+// cloneLines returns copies of lines. A line that is cut from a text keeps the whole text in memory.
+func cloneLines(lines []string) []string {
+	cloned := make([]string, len(lines))
+	for i, line := range lines {
+		cloned[i] = strings.Clone(line)
+	}
+	return cloned
 }
 
 // Apply returns the changed text. It returns an error of kind Conflict when the text has too few lines to be the one
--- a/registrar/history.go
+++ b/registrar/history.go
@@ -13,12 +13,12 @@
 	// firstBase is the number of the revision before the oldest kept one, and newestText the text of the newest revision.
 	firstBase  uint64
 	newestText string
-	revisions  []editRecord
+	revisions  []keptRevision
 }
 
 // History returns the accepted revisions that the registrar keeps.
 func (r *Registrar) History() History {
-	return History{firstBase: r.state.First, newestText: r.state.Text, revisions: r.state.Kept[:len(r.state.Kept):len(r.state.Kept)]}
+	return History{firstBase: r.state.first, newestText: r.state.text, revisions: r.state.kept[:len(r.state.kept):len(r.state.kept)]}
 }
 
 // NewestRevision returns the number of the newest revision; it is 0 if there is none.
@@ -36,8 +36,12 @@
 			Number: h.firstBase + uint64(i) + 1,
 			Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Number: e.Number, Time: e.Time, Text: text},
 		}
+		hunks, err := e.hunks()
+		if err != nil {
+			return
+		}
 		var ok bool
-		if lines, ok = applyDiff(lines, e.Lines); !ok {
+		if lines, ok = applyDiff(lines, hunks); !ok {
 			return
 		}
 		text = strings.Join(lines, "\n")
@@ -70,13 +74,13 @@
 	origins []Origin
 	byRule  map[string]int
 	// canonical caches the canonical format of lines; it is empty for lines without a rule. The cache is cleared when it
-	// has more than maxCanonicalLines lines.
-	canonical map[string]string
+	// has more than maxCanonicalBytes, of which canonicalBytes counts the lines and their formats.
+	canonical      map[string]string
+	canonicalBytes int
 }
 
-// maxCanonicalLines bounds the lines whose canonical format is cached; it is several times the number of lines of a
-// large file.
-const maxCanonicalLines = 100_000
+// maxCanonicalBytes bounds the cache of canonical formats; it is several times the size of a large file.
+const maxCanonicalBytes = 4 << 20
 
 // Origins returns the newest revision of a history and the origin of each of its rules, which the caller must not
 // change. A rule that is older than the history has the oldest revision of the history as its origin.
@@ -84,10 +88,7 @@
 	if h.NewestRevision() == f.revision {
 		return f.revision, f.origins
 	}
-	next := OriginFinder{revision: h.NewestRevision(), byRule: map[string]int{}, canonical: f.canonical}
-	if next.canonical == nil || len(next.canonical) > maxCanonicalLines {
-		next.canonical = map[string]string{}
-	}
+	next := OriginFinder{revision: h.NewestRevision(), byRule: map[string]int{}, canonical: f.canonical, canonicalBytes: f.canonicalBytes}
 	unresolved := map[string]bool{}
 	h.Backward(func(r Revision, _ string) bool {
 		switch {
@@ -163,6 +164,11 @@
 	if err == nil && !strings.HasPrefix(formatted, "#") {
 		rule = strings.TrimSpace(formatted)
 	}
-	f.canonical[line] = rule
+	if f.canonical == nil || f.canonicalBytes > maxCanonicalBytes {
+		f.canonical, f.canonicalBytes = map[string]string{}, 0
+	}
+	// The line is part of a text, which a reference to it would keep in memory.
+	f.canonical[strings.Clone(line)] = rule
+	f.canonicalBytes += len(line) + len(rule)
 	return rule
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -20,6 +20,9 @@
 	MaxBytes     = 8 << 20
 )
 
+// MaxTextBytes bounds the text of an edit. Without it, edits that each add lines would let the text grow without limit.
+const MaxTextBytes = 4 << 20
+
 // decoder accepts log entries with any number of lines; the log bounds their size.
 var decoder = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{MaxArrayElements: 1<<31 - 1}.DecMode()
@@ -32,7 +35,10 @@
 // Error is a refused edit or a damaged snapshot.
 type Error struct{ cherviltide.Fault }
 
-var errEditIDReused = errors.New("edit ID was already used for an edit with a different text")
+var (
+	errEditIDReused = errors.New("edit ID was already used for an edit with a different text")
+	errTextTooLarge = errors.New("text exceeds the maximum size")
+)
 
 // Edit is a change of the configuration that an operator requests.
 type Edit struct {
@@ -58,8 +64,7 @@
 	Edit   Edit
 }
 
-// editRecord is an edit as a diff. In the log, Lines turns the previous text into the new one; in the kept state, Lines
-// turns the new text back into the previous one.
+// editRecord is an edit as a diff, as the log has it: Lines turns the previous text into the new one.
 type editRecord struct {
 	_        struct{} `cbor:",toarray"`
 	ID       string
@@ -69,7 +74,7 @@
 	Sum      uint64
 	Lines    []Hunk
 	Number   uint64
-	// Former is set only in the log. It has the former services of the routes that the edit changes in that respect.
+	// Former has the former services of the routes that the edit changes in that respect.
 	Former []cherviltide.FormerServices
 }
 
@@ -84,14 +89,27 @@
 	return n
 }
 
-// state is the content of a snapshot.
+// state holds the accepted revisions.
 type state struct {
-	// First is the number of the revision before the oldest kept one, and Text is the text of the newest revision.
+	// first is the number of the revision before the oldest kept one, and text is the text of the newest revision.
+	first uint64
+	text  string
+	kept  []keptRevision
+	// former has the former services of all routes at the newest revision.
+	former []cherviltide.FormerServices
+}
+
+// snapshot is the encoded form of a state.
+type snapshot struct {
+	// First is the number of the revision before the oldest one of Kept.
 	First uint64
 	Text  string
-	Kept  []editRecord
-	// Former has the former services of all routes at the newest revision.
+	// Kept has the newest revision without its lines, or in a snapshot of a version without History, all kept revisions. A
+	// reader without History then takes the older revisions for pruned ones.
+	Kept   []editRecord
 	Former []cherviltide.FormerServices
+	// History has all kept revisions.
+	History []keptRevision
 }
 
 // Registrar holds the accepted revisions: the text of the newest one, and a diff for each kept revision. It is not safe
@@ -109,28 +127,32 @@
 	return &Registrar{byID: map[string]uint64{}}
 }
 
-// Encode returns the log entry of an edit that is based on the current revision.
+// Encode returns the log entry of an edit that is based on the current revision. It returns an error of kind Invalid for a
+// text above MaxTextBytes.
 func (r *Registrar) Encode(e Edit) ([]byte, error) {
-	lines := diffLines(strings.Split(r.state.Text, "\n"), strings.Split(e.Text, "\n"))
+	if len(e.Text) > MaxTextBytes {
+		return nil, fault("registrar.Encode", cherviltide.KindInvalid, fmt.Errorf("%w: found %d bytes, maximum %d", errTextTooLarge, len(e.Text), MaxTextBytes))
+	}
+	lines := diffLines(strings.Split(r.state.text, "\n"), strings.Split(e.Text, "\n"))
 	return cbor.Marshal(editRecord{
 		ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Sum: xxhash.Sum64String(e.Text), Lines: lines,
-		Number: e.Number, Former: cherviltide.ChangedFormerServices(r.state.Former, e.Former),
+		Number: e.Number, Former: cherviltide.ChangedFormerServices(r.state.former, e.Former),
 	})
 }
 
 func (r *Registrar) currentNumber() uint64 {
-	return r.state.First + uint64(len(r.state.Kept))
+	return r.state.first + uint64(len(r.state.kept))
 }
 
 // Current returns the newest revision; its number is 0 if there is none.
 func (r *Registrar) Current() Revision {
-	if len(r.state.Kept) == 0 {
-		return Revision{Number: r.currentNumber(), Edit: Edit{Text: r.state.Text}}
+	if len(r.state.kept) == 0 {
+		return Revision{Number: r.currentNumber(), Edit: Edit{Text: r.state.text}}
 	}
-	e := r.state.Kept[len(r.state.Kept)-1]
+	e := r.state.kept[len(r.state.kept)-1]
 	return Revision{
 		Number: r.currentNumber(),
-		Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Number: e.Number, Time: e.Time, Text: r.state.Text, Former: r.state.Former},
+		Edit:   Edit{ID: e.ID, Operator: e.Operator, Base: e.Base, Number: e.Number, Time: e.Time, Text: r.state.text, Former: r.state.former},
 	}
 }
 
@@ -146,33 +168,36 @@
 	if e.Number > 0 && e.Number <= r.Current().Edit.Number {
 		return
 	}
-	before := strings.Split(r.state.Text, "\n")
+	before := strings.Split(r.state.text, "\n")
 	lines, ok := applyDiff(before, e.Lines)
 	text := strings.Join(lines, "\n")
 	if !ok || xxhash.Sum64String(text) != e.Sum {
 		return
 	}
-	r.state.Text, r.state.Former = text, cherviltide.MergeFormerServices(r.state.Former, e.Former)
-	e.Former = nil
 	e.Lines = invertDiff(before, e.Lines)
-	r.state.Kept = append(r.state.Kept, e)
-	r.byID[e.ID] = r.currentNumber()
-	r.keptBytes += e.size()
+	kept, err := newKeptRevision(e)
+	if err != nil {
+		panic(err) // Encoding strings and numbers into memory cannot fail.
+	}
+	r.state.text, r.state.former = text, cherviltide.MergeFormerServices(r.state.former, e.Former)
+	r.state.kept = append(r.state.kept, kept)
+	r.byID[kept.ID] = r.currentNumber()
+	r.keptBytes += kept.Size
 	r.prune()
 }
 
 // prune drops the older half of the revisions if they exceed a bound. The newest one is always kept.
 func (r *Registrar) prune() {
-	if len(r.state.Kept) <= MaxRevisions && r.keptBytes <= MaxBytes {
+	if len(r.state.kept) <= MaxRevisions && r.keptBytes <= MaxBytes {
 		return
 	}
-	half := len(r.state.Kept) / 2
-	for _, e := range r.state.Kept[:half] {
+	half := len(r.state.kept) / 2
+	for _, e := range r.state.kept[:half] {
 		delete(r.byID, e.ID)
-		r.keptBytes -= e.size()
+		r.keptBytes -= e.Size
 	}
-	r.state.First += uint64(half)
-	r.state.Kept = append([]editRecord(nil), r.state.Kept[half:]...)
+	r.state.first += uint64(half)
+	r.state.kept = append([]keptRevision(nil), r.state.kept[half:]...)
 }
 
 // EditResult returns the revision that an edit became, or an error of kind Conflict with the diff between its text and
@@ -182,9 +207,9 @@
 	if !accepted {
 		return 0, fault("registrar.EditResult", cherviltide.KindConflict, fmt.Errorf(
 			"base revision is %d, current revision is %d; diff from the current text to the sent one:\n%s",
-			e.Base, r.currentNumber(), FormatDiff(r.state.Text, e.Text)))
+			e.Base, r.currentNumber(), FormatDiff(r.state.text, e.Text)))
 	}
-	if r.state.Kept[number-r.state.First-1].Sum != xxhash.Sum64String(e.Text) {
+	if r.state.kept[number-r.state.first-1].Sum != xxhash.Sum64String(e.Text) {
 		return 0, fault("registrar.EditResult", cherviltide.KindConflict, errEditIDReused)
 	}
 	return number, nil
@@ -198,20 +223,37 @@
 
 // Snapshot returns the encoded state for Restore.
 func (r *Registrar) Snapshot() ([]byte, error) {
-	return cbor.Marshal(r.state)
+	s := snapshot{First: r.state.first, Text: r.state.text, Former: r.state.former, History: r.state.kept}
+	if n := len(s.History); n > 0 {
+		k := s.History[n-1]
+		s.First += uint64(n) - 1
+		s.Kept = []editRecord{{ID: k.ID, Operator: k.Operator, Base: k.Base, Time: k.Time, Sum: k.Sum, Number: k.Number}}
+	}
+	return cbor.Marshal(s)
 }
 
 // Restore replaces the state by a snapshot.
-func (r *Registrar) Restore(_ uint64, snapshot []byte) error {
-	var s state
-	if err := decoder.Unmarshal(snapshot, &s); err != nil {
+func (r *Registrar) Restore(_ uint64, data []byte) error {
+	var s snapshot
+	if err := decoder.Unmarshal(data, &s); err != nil {
 		return fault("registrar.Restore", cherviltide.KindDamaged, err)
 	}
-	r.state, r.keptBytes = s, 0
-	r.byID = make(map[string]uint64, len(s.Kept))
-	for i, e := range s.Kept {
-		r.keptBytes += e.size()
-		r.byID[e.ID] = s.First + uint64(i) + 1
+	next := state{first: s.First + uint64(len(s.Kept)-len(s.History)), text: s.Text, kept: s.History, former: s.Former}
+	if len(s.History) == 0 {
+		next.first = s.First
+		for _, e := range s.Kept {
+			kept, err := newKeptRevision(e)
+			if err != nil {
+				return fault("registrar.Restore", cherviltide.KindDamaged, err)
+			}
+			next.kept = append(next.kept, kept)
+		}
+	}
+	r.state, r.keptBytes = next, 0
+	r.byID = make(map[string]uint64, len(next.kept))
+	for i, e := range next.kept {
+		r.keptBytes += e.Size
+		r.byID[e.ID] = next.first + uint64(i) + 1
 	}
 	return nil
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 )
 
@@ -85,3 +86,29 @@
 	r.Apply(5, propose(12, "twelve"))
 	require.Equal(t, "twelve", r.Current().Edit.Text)
 }
+
+// TestRestoreOfSnapshotWithoutHistory guards against a control instance that loses edits of a snapshot in which all kept
+// revisions have their lines, as former versions wrote it.
+func TestRestoreOfSnapshotWithoutHistory(t *testing.T) {
+	lines := func(list ...string) []string { return list }
+	data, err := cbor.Marshal(snapshot{First: 4, Text: "a\nc", Kept: []editRecord{
+		{ID: "five", Number: 7, Lines: diffLines(lines("a"), lines(""))},
+		{ID: "six", Number: 8, Lines: diffLines(lines("a", "c"), lines("a"))},
+	}})
+	require.NoError(t, err)
+	r := New()
+	require.NoError(t, r.Restore(9, data))
+	var texts []string
+	r.History().Backward(func(revision Revision, before string) bool {
+		texts = append(texts, fmt.Sprint(revision.Number, " ", revision.Edit.ID, " ", before))
+		return true
+	})
+	require.Equal(t, []string{"6 six a", "5 five "}, texts)
+	require.EqualValues(t, 8, r.Current().Edit.Number)
+	again, err := r.Snapshot()
+	require.NoError(t, err)
+	restored := New()
+	require.NoError(t, restored.Restore(9, again))
+	require.Equal(t, r.state, restored.state)
+	require.Equal(t, r.byID, restored.byID)
+}
