Search the present control instances first, with overlapping attempts

Cause: a follower tried one instance at a time, in turn over all that it had ever learnt (up to 64), and did not tell present instances from replaced ones. ControlStreamEnded shows one replaced instance after the other, each with 400 ms of dial timeout and up to 800 ms of delay, at all followers together.

Change: the present instances first and in a random order, then those of the settings and 4 of at most 16 others; a further attempt each 150 ms, at most four undecided ones. An accepted follower gets a greeting before tables and rules, a refused one the instances that its peer knows. Announcements, the announcement of an end and a delegate's requests use the same search. An instance whose configuration is behind the follower refuses it.

Why it works: the length of the search depends on the present instances and the settings only, and an address that hangs delays it by 150 ms.

--- a/controller/delegate.go
+++ b/controller/delegate.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/hedger"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/voter"
 )
@@ -117,29 +118,36 @@
 	return list
 }
 
-// forwardToVoters sends a request to one voter after the other until one succeeds. It stops when a voter rejects the
-// request as invalid.
+// forwardToVoters sends a request to the voters until one answers it or rejects it as invalid. The voters that do not respond
+// cost little time, however many there are.
 func forwardToVoters[Req, Res any](ctx context.Context, d *Delegate, p messenger.Procedure[Req, Res], req *Req) (*Res, error) {
-	err := error(unavailableError("controller.forwardToVoters", errNoVoterKnown))
-	for _, url := range d.voterURLs() {
-		var res *Res
-		res, err = callWithTimeout(ctx, d.config.NewClient, func(ctx context.Context, client *http.Client) (*Res, error) {
+	urls := d.voterURLs()
+	if len(urls) == 0 {
+		return nil, unavailableError("controller.forwardToVoters", errNoVoterKnown)
+	}
+	var answer *Res
+	_, err := hedger.New(delegateDelay, delegatesInFlight).Call(ctx, urls, func(ctx context.Context, url string, win func() bool) error {
+		res, err := callWithTimeout(ctx, d.config.NewClient, func(ctx context.Context, client *http.Client) (*Res, error) {
 			return p.Call(ctx, client, url, req)
 		})
-		if err == nil {
-			return res, nil
-		}
 		var remote *messenger.Error
-		if errors.As(err, &remote) && remote.Kind == cherviltide.KindInvalid {
-			return nil, err
+		isFinal := err == nil || (errors.As(err, &remote) && remote.Kind == cherviltide.KindInvalid)
+		if isFinal && win() {
+			answer = res
 		}
-		if ctx.Err() != nil {
-			return nil, err
-		}
-	}
-	return nil, err
+		return err
+	})
+	return answer, err
 }
 
+const (
+	// delegateDelay is how long a voter may leave a request unanswered before another one is asked as well. All requests may
+	// be repeated: an edit has an ID or a number.
+	delegateDelay = 300 * time.Millisecond
+	// delegatesInFlight is the highest number of voters that are asked at the same time.
+	delegatesInFlight = 2
+)
+
 // callWithTimeout runs one remote call on a new client, bounded by delegateTimeout.
 func callWithTimeout[Res any](ctx context.Context, newClient func() *http.Client, call func(context.Context, *http.Client) (*Res, error)) (*Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, delegateTimeout)
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -53,7 +53,8 @@
 	Control []string
 	// Key is the packet key of the membership log.
 	Key []byte
-	// Stale is set while the instance has no contact to a majority and so cannot tell whether the state is the newest.
+	// Stale is set while the instance has no contact to a majority of the configuration or of the membership and so cannot
+	// tell whether the state is the newest.
 	Stale bool
 }
 
@@ -138,6 +139,17 @@
 		return err
 	}
 	defer release()
+	if req.AcceptsGreeting {
+		refusal := state.refusalFor(d.now(), req)
+		if refusal == nil || len(state.Control) > 0 {
+			if err := send(&messenger.FollowUpdate{Greeting: refusal == nil, ControlURLs: state.Control}); err != nil {
+				return err
+			}
+		}
+		if refusal != nil {
+			return refusal
+		}
+	}
 	return d.stream(ctx, *req, send)
 }
 
@@ -226,7 +238,7 @@
 		return newRefusal("distributor.Serve", errNewLog, staleRetryDelay)
 	case p.Stale:
 		return newRefusal("distributor.Serve", errStale, staleRetryDelay)
-	case p.Base == held.Base && p.Position < held.Position:
+	case p.Base == held.Base && (p.Position < held.Position || p.Revision < held.Revision):
 		return newRefusal("distributor.Serve", errBehind, staleRetryDelay)
 	}
 	return nil
--- a/follower/accept.go
+++ b/follower/accept.go
@@ -19,6 +19,10 @@
 // acceptUpdate publishes the view after an update. After an error the caller closes the stream, and the next request asks
 // for whole tables or the whole rules text.
 func (f *Follower) acceptUpdate(u *messenger.FollowUpdate) error {
+	if u.Greeting {
+		f.control.announce(u.ControlURLs)
+		return nil
+	}
 	if err := u.UnpackRules(); err != nil {
 		f.needText.Store(true)
 		return err
@@ -38,7 +42,7 @@
 		view = &next
 	}
 	if len(u.ControlURLs) > 0 {
-		f.control.add(u.ControlURLs)
+		f.control.announce(u.ControlURLs)
 	}
 	f.view.Store(view)
 	if u.Digest != 0 && u.Digest != distributor.Digest(view.controlTables) {
--- a/follower/announce.go
+++ b/follower/announce.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/hedger"
 	"cherviltide.example/cherviltide/messenger"
 )
 
@@ -54,25 +55,33 @@
 	}
 }
 
-// AnnounceEnd announces that the process has finished. It tries one control instance after the other until one accepts the
-// announcement or ctx ends.
+// AnnounceEnd announces that the process has finished. It tries the control instances until one accepts the announcement or
+// ctx ends.
 func (f *Follower) AnnounceEnd(ctx context.Context) error {
 	f.ended.Store(true)
-	var err error
 	if f.noMember.Load() {
 		return nil
 	}
-	for _, base := range f.control.all() {
+	_, err := newAnnounceHedger().Call(ctx, f.control.toCall(""), func(ctx context.Context, base string, win func() bool) error {
 		client := f.config.NewClient()
-		err = f.announce(ctx, client, base)
-		client.CloseIdleConnections()
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-	}
+		defer client.CloseIdleConnections()
+		return f.announce(ctx, client, base, win)
+	})
 	return err
 }
 
+const (
+	// announceDelay is how long an announcement may stay unanswered before it is sent to another control instance as well. It
+	// is longer than that of a subscription, because each announcement costs the leader time, also when it is slow.
+	announceDelay = 400 * time.Millisecond
+	// announcementsInFlight is the highest number of instances to which one announcement is sent at the same time.
+	announcementsInFlight = 2
+)
+
+func newAnnounceHedger() hedger.Hedger {
+	return hedger.New(announceDelay, announcementsInFlight)
+}
+
 // wakeAnnouncer makes announceLoop send an announcement now.
 func (f *Follower) wakeAnnouncer() {
 	select {
@@ -81,31 +90,39 @@
 	}
 }
 
-// announceLoop announces the process to renew its lease, and tries another control instance after each failure.
+// announceLoop announces the process to renew its lease, and goes on with another control instance when one fails.
 func (f *Follower) announceLoop(ctx context.Context) error {
-	client := f.config.NewClient()
-	attempt := rand.IntN(len(f.config.Control))
+	client, base := f.config.NewClient(), ""
+	defer func() { client.CloseIdleConnections() }()
 	retryDelays := backoff{random: rand.Int64N}
-	base := f.controlURL(attempt)
+	// attempt sends an announcement on the kept connection, or on a new one to another instance.
+	attempt := func(ctx context.Context, target string, win func() bool) error {
+		if target == base {
+			return f.announce(ctx, client, base, win)
+		}
+		other := f.config.NewClient()
+		defer other.CloseIdleConnections()
+		return f.announce(ctx, other, target, win)
+	}
 	for ctx.Err() == nil && !f.ended.Load() {
 		wait := announceInterval
 		if f.noMember.Load() {
 			f.waitOrWake(ctx, wait)
 			continue
 		}
-		if err := f.announce(ctx, client, base); err == nil {
+		winner, err := newAnnounceHedger().Call(ctx, f.control.toCall(base), attempt)
+		if err == nil {
 			retryDelays.reset()
 		} else if ctx.Err() == nil {
 			f.config.Log.Info("AnnounceFailed", zap.String("Control", base), zap.Error(err))
-			attempt++
-			base = f.controlURL(attempt)
-			client.CloseIdleConnections()
-			client = f.config.NewClient()
 			wait = min(retryDelays.next(retryAfter(err)), announceInterval)
 		}
+		if winner != base {
+			client.CloseIdleConnections()
+			client, base = f.config.NewClient(), winner
+		}
 		f.waitOrWake(ctx, wait)
 	}
-	client.CloseIdleConnections()
 	return nil
 }
 
@@ -125,7 +142,7 @@
 
 // announce sends one announcement and acts on the response: it renews the leases, rejoins after an expulsion, and closes
 // drainRequested when an operator drains the process.
-func (f *Follower) announce(ctx context.Context, client *http.Client, base string) error {
+func (f *Follower) announce(ctx context.Context, client *http.Client, base string, win func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	member := f.Member()
@@ -143,6 +160,9 @@
 	if err != nil {
 		return err
 	}
+	if !win() {
+		return context.Canceled
+	}
 	if req.Ended && f.Member().Incarnation == req.Member.Incarnation {
 		f.noMember.Store(true)
 		return nil
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/hedger"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/parser"
 	"cherviltide.example/cherviltide/runner"
@@ -100,7 +101,7 @@
 
 // VoterURLs returns the base URLs of the voters that control has announced.
 func (f *Follower) VoterURLs() []string {
-	return f.control.learnedURLs()
+	return f.control.voters()
 }
 
 // Leaving reports whether the process has asked to receive no new work.
@@ -127,34 +128,31 @@
 	return group.Wait()
 }
 
-// controlURL returns the base URL of the control instance for an attempt.
-func (f *Follower) controlURL(attempt int) string {
-	return f.control.forAttempt(attempt)
-}
+const (
+	// followDelay is how long a control instance may leave a subscription unanswered before another one is asked as well. A
+	// connection and a request within a region take a few milliseconds.
+	followDelay = 150 * time.Millisecond
+	// followsInFlight is the highest number of instances that are asked at the same time.
+	followsInFlight = 4
+)
 
 // followLoop keeps one subscription open and moves to another instance when it ends.
 func (f *Follower) followLoop(ctx context.Context) error {
-	attempt := rand.IntN(len(f.config.Control))
 	retryDelays := backoff{random: rand.Int64N}
+	search := hedger.New(followDelay, followsInFlight)
 	for ctx.Err() == nil {
 		started := time.Now()
-		base := f.controlURL(attempt)
-		err := f.follow(ctx, base)
+		base, err := search.Call(ctx, f.control.toFollow(), f.follow)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if time.Since(started) > 2*streamTimeout.Duration() {
-			retryDelays.reset()
-		}
-		if f.control.takeHasNew() {
-			// The instance announced voters that were not known: try those first, after the shortest delay.
+		hasNew := f.control.takeHasNew()
+		if hasNew || (base != "" && time.Since(started) > 2*streamTimeout.Duration()) {
 			retryDelays.reset()
-			attempt = -1
 		}
 		wait := retryDelays.next(retryAfter(err))
 		f.config.Log.Info("ControlStreamEnded", zap.String("Control", base), zap.Error(err),
 			zap.Int64("WaitMs", int64(wait)))
-		attempt++
 		_ = runner.Sleep(ctx, wait.Duration())
 	}
 	return nil
@@ -169,8 +167,8 @@
 	return 0
 }
 
-// follow runs one subscription on a new connection.
-func (f *Follower) follow(ctx context.Context, base string) error {
+// follow runs one subscription on a new connection. It wins with the first update that is not a referral to other instances.
+func (f *Follower) follow(ctx context.Context, base string, win func() bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	client := f.config.NewClient()
@@ -179,10 +177,18 @@
 	defer watchdog.Stop()
 	err := messenger.Follow.Call(ctx, client, base, f.followRequest(), func(u *messenger.FollowUpdate) error {
 		watchdog.Reset(streamTimeout.Duration())
+		if u.IsReferral() {
+			f.control.refer(u.ControlURLs)
+			return nil
+		}
+		if !win() {
+			return context.Canceled
+		}
+		f.control.setFollowed(base)
 		return f.acceptUpdate(u)
 	})
 	if errors.Is(context.Cause(ctx), errStreamTimeout) {
-		return &Error{cherviltide.Fault{Op: "follower.follow", Kind: cherviltide.KindUnavailable, Err: errStreamTimeout}}
+		err = &Error{cherviltide.Fault{Op: "follower.follow", Kind: cherviltide.KindUnavailable, Err: errStreamTimeout}}
 	}
 	return err
 }
@@ -198,6 +204,7 @@
 		Service:  f.config.Service,
 
 		AcceptsPackedRules: true,
+		AcceptsGreeting:    true,
 	}
 	if f.needTables.Load() {
 		req.Position = 0
--- a/follower/lease_test.go
+++ b/follower/lease_test.go
@@ -39,7 +39,7 @@
 			view := *NewView()
 			view.Position = c.view
 			f.view.Store(&view)
-			require.NoError(t, f.announce(t.Context(), messenger.NewClient(nil), server.URL))
+			require.NoError(t, f.announce(t.Context(), messenger.NewClient(nil), server.URL, func() bool { return true }))
 			require.NotZero(t, f.LeaseUntil())
 			require.Equal(t, c.current, f.CurrentViewUntil() != 0)
 			require.Zero(t, f.currentLease.remaining(time.Now().Add(2*time.Hour)))
--- a/follower/route_test.go
+++ b/follower/route_test.go
@@ -149,20 +149,3 @@
 	require.True(t, ok, "the route has an old table")
 	require.IsType(t, &picker.Table{}, table)
 }
-
-// TestInstances guards against control instances that are dropped when the settings or control announce others.
-func TestInstances(t *testing.T) {
-	configured := []string{"s1", "s2"}
-	x := instances{configured: func() []string { return configured }}
-	require.Equal(t, []string{"s1", "s2"}, x.all())
-	x.add([]string{"k1", "s2"})
-	require.True(t, x.takeHasNew())
-	require.False(t, x.takeHasNew())
-	require.Equal(t, []string{"k1", "s2", "s1"}, x.all())
-	x.add([]string{"k2"})
-	require.Equal(t, []string{"k2", "k1", "s2", "s1"}, x.all())
-	configured = []string{"s3"}
-	require.Equal(t, []string{"k2", "k1", "s2", "s3"}, x.all())
-	require.Equal(t, []string{"k2", "k1", "s2"}, x.learnedURLs())
-	require.Equal(t, "k1", x.forAttempt(5))
-}
--- a/messenger/follow.go
+++ b/messenger/follow.go
@@ -20,6 +20,8 @@
 	Service string
 	// AcceptsPackedRules is true when the follower reads FollowUpdate.PackedRules.
 	AcceptsPackedRules bool
+	// AcceptsGreeting is true when the follower reads FollowUpdate.Greeting and referrals.
+	AcceptsGreeting bool
 }
 
 // FollowUpdate is one message of a subscription. An update without events, tables and rules is a heartbeat. Its fields
@@ -44,6 +46,14 @@
 	PacketKey []byte `cbor:"9,keyasint,omitempty"`
 	// PackedRules is the compressed encoding of Rules, which is nil then; see PackRules.
 	PackedRules []byte `cbor:"10,keyasint,omitempty"`
+	// Greeting is true in the first message of an accepted subscription, which has only ControlURLs. So a follower that asks
+	// several instances knows which of them accepts it before tables and rules are sent.
+	Greeting bool `cbor:"11,keyasint,omitempty"`
+}
+
+// IsReferral reports whether the update only names control instances, since its sender does not accept the follower.
+func (u *FollowUpdate) IsReferral() bool {
+	return !u.Greeting && len(u.ControlURLs) > 0 && u.Base == 0 && u.Rules == nil && len(u.PackedRules) == 0 && !u.ReplaceTables && len(u.Tables) == 0
 }
 
 // Size returns the approximate size of the rules and tables in bytes.
