Refuse followers while cut off from the configuration alone

Cause: an instance counted as current while it had contact with the leader of the membership. One that was cut off from the leader of the configuration alone kept its followers.

--- a/controller/memberlog.go
+++ b/controller/memberlog.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"cherviltide.example/cherviltide/voter"
 )
 
 // maxClientAge bounds the use of one connection to the leader, so that one that is dead without being closed is replaced.
@@ -28,9 +30,14 @@
 	return leads
 }
 
-// IsCurrent reports whether this instance was recently in contact with a leader that a majority confirms.
+// configurationGrace is how long this instance may be without contact with the leader of the configuration and still have
+// followers. It covers an election, after which followers need no other instance.
+const configurationGrace = 3 * voter.ElectionTimeout
+
+// IsCurrent reports whether this instance was recently in contact with leaders of both groups that a majority confirms. An
+// instance that is cut off from the configuration alone would keep its followers on outdated rules.
 func (l *memberLog) IsCurrent() bool {
-	return l.controller.membership.voter.IsCurrent()
+	return l.controller.membership.voter.IsCurrent() && l.controller.configuration.voter.IsCurrentWithin(configurationGrace)
 }
 
 // Leader returns the leader's base URL and a client for it.
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -213,7 +213,12 @@
 // IsCurrent reports whether this voter is up to date: it leads, or a leader has contacted it within the longest
 // election timeout, and its disk completes writes.
 func (v *Voter) IsCurrent() bool {
-	return v.failure == nil && !v.disk.isStalled(v.now) && (v.role == leader || v.now-v.leaderContact < 2*ElectionTimeout)
+	return v.IsCurrentWithin(2 * ElectionTimeout)
+}
+
+// IsCurrentWithin reports the same with another limit of the time since the last contact with a leader.
+func (v *Voter) IsCurrentWithin(limit cherviltide.Millis) bool {
+	return v.failure == nil && !v.disk.isStalled(v.now) && (v.role == leader || v.now-v.leaderContact < limit)
 }
 
 // AppliedIndex returns the index of the last entry that TakeOutput has returned.
