Let the holder of a flow tell the owner of its bucket

Cause: a flow that was placed by load was known to its holder and to the memory of the agent that had offered it. After that agent had restarted, was replaced or lost the bucket, the search went through the candidates and alternates of the present table, which the holder did not belong to, and ended with NoHolder.

Change: the holder tells the owner of the bucket when the flow opens, when the owner changes and each 10 s. An agent that has started asks the other agents of its service and gets the flows of its buckets that are held elsewhere and those at its own target; until then, 150 ms at most, it drops packets of unknown flows. A notice of an open flow is not replaced by one of a flow that is being opened. The records of open flows expire with the flows and have no fixed number; unconfirmed ones keep the bound of 16,384. A caller's address may cause 500 searches a second.

Why it works: what is needed to find a holder is known by the holder itself and sent again whenever another agent needs it.

Two cases of TestRestartedAgent finish the recall first, and a third one checks the time before it.

--- a/framer/framer.go
+++ b/framer/framer.go
@@ -43,7 +43,7 @@
 	FlagOffered                        // The sender asks another agent to open the flow.
 	FlagDeclined                       // The agent did not accept the offer.
 	FlagStaleTable                     // The returning agent's table is older than that of the receiver, which decides.
-	FlagHolderNotice                   // A notice without payload that the sender holds the flow.
+	FlagHolderNotice                   // A notice that an agent holds the flow, and those in the payload.
 	FlagTagged                         // The connection ID has the agent tag of the receiver.
 )
 
@@ -149,6 +149,38 @@
 	return h, b[HeaderSize:], nil
 }
 
+// flowKeySize is the size of an encoded flow key, in bytes.
+const flowKeySize = 36
+
+// MaxFlowKeys is the highest number of flow keys in a payload, so that a datagram fits an Ethernet frame.
+const MaxFlowKeys = 30
+
+// ErrFlowKeys means that a payload is not a list of flow keys.
+var ErrFlowKeys = errors.New("payload is not a list of flow keys")
+
+// AppendFlowKeys appends the encoding of flow keys to b.
+func AppendFlowKeys(b []byte, keys []cherviltide.FlowKey) []byte {
+	for _, key := range keys {
+		var encoded [flowKeySize]byte
+		putAddrPort(encoded[:], key.Caller)
+		putAddrPort(encoded[flowKeySize/2:], key.Virtual)
+		b = append(b, encoded[:]...)
+	}
+	return b
+}
+
+// DecodeFlowKeys decodes a payload of flow keys.
+func DecodeFlowKeys(b []byte) ([]cherviltide.FlowKey, error) {
+	if len(b)%flowKeySize != 0 || len(b) > MaxFlowKeys*flowKeySize {
+		return nil, ErrFlowKeys
+	}
+	var keys []cherviltide.FlowKey
+	for ; len(b) > 0; b = b[flowKeySize:] {
+		keys = append(keys, cherviltide.FlowKey{Caller: addrPort(b), Virtual: addrPort(b[flowKeySize/2:])})
+	}
+	return keys, nil
+}
+
 func putAddrPort(b []byte, a netip.AddrPort) {
 	ip := a.Addr().As16()
 	copy(b, ip[:])
--- a/framer/framer_test.go
+++ b/framer/framer_test.go
@@ -111,3 +111,22 @@
 		require.Equal(t, b, reencoded)
 	})
 }
+
+// TestFlowKeys guards against flow keys that change on their way, and against payloads that are no list of them.
+func TestFlowKeys(t *testing.T) {
+	var keys []cherviltide.FlowKey
+	for i := range framer.MaxFlowKeys {
+		keys = append(keys, cherviltide.FlowKey{
+			Caller:  netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(1000+i)),
+			Virtual: netip.MustParseAddrPort("198.18.0.1:443"),
+		})
+	}
+	b := framer.AppendFlowKeys(nil, keys)
+	decoded, err := framer.DecodeFlowKeys(b)
+	require.NoError(t, err)
+	require.Equal(t, keys, decoded)
+	_, err = framer.DecodeFlowKeys(b[1:])
+	require.ErrorIs(t, err, framer.ErrFlowKeys)
+	_, err = framer.DecodeFlowKeys(framer.AppendFlowKeys(b, keys[:1]))
+	require.ErrorIs(t, err, framer.ErrFlowKeys)
+}
--- a/picker/secondary.go
+++ b/picker/secondary.go
@@ -11,6 +11,14 @@
 	return t.targets[r.secondary].member, true
 }
 
+// AppendMembers appends all agents of the table to dst, in the order of their names.
+func (t *Table) AppendMembers(dst []cherviltide.Member) []cherviltide.Member {
+	for _, x := range t.targets {
+		dst = append(dst, x.member)
+	}
+	return dst
+}
+
 // Active returns the agents that are neither suspect nor leaving, in the order of their names.
 func (t *Table) Active() []cherviltide.Member {
 	return t.AppendActive(nil)
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -14,7 +14,7 @@
 	key := cherviltide.FlowKey{Caller: p.Destination, Virtual: p.Source}
 	f := d.flows[key]
 	if f == nil && d.targetMayHoldUnknown(in.Now) {
-		f = &flow{inferred: true, answered: true, established: true, openedAt: in.Now}
+		f = &flow{inferred: true, answered: true, established: !p.Has(cherviltide.PacketOpen), openedAt: in.Now}
 		d.flows[key] = f
 	}
 	decision := Decision{Action: ActionAnswer, Reason: ReasonTarget}
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -134,6 +134,12 @@
 	// releasedGeneration is the highest generation for which the agent has announced that it holds no flow opened before
 	// it.
 	releasedGeneration uint64
+	// recall is the state of the recall after the start. noticedGeneration and noticedAt are the table generation and the time
+	// of the last notices.
+	recall            recall
+	noticedGeneration uint64
+	noticedAt         cherviltide.Millis
+	searches          searchLimit
 	// candidates and members are buffers that are reused, so that a decision does not allocate.
 	candidates []cherviltide.Member
 	members    []cherviltide.Member
@@ -192,9 +198,7 @@
 		d.detector.MarkAlive(a.Sender)
 	}
 	if a.Header.Flags == framer.FlagHolderNotice {
-		d.queue.Remove(a.Header.Flow)
-		d.remoteFlows.set(a.Header.Flow, remoteFlow{state: remoteHeld, agent: a.Sender}, in.Now)
-		return Decision{Reason: ReasonNotice}
+		return d.handleNotice(in, a)
 	}
 	if a.Header.Hops > maxHops {
 		return Decision{Reason: ReasonHops}
@@ -219,14 +223,18 @@
 		f = nil
 	}
 	if f != nil {
+		wasOpen := f.isOpen()
 		d.recordCallerPacket(in, f, a.Packet)
 		decision := Decision{Action: ActionDeliver, Reason: ReasonHeld}
-		if a.Header.Flags == framer.FlagProbe && a.Header.Position != directPosition {
-			decision.Notify = a.Sender
+		if !wasOpen && f.isOpen() || a.Header.Flags == framer.FlagProbe && a.Header.Position != directPosition {
+			decision.Notices = d.confirmHolder(in, a, f)
 		}
 		return decision
 	}
 	if remote := d.remoteFlows.get(key, in.Now); d.targetMayHoldUnknown(in.Now) && !remote.notAtTarget && remote.state == remoteNone {
+		if d.isRecalling(in.Now) {
+			return Decision{Reason: ReasonRecalling}
+		}
 		return Decision{Action: ActionDeliver, Reason: ReasonUnsure, Token: d.tokens.issue(a)}
 	}
 	return d.searchHolder(in, a)
--- a/relayer/decision.go
+++ b/relayer/decision.go
@@ -46,12 +46,15 @@
 	ReasonHops               // The packet exceeded the hop limit.
 	ReasonWaiting            // The new flow waits for a slot of the target.
 	ReasonOverloaded         // No target can serve the new flow before its caller gives up.
+	ReasonRecalling          // The agent has started and waits to learn who holds which flow.
+	ReasonSearchLimit        // The caller's address has caused too many searches.
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"None", "Held", "Opened", "Unsure", "Offered", "Declined", "NotOwner", "Probed", "NotHeld", "Stage", "NoHolder",
 	"NoRoute", "OldRules", "Unavailable", "Forged", "Target", "Notice", "Gone", "Hops", "Waiting", "Overloaded",
+	"Recalling", "SearchLimit",
 }
 
 // String returns the name of the reason.
@@ -84,6 +87,8 @@
 	Token uint32
 	// Notify is the address of the agent that must be notified that this agent holds the flow; invalid when there is none.
 	Notify netip.AddrPort
+	// Notices answer the recall of another agent.
+	Notices []Notice
 	// Active and Slots are the active flows and the slots of the target when the decision was made, for the log.
 	Active, Slots int
 	// Waiting is the number of flows that wait for a slot. Wait is the expected wait of a flow that begins to wait or is
@@ -103,6 +108,8 @@
 	// Sender is the address that the datagram came from.
 	Sender netip.AddrPort
 	Packet cherviltide.Packet
+	// Flows has the further flows of a holder notice.
+	Flows []cherviltide.FlowKey
 	// Datagram is the header with the packet. It is valid only during the call, and kept only for a flow that waits.
 	Datagram []byte
 	// waitingSince is when a flow that waits began to wait here.
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -1,6 +1,8 @@
 package relayer
 
 import (
+	"net/netip"
+
 	"cherviltide.example/cherviltide"
 )
 
@@ -36,10 +38,18 @@
 	// bulky is true for a flow of a route with long transfers.
 	bulky bool
 	// active is true while the flow counts as load of the target.
-	active                         bool
+	active bool
+	// noticed is the owner that was told that this agent holds the flow; it is invalid while this agent is the owner.
+	noticed                        netip.AddrPort
 	callerFinished, targetFinished bool
 }
 
+// isOpen reports whether the caller has acknowledged the target's answer, and the flow has not ended. Until then another target
+// that got a retransmission of the opening packet may get the flow.
+func (f *flow) isOpen() bool {
+	return f.established && f.endedAt == 0
+}
+
 // acknowledgesOtherTarget reports whether a caller's packet acknowledges the answer of a target other than this agent's.
 // Only the first acknowledgement shows this: the flow is open at the target whose sequence number it acknowledges.
 func (f *flow) acknowledgesOtherTarget(p cherviltide.Packet) bool {
--- a/relayer/model_test.go
+++ b/relayer/model_test.go
@@ -1,9 +1,12 @@
 package relayer
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -26,8 +29,6 @@
 	flows     map[cherviltide.FlowKey]*caller
 	// lastPort is the caller's port of the newest flow; the first flow has port 2001.
 	lastPort int
-	// anyRestarted is true once an agent has restarted and lost the records of the flows that it offered.
-	anyRestarted bool
 	// trace has the decisions, for failure messages.
 	trace []string
 }
@@ -76,7 +77,6 @@
 	p.decider = NewDecider(Limits{MaxFlowAge: 1_000_000}, s.now)
 	p.decider.SetTarget(Target{Slots: 2, AcceptsNewFlows: true, LastResort: true, PredatesAgent: restarted}, false)
 	p.hasRestarted = restarted
-	s.anyRestarted = s.anyRestarted || restarted
 }
 
 func (s *simulation) input(p *pair) Input {
@@ -140,6 +140,7 @@
 	if decision.Notify.IsValid() {
 		s.enqueue(decision.Notify, Arrival{Header: framer.Header{Flow: flow, Flags: framer.FlagHolderNotice}, Sender: p.self.Address})
 	}
+	s.sendNotices(p, decision.Notices)
 	switch decision.Action {
 	case ActionForward:
 		s.enqueue(decision.To, Arrival{Header: decision.Header, Sender: p.self.Address, Packet: packet})
@@ -150,6 +151,19 @@
 	}
 }
 
+// sendNotices sends notices of an agent, in an order that does not depend on that of a map.
+func (s *simulation) sendNotices(p *pair, notices []Notice) {
+	slices.SortFunc(notices, func(a, b Notice) int {
+		return cmp.Or(a.To.Compare(b.To), cmp.Compare(a.Use, b.Use), a.Holder.Compare(b.Holder))
+	})
+	for _, n := range notices {
+		slices.SortFunc(n.Flows, func(a, b cherviltide.FlowKey) int { return a.Caller.Compare(b.Caller) })
+		s.enqueue(n.To, Arrival{Sender: p.self.Address, Flows: n.Flows, Header: framer.Header{
+			Flags: framer.FlagHolderNotice, Position: n.Use, Entry: n.Holder,
+		}})
+	}
+}
+
 // targetReceive carries out what the target does with a delivered packet: it answers, takes or returns the packet.
 func (s *simulation) targetReceive(p *pair, decision Decision, flow cherviltide.FlowKey, packet cherviltide.Packet) {
 	open, held := p.held[flow]
@@ -236,6 +250,7 @@
 			}
 			for _, p := range s.agents {
 				s.startWaiting(p)
+				s.sendNotices(p, p.decider.Notices(s.input(p)))
 			}
 			s.deliverAll()
 		}
@@ -243,14 +258,15 @@
 	})
 }
 
-// isCandidate reports whether an agent is a candidate for a flow in the newest table.
-func (s *simulation) isCandidate(flow cherviltide.FlowKey, p *pair) bool {
-	for _, m := range s.tables[len(s.tables)-1].AppendCandidates(nil, flow) {
-		if m.Name == p.self.Name {
-			return true
+// traceOf returns the decisions about a flow.
+func (s *simulation) traceOf(flow cherviltide.FlowKey) []string {
+	var lines []string
+	for _, line := range s.trace {
+		if strings.Contains(line, flow.Caller.String()) {
+			lines = append(lines, line)
 		}
 	}
-	return false
+	return lines
 }
 
 // checkOpenFlows gives all agents the newest table and checks that every open flow still reaches its target.
@@ -259,15 +275,19 @@
 		p.table = len(s.tables) - 1
 	}
 	s.now += tableSettleTime
+	for _, p := range s.agents {
+		s.sendNotices(p, p.decider.Notices(s.input(p)))
+	}
+	s.deliverAll()
 	for port := 2001; port <= s.lastPort; port++ {
 		flow := key(port)
 		c := s.flows[flow]
-		if c.holder == nil || (s.anyRestarted && !s.isCandidate(flow, c.holder)) {
+		if c.holder == nil {
 			continue
 		}
-		before, from := c.delivered, len(s.trace)
+		before := c.delivered
 		s.sendData(flow)
 		s.deliverAll()
-		require.Greater(s.t, c.delivered, before, "an open flow lost its target %s: %v", c.holder.self.Name, s.trace[from:])
+		require.Greater(s.t, c.delivered, before, "an open flow lost its target %s: %v", c.holder.self.Name, strings.Join(s.traceOf(flow), "\n"))
 	}
 }
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -158,7 +158,7 @@
 	decision := d.deliverOpening(in, a)
 	decision.Reason = ReasonOpened
 	if a.Header.Flags == framer.FlagOffered {
-		decision.Notify = a.Sender
+		decision.Notify, f.noticed = a.Sender, a.Sender
 	}
 	return decision
 }
@@ -235,6 +235,10 @@
 
 // handleDecline continues with the next agent after an offer was declined.
 func (d *Decider) handleDecline(in Input, a Arrival) Decision {
+	if remote := d.remoteFlows.get(a.Header.Flow, in.Now); remote.confirmed && remote.agent != a.Sender {
+		// The flow has opened meanwhile at the agent that got another transmission of the packet.
+		return d.forward(in, a, remote.agent, framer.FlagOffered, d.offerPosition(in, a, remote.attempt), ReasonOffered)
+	}
 	return d.placeFlow(in, a, int(a.Header.Position&attemptMask)+1)
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -111,7 +111,8 @@
 	stop := context.AfterFunc(ctx, closeAll)
 	defer stop()
 	defer closeAll()
-	group := runner.NewGroup(ctx, 4)
+	group := runner.NewGroup(ctx, 5)
+	group.Go("recall", r.recall)
 	group.Go("data", func(ctx context.Context) error { return r.receive(ctx, r.data, r.handlePeerDatagram) })
 	group.Go("outbound", func(ctx context.Context) error { return r.receive(ctx, r.outbound, r.handleTargetPacket) })
 	group.Go("expire", r.expire)
@@ -203,11 +204,14 @@
 		return
 	}
 	a := Arrival{Header: header, Sender: sender, Datagram: datagram}
-	if header.Flags != framer.FlagHolderNotice {
-		if a.Packet, err = r.config.Codec.Decode(packet); err != nil || a.Packet.Flags&cherviltide.PacketReturned != 0 {
-			r.Counters.Malformed.Add(1)
-			return
-		}
+	if header.Flags == framer.FlagHolderNotice {
+		a.Flows, err = framer.DecodeFlowKeys(packet)
+	} else {
+		a.Packet, err = r.config.Codec.Decode(packet)
+	}
+	if err != nil || a.Packet.Flags&cherviltide.PacketReturned != 0 {
+		r.Counters.Malformed.Add(1)
+		return
 	}
 	in, ok := r.input(view)
 	if !ok || header.Service != cherviltide.ServiceIDOf(in.Self.Service) {
@@ -217,7 +221,9 @@
 	r.mu.Lock()
 	decision := r.decider.FromPeer(in, a)
 	r.mu.Unlock()
+	r.sendNotices(in, decision.Notices)
 	r.execute(in, decision, header, a.Packet, datagram, packet)
+	r.sendDueNotices(in, false)
 	r.startWaiting(in)
 }
 
@@ -286,11 +292,63 @@
 
 // notify sends a notice that this agent holds a flow to another agent.
 func (r *Relayer) notify(key cherviltide.FlowKey, service string, to netip.AddrPort) {
-	var b [framer.HeaderSize]byte
-	framer.New(r.config.View().Key).Encode(b[:], framer.Header{
-		Type: framer.TypeForward, Flags: framer.FlagHolderNotice, Service: cherviltide.ServiceIDOf(service), Flow: key,
-	}, 0)
-	r.send(r.data, b[:], to)
+	r.sendNotice(service, Notice{To: to, Flows: []cherviltide.FlowKey{key}})
+}
+
+func (r *Relayer) sendNotices(in Input, notices []Notice) {
+	for _, n := range notices {
+		r.sendNotice(in.Self.Service, n)
+	}
+}
+
+// sendNotice sends a notice. Its header has the first flow, so that agents that do not read the payload learn one flow.
+func (r *Relayer) sendNotice(service string, n Notice) {
+	header := framer.Header{
+		Type: framer.TypeForward, Flags: framer.FlagHolderNotice, Position: n.Use, Service: cherviltide.ServiceIDOf(service), Entry: n.Holder,
+		Flow: cherviltide.FlowKey{Caller: r.config.Data, Virtual: r.config.Data},
+	}
+	rest := n.Flows
+	if len(rest) > 0 {
+		header.Flow, rest = rest[0], rest[1:]
+	}
+	b := framer.AppendFlowKeys(make([]byte, framer.HeaderSize, maxDatagram), rest)
+	framer.New(r.config.View().Key).Encode(b, header, len(b)-framer.HeaderSize)
+	r.send(r.data, b, n.To)
+}
+
+// sendDueNotices sends the notices that are due after a change of the table, or, if the timer has passed, for any reason.
+func (r *Relayer) sendDueNotices(in Input, timer bool) {
+	r.mu.Lock()
+	var notices []Notice
+	if timer || r.decider.HasNotices(in) {
+		notices = r.decider.Notices(in)
+	}
+	r.mu.Unlock()
+	r.sendNotices(in, notices)
+}
+
+// recall asks the other agents after the start who holds which flow, until they have answered or recallTimeout has passed.
+// Later recalls are sent with the timer of expire.
+func (r *Relayer) recall(ctx context.Context) error {
+	ticker := time.NewTicker(recallInterval.Duration())
+	defer ticker.Stop()
+	for recalling := true; recalling; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		in, ok := r.input(r.config.View())
+		if !ok {
+			continue
+		}
+		r.sendDueNotices(in, true)
+		r.mu.Lock()
+		recalling = r.decider.isRecalling(in.Now)
+		r.mu.Unlock()
+	}
+	<-ctx.Done()
+	return nil
 }
 
 func (r *Relayer) send(conn *net.UDPConn, b []byte, to netip.AddrPort) {
@@ -303,10 +361,13 @@
 // expire removes expired flows at regular intervals until ctx ends.
 func (r *Relayer) expire(ctx context.Context) error {
 	return runner.Every(ctx, expireInterval, func() {
-		in, _ := r.input(r.config.View())
+		in, ok := r.input(r.config.View())
 		r.mu.Lock()
-		defer r.mu.Unlock()
 		r.decider.Expire(in)
+		r.mu.Unlock()
+		if ok {
+			r.sendDueNotices(in, true)
+		}
 	})
 }
 
--- a/relayer/remoteflow.go
+++ b/relayer/remoteflow.go
@@ -6,8 +6,9 @@
 	"cherviltide.example/cherviltide"
 )
 
-// maxRemoteFlows is the highest number of remote flow records; further ones are not stored.
-const maxRemoteFlows = 16_384
+// maxUnconfirmed is the highest number of records of flows that no other agent has confirmed to hold; further ones are not stored,
+// since forged packets can cause them. The number of held flows follows that of the other targets' open flows.
+const maxUnconfirmed = 16_384
 
 type remoteState uint8
 
@@ -25,13 +26,19 @@
 	attempt int
 	// notAtTarget is true when the target has returned a packet of the flow, so that it does not hold the flow.
 	notAtTarget bool
-	lastUsed    cherviltide.Millis
+	// confirmed is true when the flow is open at the agent, so that no other agent holds it.
+	confirmed bool
+	// noticed is the owner of the flow's bucket that was told about this record.
+	noticed  netip.AddrPort
+	lastUsed cherviltide.Millis
 }
 
-// remoteFlows is a bounded set of records. A record expires when it is not used for the idle timeout of flows.
+// remoteFlows is a set of records. A record expires when it is not used for the idle timeout of flows.
 type remoteFlows struct {
 	byFlow map[cherviltide.FlowKey]remoteFlow
-	ttl    cherviltide.Millis
+	// unconfirmed is the number of records in a state other than remoteHeld.
+	unconfirmed int
+	ttl         cherviltide.Millis
 }
 
 func newRemoteFlows() remoteFlows {
@@ -50,9 +57,13 @@
 }
 
 func (s *remoteFlows) set(key cherviltide.FlowKey, remote remoteFlow, now cherviltide.Millis) {
-	if _, ok := s.byFlow[key]; !ok && len(s.byFlow) >= maxRemoteFlows {
+	if remote.state != remoteHeld && s.unconfirmed >= maxUnconfirmed {
 		return
 	}
+	s.remove(key)
+	if remote.state != remoteHeld {
+		s.unconfirmed++
+	}
 	remote.lastUsed = now
 	s.byFlow[key] = remote
 }
@@ -65,13 +76,16 @@
 }
 
 func (s *remoteFlows) remove(key cherviltide.FlowKey) {
+	if remote, ok := s.byFlow[key]; ok && remote.state != remoteHeld {
+		s.unconfirmed--
+	}
 	delete(s.byFlow, key)
 }
 
 func (s *remoteFlows) expire(now cherviltide.Millis) {
 	for key, remote := range s.byFlow {
 		if now-remote.lastUsed > s.ttl {
-			delete(s.byFlow, key)
+			s.remove(key)
 		}
 	}
 }
--- a/relayer/search.go
+++ b/relayer/search.go
@@ -16,7 +16,14 @@
 	case a.Header.Flags == framer.FlagProbe && elsewhere && a.Header.Position != directPosition:
 		return d.forward(in, a, remote.agent, framer.FlagProbe, directPosition, ReasonProbed)
 	case a.Header.Flags == framer.FlagProbe:
-		return d.returnToSender(a, framer.FlagReturned, ReasonNotHeld)
+		decision := d.returnToSender(a, framer.FlagReturned, ReasonNotHeld)
+		if elsewhere && remote.confirmed {
+			// The sender's record is wrong, and this agent knows better.
+			decision.Notices = []Notice{{To: a.Sender, Use: noticeHeld, Holder: remote.agent, Flows: []cherviltide.FlowKey{key}}}
+		}
+		return decision
+	case a.Header.Flags == framer.FlagReturned && a.Header.Position == directPosition && elsewhere:
+		return d.forward(in, a, remote.agent, framer.FlagProbe, directPosition, ReasonProbed)
 	case a.Header.Flags == framer.FlagReturned && a.Header.Position == directPosition:
 		d.remoteFlows.remove(key)
 		return d.probeFrom(in, a, 0)
@@ -24,10 +31,39 @@
 		return d.probeFrom(in, a, int(a.Header.Position)+1)
 	case elsewhere && a.Header.Flags == 0:
 		return d.forward(in, a, remote.agent, framer.FlagProbe, directPosition, ReasonProbed)
+	case a.Header.Flags == 0 && !d.searches.allow(key.Caller.Addr(), in.Now):
+		return Decision{Reason: ReasonSearchLimit}
 	}
 	return d.probeFrom(in, a, 0)
 }
 
+const (
+	// maxSearches is the highest number of searches for one caller's address in a searchWindow. A search forwards a packet to
+	// each agent that may hold its flow, so that forged packets must not cause many.
+	maxSearches                     = 500
+	searchWindow cherviltide.Millis = 1_000
+	// maxSearchingCallers bounds the addresses that are counted; further ones share one count.
+	maxSearchingCallers = 4_096
+)
+
+// searchLimit counts the searches of each caller's address in the present window. The zero value is ready to use.
+type searchLimit struct {
+	windowStart cherviltide.Millis
+	counts      map[netip.Addr]int
+}
+
+// allow counts a search and reports whether it is within the limit.
+func (l *searchLimit) allow(caller netip.Addr, now cherviltide.Millis) bool {
+	if l.counts == nil || now-l.windowStart >= searchWindow {
+		l.windowStart, l.counts = now, map[netip.Addr]int{}
+	}
+	if _, ok := l.counts[caller]; !ok && len(l.counts) >= maxSearchingCallers {
+		caller = netip.Addr{}
+	}
+	l.counts[caller]++
+	return l.counts[caller] <= maxSearches
+}
+
 // probeFrom probes the flow's candidates from a position on, then the alternates that the flow may have been offered to.
 // After the last one, an opening packet opens the flow as placeFlow decides. Another packet is returned to the entry if one
 // more service may hold the flow, and dropped otherwise.
--- a/relayer/search_test.go
+++ b/relayer/search_test.go
@@ -80,14 +80,28 @@
 		return d
 	}
 	in := inputAt(10, member(1), table)
-	t.Run("the target holds it", func(t *testing.T) {
+	recalled := func() *Decider {
+		d := afterRestart()
+		require.Equal(t, []Notice{{To: member(2).Address, Use: noticeRecall}}, d.Notices(in))
+		d.FromPeer(in, Arrival{Sender: member(2).Address, Header: framer.Header{Flags: framer.FlagHolderNotice, Position: noticeRecallEnd}})
+		return d
+	}
+	t.Run("who holds it is not known yet", func(t *testing.T) {
 		d := afterRestart()
+		require.Equal(t, ReasonRecalling, d.FromPeer(in, ack(flow, 501)).Reason)
+		d.Notices(in)
+		require.Equal(t, ReasonRecalling, d.FromPeer(in, ack(flow, 501)).Reason)
+		late := inputAt(in.Now+recallTimeout, member(1), table)
+		require.Equal(t, ReasonUnsure, d.FromPeer(late, ack(flow, 501)).Reason)
+	})
+	t.Run("the target holds it", func(t *testing.T) {
+		d := recalled()
 		require.Equal(t, ReasonUnsure, d.FromPeer(in, ack(flow, 501)).Reason)
 		d.FromTarget(in, targetPacket(flow, cherviltide.Packet{Flags: cherviltide.PacketAck}))
 		require.Equal(t, ReasonHeld, d.FromPeer(in, ack(flow, 502)).Reason)
 	})
 	t.Run("the target does not hold it", func(t *testing.T) {
-		d := afterRestart()
+		d := recalled()
 		decision := d.FromPeer(in, ack(flow, 501))
 		p := ack(flow, 501).Packet
 		p.Flags |= cherviltide.PacketReturned
