--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -290,9 +290,9 @@
 	}
 }
 
-// notify sends a notice that this agent holds a flow to another agent.
+// notify tells another agent that this one has opened a flow or lets it wait.
 func (r *Relayer) notify(key cherviltide.FlowKey, service string, to netip.AddrPort) {
-	r.sendNotice(service, Notice{To: to, Flows: []cherviltide.FlowKey{key}})
+	r.sendNotice(service, Notice{To: to, Use: noticeOpened, Flows: []cherviltide.FlowKey{key}})
 }
 
 func (r *Relayer) sendNotices(in Input, notices []Notice) {
