--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -49,7 +49,10 @@
 	for c.running > 0 {
 		select {
 		case <-won:
+			// The winner may run for long; the timer would wake this goroutine for nothing.
 			won = nil
+			timer.Stop()
+			continue
 		case e := <-c.exits:
 			c.running--
 			if target, ok := c.winner(); !ok {
@@ -63,7 +66,9 @@
 				c.startNext()
 			}
 		}
-		timer.Reset(h.delay)
+		if won != nil {
+			timer.Reset(h.delay)
+		}
 	}
 	return winner, err
 }
