Call silent control instances beside others in operators' commands

Now another instance is called after 500 ms, three at most at the same time; all procedures for operators are safe to repeat.

Test: commands.TestSilentInstances failed before with "outcome unknown" after 6 s.

--- a/commands/remote.go
+++ b/commands/remote.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/certifier"
+	"cherviltide.example/cherviltide/hedger"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/runner"
 )
@@ -17,6 +19,10 @@
 const (
 	// callTimeout bounds one call to one control instance.
 	callTimeout = 3 * time.Second
+	// callDelay is how long an instance may leave a call unanswered before the next one is called as well, and callsInFlight the
+	// highest number of instances that are called at the same time.
+	callDelay     = 500 * time.Millisecond
+	callsInFlight = 3
 	// retryDelay is the delay before the next round of calls after all instances have failed.
 	retryDelay = 250 * time.Millisecond
 	// pollInterval is the time between two status requests while a command waits.
@@ -59,30 +65,35 @@
 	return &session{client: messenger.NewClient(tls), baseURLs: controlURLs(r.Control, tls), timeout: r.Timeout}, nil
 }
 
-// callControl calls a procedure at one instance after the other until one returns a final response or the session's timeout
-// has passed. All procedures for operators are safe to repeat. The error wraps errOutcomeUnknown if one of the calls may
+// callControl calls a procedure at the instances until one returns a final response or the session's timeout has passed. An
+// instance that does not respond delays the call by callDelay. All procedures for operators are safe to repeat. The error wraps errOutcomeUnknown if one of the calls may
 // have been executed.
 func callControl[Req, Res any](ctx context.Context, s *session, p messenger.Procedure[Req, Res], req *Req) (*Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
+	var mu sync.Mutex
 	var unknownErr, lastErr error
+	var response *Res
 	for {
-		for _, baseURL := range s.baseURLs {
+		winner, err := hedger.New(callDelay, callsInFlight).Call(ctx, s.baseURLs, func(ctx context.Context, baseURL string, win func() bool) error {
 			res, err := callInstance(ctx, s, p, baseURL, req)
-			if err == nil {
-				return res, nil
-			}
-			switch classifyFailure(err) {
-			case failureFinal:
-				return nil, err
-			case failureUnknown:
+			failure := classifyFailure(err)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil || failure == failureFinal:
+				if win() {
+					response = res
+				}
+			case failure == failureUnknown:
 				unknownErr = err
 			}
-			lastErr = err
-			if ctx.Err() != nil {
-				return nil, noResponseError(unknownErr, lastErr)
-			}
+			return err
+		})
+		if winner != "" {
+			return response, err
 		}
+		lastErr = err
 		if !runner.Sleep(ctx, retryDelay) {
 			return nil, noResponseError(unknownErr, lastErr)
 		}
