--- a/distributor/history.go
+++ b/distributor/history.go
@@ -30,10 +30,7 @@
 		return h
 	}
 	c := change{base: messenger.TextDigest(before), digest: messenger.TextDigest(after), revision: revision}
-	if c.delta = messenger.NewLineDelta(before, after); c.delta.Size() >= len(after) {
-		// The whole text is sent instead.
-		return &history{changes: []change{{base: c.digest + 1, digest: c.digest, revision: revision}}}
-	}
+	c.delta = messenger.NewLineDelta(before, after)
 	if revision != newest+1 {
 		c.base = c.digest + 1
 		return &history{changes: []change{c}}
--- a/registrar/delta.go
+++ b/registrar/delta.go
@@ -37,16 +37,16 @@
 // shortestDiff finds a shortest diff with the algorithm of Myers, or replaces all lines if it would take more than
 // maxDiffEdits edits.
 func shortestDiff(a, b []string) []Hunk {
-	// furthest[d] has how many lines of a the best paths with d-1 edits consume.
-	furthest := []diagonals{nil}
+	// furthest[d] has, by diagonal, how many lines of a the best path with d-1 edits consumes.
+	furthest := []map[int]int{{1: 0}}
 	for d := 0; d <= min(maxDiffEdits, len(a)+len(b)); d++ {
-		next := newDiagonals(d)
+		next := map[int]int{}
 		for k := -d; k <= d; k += 2 {
 			x := pathStart(furthest[d], k, d)
 			for x < len(a) && x-k < len(b) && a[x] == b[x-k] {
 				x++
 			}
-			next.set(k, x)
+			next[k] = x
 			if x >= len(a) && x-k >= len(b) {
 				return backtrack(furthest, a, b, d)
 			}
@@ -56,35 +56,21 @@
 	return []Hunk{{Drop: len(a), Add: b}}
 }
 
-// diagonals has a number of lines for each diagonal that a path with a number of edits may end on: every other one from -d to
-// d. It is a slice and not a map, since a diff of maxDiffEdits has 125,000 of them.
-type diagonals []int32
-
-func newDiagonals(d int) diagonals { return make(diagonals, d+1) }
-
-// at returns the number of lines on diagonal k, given the number of edits.
-func (x diagonals) at(k, d int) int { return int(x[(k+d)/2]) }
-
-func (x diagonals) set(k, lines int) { x[(k+len(x)-1)/2] = int32(lines) }
-
 // pathStart returns how many lines of a the best path with d edits has consumed when it enters diagonal k.
-func pathStart(furthest diagonals, k, d int) int {
-	if d == 0 {
-		return 0
-	}
+func pathStart(furthest map[int]int, k, d int) int {
 	if isInsertion(furthest, k, d) {
-		return furthest.at(k+1, d-1)
+		return furthest[k+1]
 	}
-	return furthest.at(k-1, d-1) + 1
+	return furthest[k-1] + 1
 }
 
 // isInsertion reports whether the best path enters diagonal k by adding a line of b.
-func isInsertion(furthest diagonals, k, d int) bool {
-	return k == -d || (k != d && furthest.at(k-1, d-1) < furthest.at(k+1, d-1))
+func isInsertion(furthest map[int]int, k, d int) bool {
+	return k == -d || (k != d && furthest[k-1] < furthest[k+1])
 }
 
 // backtrack follows the path from its end to its start and returns its hunks.
-func backtrack(furthest []diagonals, a, b []string, d int) []Hunk {
+func backtrack(furthest []map[int]int, a, b []string, d int) []Hunk {
 	var hunks []Hunk
 	x, y := len(a), len(b)
 	for ; d > 0; d-- {
