--- a/relayer/recall.go
+++ b/relayer/recall.go
@@ -45,10 +45,11 @@
 
 // recall is the state of the recall of an agent that has started.
 type recall struct {
-	// startedAt is when the agent had its first table with itself, 0 before that.
+	// startedAt is when the agent had its first table with members, 0 before that. sentAt is when recalls were sent last, rounds
+	// how often they were.
 	startedAt, sentAt cherviltide.Millis
 	rounds            int
-	// waiting has the agents that have not answered yet.
+	// waiting has the agents that have not answered yet; done is true once all of them have.
 	waiting map[netip.AddrPort]bool
 	done    bool
 }
@@ -80,6 +81,8 @@
 	return in.Table.Generation() != d.noticedGeneration
 }
 
+// addRecalls adds recalls to the agents that have not answered yet. An agent whose target has started after it has nothing to
+// ask for.
 func (d *Decider) addRecalls(in Input, b *noticeBatch) {
 	r := &d.recall
 	if r.done || r.rounds >= maxRecalls || !d.target.PredatesAgent {
