Keep the ports of the test machines below the ephemeral ones

Cause: the stand-ins' fixed ports, 33,101 to 33,115, lie in the range of ephemeral ports (32,768 to 60,999 here), and a socket that another process has bound at all addresses takes such a port. Now they begin at 31,101.

--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -15,17 +15,18 @@
 	"cherviltide.example/cherviltide/bench/launcher"
 )
 
-// Ports of a machine. Each machine has its own address.
+// Ports of a machine. Each machine has its own address. They are below the ephemeral ports, from 32,768 on, one of which another
+// process may have bound at all addresses.
 const (
-	TrafficPort = 33_101 // Receives packets from callers and from other daemons.
-	readyPort   = 33_102
-	adminPort   = 33_103 // Serves the control interface, and receives the heartbeats of targets.
+	TrafficPort = 31_101 // Receives packets from callers and from other daemons.
+	readyPort   = 31_102
+	adminPort   = 31_103 // Serves the control interface, and receives the heartbeats of targets.
 	// outboundPort receives the packets that the target sends; appPort is where the target receives.
-	outboundPort, appPort = 33_104, 33_105
+	outboundPort, appPort = 31_104, 31_105
 	// proxiedPort is where a control instance listens when a proxy listens on its admin port.
-	proxiedPort   = 33_106
-	metricsPort   = 33_107
-	internalPort  = 33_110
+	proxiedPort   = 31_106
+	metricsPort   = 31_107
+	internalPort  = 31_110
 	internalPorts = 6
 )
 
