--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -15,18 +15,19 @@
 	"cherviltide.example/cherviltide/bench/launcher"
 )
 
-// Ports of a machine. Each machine has its own address. They are below the ephemeral ports, from 32,768 on, one of which another
+// Ports of a machine. Each machine has its own address. They are below the ephemeral ports, from 32,768 on, and above those of
+// launcher.freePort, one of which another
 // process may have bound at all addresses.
 const (
-	TrafficPort = 31_101 // Receives packets from callers and from other daemons.
-	readyPort   = 31_102
-	adminPort   = 31_103 // Serves the control interface, and receives the heartbeats of targets.
+	TrafficPort = 32_101 // Receives packets from callers and from other daemons.
+	readyPort   = 32_102
+	adminPort   = 32_103 // Serves the control interface, and receives the heartbeats of targets.
 	// outboundPort receives the packets that the target sends; appPort is where the target receives.
-	outboundPort, appPort = 31_104, 31_105
+	outboundPort, appPort = 32_104, 32_105
 	// proxiedPort is where a control instance listens when a proxy listens on its admin port.
-	proxiedPort   = 31_106
-	metricsPort   = 31_107
-	internalPort  = 31_110
+	proxiedPort   = 32_106
+	metricsPort   = 32_107
+	internalPort  = 32_110
 	internalPorts = 6
 )
 
