--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -16,8 +16,7 @@
 )
 
 // Ports of a machine. Each machine has its own address. They are below the ephemeral ports, from 32,768 on, and above those of
-// launcher.freePort, one of which another
-// process may have bound at all addresses.
+// the launcher, since another process may have bound one of these at all addresses.
 const (
 	TrafficPort = 32_101 // Receives packets from callers and from other daemons.
 	readyPort   = 32_102
