--- a/bench/replayer/target.go
+++ b/bench/replayer/target.go
@@ -1,6 +1,9 @@
 package replayer
 
 import (
+	"maps"
+	"slices"
+
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/relayer"
 )
@@ -47,7 +50,9 @@
 func (t *target) stop() {
 	t.running = false
 	t.incarnation++
-	for a := range t.flows {
+	// The order of a map would make runs with the same seed differ.
+	inOrder := func(a, b *attempt) int { return a.key.Caller.Compare(b.key.Caller) }
+	for _, a := range slices.SortedFunc(maps.Keys(t.flows), inOrder) {
 		if a.openAt == t {
 			// The caller notices at its deadline; its request fails unless it may be sent again.
 			t.replay.after(1_000, func() { t.replay.endAttempt(a, false) })
