Let an edit outlive the caller that gave up

Cause: an edit ended with the request that brought it. An operator waits a second and then calls another instance; all that had been done for the edit until then, such as reading, checking, finding the leader and comparing, was thrown away, and the next attempt began from the start. Where the work takes more than a second of wall time no attempt ends. The logs of such a run have "controller.runInLoop: context canceled" and "canceled" for each attempt.

Change: an edit is a job that callers join (package coalescer). It is keyed by its ID, base, number and text and by the leader, ends with a majority's acceptance, an error or after 10 s, and is bounded in number and bytes. Attempts at one or several instances join it at the leader. An instance that has already applied an edit, or a higher number, answers from its own state: applied entries are committed. A forwarded edit is tried again with more time on a new connection. Delegates do the same. Other content under a number is a job of its own, as before: the first one to be accepted counts, the other changes nothing.

Test: controller.TestEditOutlivesItsCaller failed before in all three cases ("the edit was lost with its caller"): the caller gives up while the edit is checked, and nobody sends it again.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/coalescer"
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/parser"
@@ -32,8 +33,10 @@
 	tickInterval = 20 * time.Millisecond
 	// confirmTimeout bounds the wait for a majority to confirm that this instance leads.
 	confirmTimeout = time.Second
-	// acceptTimeout bounds the wait for a majority to accept an edit.
-	acceptTimeout = 4 * time.Second
+	// editTimeout bounds the time until a majority has accepted an edit, which goes on when its caller has given up.
+	editTimeout = 10 * time.Second
+	// firstForwardTimeout bounds the first attempt to forward an edit to the leader.
+	firstForwardTimeout = time.Second
 )
 
 // Config describes a control instance.
@@ -83,8 +86,10 @@
 	members        members
 	counterMerger  *reporter.Merger
 	originFinder   sharedOriginFinder
-	calls          chan call
-	writeResults   chan writeResult
+	// edits has the edits in progress at this instance.
+	edits        *coalescer.Coalescer[editKey, *messenger.ApplyResponse]
+	calls        chan call
+	writeResults chan writeResult
 	// syncTimes has the durations of disk writes.
 	syncTimes *prober.Histogram
 	// leaving is true from a call of Leave until left receives the names of the groups that have removed this instance.
@@ -110,6 +115,7 @@
 		calls:         make(chan call),
 		writeResults:  make(chan writeResult, 2),
 		left:          make(chan []string, 1),
+		edits:         newEditJobs(),
 		senderExits:   make(chan runner.Exit, 2*maxPeers),
 		syncTimes:     prober.NewHistogram(),
 	}
@@ -141,6 +147,7 @@
 		group.Go("write", func(ctx context.Context) error { return g.runWrites(ctx, c.writeResults, c.syncTimes) })
 	}
 	err = group.Wait()
+	c.edits.Close()
 	for _, g := range c.groups {
 		for range g.mailboxes {
 			<-c.senderExits
--- a/controller/delegate.go
+++ b/controller/delegate.go
@@ -13,12 +13,13 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/coalescer"
 	"cherviltide.example/cherviltide/hedger"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/voter"
 )
 
-// delegateTimeout bounds one request to a voter. Operators wait for about a second, so it leaves time to try another.
+// delegateTimeout bounds one request to a voter, or its first attempt in the case of an edit. Operators wait for about a second, so it leaves time to try another.
 const delegateTimeout = 700 * time.Millisecond
 
 // DelegateConfig describes a delegate.
@@ -43,11 +44,13 @@
 	mu     sync.Mutex
 	// contacts has the names of the voters that have sent a Join message to this delegate.
 	contacts []string
+	// edits has the edits in progress at this delegate.
+	edits *coalescer.Coalescer[editKey, *messenger.ApplyResponse]
 }
 
 // NewDelegate returns a delegate that has not started.
 func NewDelegate(config DelegateConfig) *Delegate {
-	return &Delegate{config: config}
+	return &Delegate{config: config, edits: newEditJobs()}
 }
 
 // Run serves until ctx ends.
@@ -59,19 +62,20 @@
 	mux := http.NewServeMux()
 	messenger.Apply.Handle(mux, d.Apply)
 	messenger.Current.Handle(mux, func(ctx context.Context, req *messenger.CurrentRequest) (*messenger.CurrentResponse, error) {
-		return forwardToVoters(ctx, d, messenger.Current, req)
+		return forwardToVoters(ctx, d, delegateTimeout, messenger.Current, req)
 	})
 	messenger.Announce.Handle(mux, func(ctx context.Context, req *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
-		return forwardToVoters(ctx, d, messenger.Announce, req)
+		return forwardToVoters(ctx, d, delegateTimeout, messenger.Announce, req)
 	})
 	messenger.Status.Handle(mux, func(ctx context.Context, req *messenger.StatusRequest) (*messenger.StatusResponse, error) {
-		return forwardToVoters(ctx, d, messenger.Status, req)
+		return forwardToVoters(ctx, d, delegateTimeout, messenger.Status, req)
 	})
 	messenger.Follow.Handle(mux, d.follow)
 	messenger.Step.Handle(mux, d.step)
 	if d.config.Mount != nil {
 		d.config.Mount(mux, d)
 	}
+	defer d.edits.Close()
 	server := messenger.NewServer(mux, nil)
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -90,18 +94,26 @@
 	return nil
 }
 
-// Apply parses an edit and forwards it to a voter.
+// Apply parses an edit and forwards it to a voter. The edit goes on when the caller gives up, and the next attempt joins it.
 func (d *Delegate) Apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
 	if _, err := d.config.Parse(req.Text); err != nil {
 		return nil, err
 	}
-	return forwardToVoters(ctx, d, messenger.Apply, req)
+	key := editKey{id: req.EditID, base: req.Base, number: req.Number, text: req.Text}
+	return d.edits.Do(ctx, key, len(req.Text), func(ctx context.Context) (*messenger.ApplyResponse, error) {
+		for timeout := delegateTimeout; ; timeout *= 2 {
+			res, err := forwardToVoters(ctx, d, timeout, messenger.Apply, req)
+			if err == nil || !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+				return res, err
+			}
+		}
+	})
 }
 
 // CurrentConfiguration returns the accepted configuration. It is marked as confirmed when a majority has confirmed that it
 // is the newest.
 func (d *Delegate) CurrentConfiguration(ctx context.Context) (*messenger.CurrentResponse, error) {
-	return forwardToVoters(ctx, d, messenger.Current, &messenger.CurrentRequest{})
+	return forwardToVoters(ctx, d, delegateTimeout, messenger.Current, &messenger.CurrentRequest{})
 }
 
 // voterURLs returns the base URLs of the known voters. Requests are forwarded to voters only: two delegates would forward
@@ -120,16 +132,16 @@
 
 // forwardToVoters sends a request to the voters until one answers it or rejects it as invalid. The voters that do not respond
 // cost little time, however many there are.
-func forwardToVoters[Req, Res any](ctx context.Context, d *Delegate, p messenger.Procedure[Req, Res], req *Req) (*Res, error) {
+func forwardToVoters[Req, Res any](ctx context.Context, d *Delegate, timeout time.Duration, p messenger.Procedure[Req, Res], req *Req) (*Res, error) {
 	urls := d.voterURLs()
 	if len(urls) == 0 {
 		return nil, unavailableError("controller.forwardToVoters", errNoVoterKnown)
 	}
 	var answer *Res
 	_, err := hedger.New(delegateDelay, delegatesInFlight).Call(ctx, urls, func(ctx context.Context, url string, win func() bool) error {
-		res, err := callWithTimeout(ctx, d.config.NewClient, func(ctx context.Context, client *http.Client) (*Res, error) {
-			return p.Call(ctx, client, url, req)
-		})
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		res, err := callOnNewClient(ctx, d.config.NewClient, p, url, req)
 		var remote *messenger.Error
 		isFinal := err == nil || (errors.As(err, &remote) && remote.Kind == cherviltide.KindInvalid)
 		if isFinal && win() {
@@ -148,15 +160,6 @@
 	delegatesInFlight = 2
 )
 
-// callWithTimeout runs one remote call on a new client, bounded by delegateTimeout.
-func callWithTimeout[Res any](ctx context.Context, newClient func() *http.Client, call func(context.Context, *http.Client) (*Res, error)) (*Res, error) {
-	ctx, cancel := context.WithTimeout(ctx, delegateTimeout)
-	defer cancel()
-	client := newClient()
-	defer client.CloseIdleConnections()
-	return call(ctx, client)
-}
-
 // follow sends a member the addresses of the voters and ends the stream, so that the member follows one of them.
 func (d *Delegate) follow(_ context.Context, _ *messenger.FollowRequest, send func(*messenger.FollowUpdate) error) error {
 	if err := send(&messenger.FollowUpdate{ControlURLs: d.voterURLs()}); err != nil {
@@ -187,10 +190,9 @@
 	}
 	d.mu.Unlock()
 	step := &messenger.StepRequest{Group: group, Messages: []voter.Message{m}}
-	_, err := callWithTimeout(ctx, d.config.NewClient, func(ctx context.Context, client *http.Client) (*messenger.StepResponse, error) {
-		return messenger.Step.Call(ctx, client, d.config.URL(to.Name), step)
-	})
-	if err != nil {
+	ctx, cancel := context.WithTimeout(ctx, delegateTimeout)
+	defer cancel()
+	if _, err := callOnNewClient(ctx, d.config.NewClient, messenger.Step, d.config.URL(to.Name), step); err != nil {
 		d.config.Log.Info("JoinNotAnswered", zap.String("Peer", to.Name), zap.Error(err))
 	}
 }
--- a/controller/edits.go
+++ b/controller/edits.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/coalescer"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/registrar"
+	"cherviltide.example/cherviltide/runner"
 )
 
 // Apply accepts an edit in the same way as the remote procedure Apply.
@@ -23,42 +27,112 @@
 	return c.current(ctx, &messenger.CurrentRequest{})
 }
 
-// apply accepts an edit if this instance leads the configuration group, and forwards it to the leader otherwise.
+// editKey identifies an edit in progress. Attempts at the same edit have equal keys until the leader changes: an edit on its
+// way to a former leader must not hold up one to its successor.
+type editKey struct {
+	// leader is the base URL of the leader, or empty if this instance leads in the given term.
+	leader string
+	term   uint64
+	id     string
+	base   uint64
+	number uint64
+	text   string
+}
+
+// editBounds bound the edits in progress. Operators have at most eight on their way at once.
+var editBounds = coalescer.Config{MaxJobs: 16, MaxBytes: 8 << 20, Timeout: editTimeout}
+
+// newEditJobs returns the edits in progress of a control instance.
+func newEditJobs() *coalescer.Coalescer[editKey, *messenger.ApplyResponse] {
+	return coalescer.New[editKey, *messenger.ApplyResponse](editBounds)
+}
+
+// apply accepts an edit if this instance leads the configuration group, and forwards it to the leader otherwise. The edit goes
+// on when the caller gives up, and the next attempt joins it. On a slow machine an attempt that began from the start would
+// never end within the time that an operator waits.
 func (c *Controller) apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
-	rules, err := c.config.Parse(req.Text)
-	if err != nil {
+	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), editTimeout)
+	defer cancel()
+	if res, err, accepted := c.acceptedEdit(detached, req); accepted {
+		return res, err
+	}
+	if _, err := c.config.Parse(req.Text); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
-	r, err := c.locateLeader(ctx, c.configuration)
+	r, err := c.locateLeader(detached, c.configuration)
 	if err != nil {
 		return nil, err
 	}
-	if r.isSelf && req.Number > 0 {
-		return c.acceptNumberedEdit(ctx, req, rules)
-	}
-	if r.isSelf {
-		return c.acceptEdit(ctx, req, rules)
-	}
-	if req.Forwarded || r.url == "" {
+	if !r.isSelf && (req.Forwarded || r.url == "") {
 		return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
 	}
+	key := editKey{leader: r.url, term: r.term, id: req.EditID, base: req.Base, number: req.Number, text: req.Text}
+	res, err := c.edits.Do(ctx, key, len(req.Text), func(ctx context.Context) (*messenger.ApplyResponse, error) {
+		switch {
+		case !r.isSelf:
+			return c.forwardEdit(ctx, r.url, req)
+		case req.Number > 0:
+			return c.acceptNumberedEdit(ctx, req)
+		}
+		return c.acceptEdit(ctx, req)
+	})
+	if errors.Is(err, coalescer.ErrAbandoned) {
+		c.config.Log.Info("EditAbandoned", zap.String("EditID", req.EditID), zap.Uint64("Number", req.Number), zap.String("Leader", r.url))
+	}
+	return res, err
+}
+
+// acceptedEdit returns the result of an edit that this instance has already applied, or that a higher number has overtaken,
+// and false for any other. An applied edit is accepted for good, so no majority has to confirm it.
+func (c *Controller) acceptedEdit(ctx context.Context, req *messenger.ApplyRequest) (res *messenger.ApplyResponse, err error, accepted bool) {
+	res = &messenger.ApplyResponse{}
+	loopErr := c.runInLoop(ctx, func() {
+		current := c.registrar.Current()
+		switch {
+		case req.Number > 0 && current.Edit.Number >= req.Number:
+			accepted, res.Revision = true, current.Number
+		case req.Number == 0 && c.registrar.HasEdit(req.EditID):
+			accepted = true
+			res.Revision, err = c.registrar.EditResult(registrar.Edit{ID: req.EditID, Base: req.Base, Text: req.Text})
+		}
+		if accepted && req.Number > 0 && current.Edit.Number > req.Number {
+			c.config.Log.Info("EditOvertaken", zap.Uint64("Number", req.Number), zap.Uint64("Accepted", current.Edit.Number),
+				zap.Uint64("Revision", current.Number))
+		}
+	})
+	return res, err, accepted && loopErr == nil
+}
+
+// forwardEdit sends an edit to the leader. An attempt without an answer is repeated on a new connection, with more time, since
+// the connection may be dead without being closed; the leader joins the attempts.
+func (c *Controller) forwardEdit(ctx context.Context, leader string, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
 	forwarded := *req
 	forwarded.Forwarded = true
-	return forwardToLeader(ctx, c, messenger.Apply, r.url, &forwarded)
+	for timeout := firstForwardTimeout; ; timeout *= 2 {
+		attempt, cancel := context.WithTimeout(ctx, timeout)
+		res, err := callOnNewClient(attempt, c.config.NewClient, messenger.Apply, leader, &forwarded)
+		isTimeout := attempt.Err() != nil
+		cancel()
+		if err == nil || !isTimeout || ctx.Err() != nil {
+			return res, err
+		}
+	}
 }
 
 // acceptEdit proposes an edit. It proposes only after a majority has confirmed that this instance leads, so an error for
 // lack of a majority means that the edit was not accepted.
-func (c *Controller) acceptEdit(ctx context.Context, req *messenger.ApplyRequest, rules cherviltide.Rules) (*messenger.ApplyResponse, error) {
+func (c *Controller) acceptEdit(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+	rules, err := c.config.Parse(req.Text)
+	if err != nil {
+		return nil, err
+	}
 	if !c.confirmLeadership(ctx, c.configuration) {
 		return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
 	}
 	edit := registrar.Edit{ID: req.EditID, Operator: req.Operator, Base: req.Base, Text: req.Text, Time: c.config.Clock.Now()}
 	answer := make(chan error, 1)
 	var number uint64
-	err := c.runInLoop(ctx, func() {
+	err = c.runInLoop(ctx, func() {
 		edit.Former = c.formerServices(rules)
 		c.proposeEdit(edit, func(n uint64, err error) { number = n; answer <- err })
 	})
@@ -76,7 +150,11 @@
 // acceptNumberedEdit proposes an edit whose number is above that of the accepted file, and repeats this until the edit or
 // one with a higher number is accepted. For any other number it returns the accepted revision. It compares the numbers only
 // after a majority has confirmed that this instance leads, so that it compares with the newest accepted file.
-func (c *Controller) acceptNumberedEdit(ctx context.Context, req *messenger.ApplyRequest, rules cherviltide.Rules) (*messenger.ApplyResponse, error) {
+func (c *Controller) acceptNumberedEdit(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+	rules, err := c.config.Parse(req.Text)
+	if err != nil {
+		return nil, err
+	}
 	for ctx.Err() == nil {
 		if !c.confirmLeadership(ctx, c.configuration) {
 			return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
@@ -106,6 +184,7 @@
 		}
 		if err != nil {
 			c.config.Log.Info("EditRepeated", zap.Uint64("Number", req.Number), zap.Error(err))
+			_ = runner.Sleep(ctx, retryDelay)
 		}
 	}
 	return nil, fault("controller.apply", cherviltide.KindUnavailable, errOutcomeUnknown)
@@ -160,11 +239,16 @@
 // forwardTimeout bounds a request that is forwarded to the leader.
 const forwardTimeout = 3 * time.Second
 
-// forwardToLeader sends a request to the leader on a new connection, since a pooled one may be dead without being closed.
+// forwardToLeader sends a request to the leader.
 func forwardToLeader[Req, Res any](ctx context.Context, c *Controller, p messenger.Procedure[Req, Res], url string, req *Req) (*Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	client := c.config.NewClient()
+	return callOnNewClient(ctx, c.config.NewClient, p, url, req)
+}
+
+// callOnNewClient calls a procedure on a new connection, since a pooled one may be dead without being closed.
+func callOnNewClient[Req, Res any](ctx context.Context, newClient func() *http.Client, p messenger.Procedure[Req, Res], url string, req *Req) (*Res, error) {
+	client := newClient()
 	defer client.CloseIdleConnections()
 	return p.Call(ctx, client, url, req)
 }
--- a/controller/edits_test.go
+++ b/controller/edits_test.go
@@ -80,3 +80,51 @@
 		})
 	}
 }
+
+// blockingParser parses any text to no rules. It reports each start on started and waits until release is closed.
+type blockingParser struct {
+	started, release chan struct{}
+}
+
+func (p blockingParser) parse(text string) (cherviltide.Rules, error) {
+	if text != "" {
+		p.started <- struct{}{}
+		<-p.release
+	}
+	return cherviltide.Rules{}, nil
+}
+
+// TestEditOutlivesItsCaller guards against an edit that begins from the start with each attempt of an operator who gives up
+// after a second. On a slow machine no attempt would ever end, and the edit would never be accepted.
+func TestEditOutlivesItsCaller(t *testing.T) {
+	tests := map[string]*messenger.ApplyRequest{
+		"numbered":          {Number: 7, Text: "seven"},
+		"with an ID":        {EditID: "a", Text: "a"},
+		"forwarded to self": {Number: 7, Text: "seven", Forwarded: true},
+	}
+	for name, req := range tests {
+		t.Run(name, func(t *testing.T) {
+			parser := blockingParser{started: make(chan struct{}, 100), release: make(chan struct{})}
+			withController(t, t.TempDir(), parser.parse, func(ctx context.Context, c *Controller, _ uint64) {
+				attemptCtx, giveUp := context.WithCancel(ctx)
+				ended := make(chan error, 1)
+				go func() {
+					_, err := c.apply(attemptCtx, req)
+					ended <- err
+				}()
+				<-parser.started
+				giveUp()
+				close(parser.release)
+				var revision uint64
+				require.Eventually(t, func() bool {
+					require.NoError(t, c.runInLoop(ctx, func() { revision = c.registrar.Current().Number }))
+					return revision == 1
+				}, 10*time.Second, time.Millisecond, "the edit was lost with its caller")
+				<-ended
+				res, err := c.apply(ctx, req)
+				require.NoError(t, err)
+				require.EqualValues(t, 1, res.Revision)
+			})
+		})
+	}
+}
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -119,6 +119,8 @@
 // leaderLocation tells where the leader of a group is.
 type leaderLocation struct {
 	isSelf bool
+	// term is the term in which this instance leads; 0 if it does not.
+	term uint64
 	// url is the leader's base URL; it is empty when the leader is not known or is this instance.
 	url string
 }
@@ -127,7 +129,9 @@
 func (c *Controller) locateLeader(ctx context.Context, g *group) (leaderLocation, error) {
 	var r leaderLocation
 	err := c.runInLoop(ctx, func() {
-		_, r.isSelf = g.isLeader()
+		if term, leads := g.isLeader(); leads {
+			r.isSelf, r.term = true, term
+		}
 		r.url, _ = c.leaderURL(g)
 	})
 	return r, err
