--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -27,7 +27,7 @@
 			}
 		}
 		if random.IntN(50) == 0 {
-			lines = strings.Split(strings.Repeat("other\n", random.IntN(2*maxDiffEdits)), "\n")
+			lines = strings.Split(strings.Repeat("other\n", random.IntN(1000)), "\n")
 		}
 		e := Edit{ID: fmt.Sprint(number), Base: number - 1, Text: strings.Join(lines, "\n")}
 		entry, err := r.Encode(e)
