Parse the text of an edit once in a process

Cause: a control instance parsed the text of an edit when it was checked, when it was accepted and when it was published, on the way of a forwarded edit five times in all. Publishing parses in the control goroutine, which sends no heartbeats and answers no announcements meanwhile.

A revision that another instance has accepted is parsed beside the control goroutine and published when that is done.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/cacher"
 	"cherviltide.example/cherviltide/coalescer"
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
@@ -57,8 +58,10 @@
 	// MinVoters is the number of voters that tolerates the failures that the deployment must survive; 0 if it is not known.
 	MinVoters int
 	URL       func(name string) string
-	// Parse reads rules from the operators' configuration; nil means the rules file.
-	Parse cherviltide.RulesParser
+	// Parse reads rules from the operators' configuration; nil means the rules file. Parsed keeps the results; nil means that
+	// the controller has a cacher of its own.
+	Parse  cherviltide.RulesParser
+	Parsed *cacher.Cacher
 	// Mount registers additional handlers on the server; nil registers none.
 	Mount func(*http.ServeMux, *Controller)
 	// Bootstrap lets the first of Voters bootstrap a new system.
@@ -84,8 +87,14 @@
 	nextLeaseCheck cherviltide.Millis
 	started        time.Time
 	members        members
-	counterMerger  *reporter.Merger
-	originFinder   sharedOriginFinder
+	parsed         *cacher.Cacher
+	// startParse starts parseBeside; it is nil before the loop runs. parses is the number of its goroutines whose exits have not
+	// been read from parseExits.
+	startParse    func(registrar.Revision)
+	parses        int
+	parseExits    chan runner.Exit
+	counterMerger *reporter.Merger
+	originFinder  sharedOriginFinder
 	// edits has the edits in progress at this instance.
 	edits        *coalescer.Coalescer[editKey, *messenger.ApplyResponse]
 	calls        chan call
@@ -104,8 +113,12 @@
 	if config.Parse == nil {
 		config.Parse = parser.Parse
 	}
+	if config.Parsed == nil {
+		config.Parsed = cacher.New(config.Parse)
+	}
 	c := &Controller{
 		config:        config,
+		parsed:        config.Parsed,
 		registrar:     registrar.New(),
 		tracker:       tracker.New(),
 		distributor:   distributor.New(),
@@ -118,6 +131,7 @@
 		edits:         newEditJobs(),
 		senderExits:   make(chan runner.Exit, 2*maxPeers),
 		syncTimes:     prober.NewHistogram(),
+		parseExits:    make(chan runner.Exit),
 	}
 	c.members = newMembers(&memberLog{controller: c})
 	return c
@@ -222,6 +236,15 @@
 			runner.Start(ctx, "send", c.senderExits, func(ctx context.Context) error { return c.sendMessages(ctx, g, to, mailbox) })
 		}
 	}
+	c.startParse = func(revision registrar.Revision) {
+		c.parses++
+		runner.Start(ctx, "parse", c.parseExits, func(ctx context.Context) error { return c.parseBeside(ctx, revision) })
+	}
+	defer func() {
+		for ; c.parses > 0; c.parses-- {
+			<-c.parseExits
+		}
+	}()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -234,6 +257,8 @@
 			done = call.done
 		case w := <-c.writeResults:
 			w.group.completeWrite(w.sequence, w.err)
+		case <-c.parseExits:
+			c.parses--
 		case <-ticker.C:
 			c.tick()
 		}
--- a/controller/edits.go
+++ b/controller/edits.go
@@ -56,7 +56,7 @@
 	if res, err, accepted := c.acceptedEdit(detached, req); accepted {
 		return res, err
 	}
-	if _, err := c.config.Parse(req.Text); err != nil {
+	if _, err := c.parsed.Parse(req.Text); err != nil {
 		return nil, err
 	}
 	r, err := c.locateLeader(detached, c.configuration)
@@ -121,14 +121,14 @@
 // acceptEdit proposes an edit. It proposes only after a majority has confirmed that this instance leads, so an error for
 // lack of a majority means that the edit was not accepted.
 func (c *Controller) acceptEdit(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
-	rules, err := c.config.Parse(req.Text)
+	rules, err := c.parsed.Parse(req.Text)
 	if err != nil {
 		return nil, err
 	}
 	if !c.confirmLeadership(ctx, c.configuration) {
 		return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
 	}
-	base, err := c.editBase(ctx)
+	base, err := c.currentRevision(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -141,7 +141,7 @@
 // one with a higher number is accepted. For any other number it returns the accepted revision. It compares the numbers only
 // after a majority has confirmed that this instance leads, so that it compares with the newest accepted file.
 func (c *Controller) acceptNumberedEdit(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
-	rules, err := c.config.Parse(req.Text)
+	rules, err := c.parsed.Parse(req.Text)
 	if err != nil {
 		return nil, err
 	}
@@ -149,15 +149,15 @@
 		if !c.confirmLeadership(ctx, c.configuration) {
 			return nil, fault("controller.apply", cherviltide.KindUnavailable, errNoMajority)
 		}
-		base, err := c.editBase(ctx)
+		base, err := c.currentRevision(ctx)
 		if err != nil {
 			return nil, err
 		}
-		if current := base.revision; current.Edit.Number >= req.Number {
-			c.logOvertaken(req, current)
-			return &messenger.ApplyResponse{Revision: current.Number}, nil
+		if base.Edit.Number >= req.Number {
+			c.logOvertaken(req, base)
+			return &messenger.ApplyResponse{Revision: base.Number}, nil
 		}
-		edit := registrar.Edit{ID: uuid.NewString(), Operator: req.Operator, Base: base.revision.Number, Number: req.Number,
+		edit := registrar.Edit{ID: uuid.NewString(), Operator: req.Operator, Base: base.Number, Number: req.Number,
 			Text: req.Text, Time: c.config.Clock.Now()}
 		number, err := c.proposeEdit(ctx, base, edit, rules)
 		if err == nil {
@@ -177,16 +177,11 @@
 	}
 }
 
-// editBase is the revision that an edit changes.
-type editBase struct {
-	revision registrar.Revision
-	rules    cherviltide.Rules
-}
-
-func (c *Controller) editBase(ctx context.Context) (editBase, error) {
-	var base editBase
-	err := c.runInLoop(ctx, func() { base = editBase{revision: c.registrar.Current(), rules: c.members.rules} })
-	return base, err
+// currentRevision returns the newest accepted revision.
+func (c *Controller) currentRevision(ctx context.Context) (registrar.Revision, error) {
+	var current registrar.Revision
+	err := c.runInLoop(ctx, func() { current = c.registrar.Current() })
+	return current, err
 }
 
 // editOutcome is the revision that an edit became, or the error for which it was rejected.
@@ -197,12 +192,12 @@
 
 // proposeEdit proposes an edit of a revision and returns the revision that the edit became. It computes the log entry before it
 // enters the control goroutine, since that takes time that grows with the text.
-func (c *Controller) proposeEdit(ctx context.Context, base editBase, edit registrar.Edit, rules cherviltide.Rules) (uint64, error) {
+func (c *Controller) proposeEdit(ctx context.Context, base registrar.Revision, edit registrar.Edit, rules cherviltide.Rules) (uint64, error) {
 	var entry []byte
-	if edit.Base == base.revision.Number {
-		edit.Former = cherviltide.UpdateFormerServices(base.rules.Routes, rules.Routes, base.revision.Edit.Former)
+	if edit.Base == base.Number {
+		edit.Former = cherviltide.UpdateFormerServices(c.parse(base).Routes, rules.Routes, base.Edit.Former)
 		var err error
-		if entry, err = registrar.EncodeEdit(base.revision, edit); err != nil {
+		if entry, err = registrar.EncodeEdit(base, edit); err != nil {
 			return 0, err
 		}
 	}
@@ -254,10 +249,8 @@
 		}
 	}
 	res := &messenger.CurrentResponse{Confirmed: r.isSelf && c.confirmLeadership(ctx, c.configuration)}
-	err = c.runInLoop(ctx, func() {
-		current := c.registrar.Current()
-		res.Revision, res.Text, res.Number = current.Number, current.Edit.Text, current.Edit.Number
-	})
+	current, err := c.currentRevision(ctx)
+	res.Revision, res.Text, res.Number = current.Number, current.Edit.Text, current.Edit.Number
 	return res, err
 }
 
--- a/controller/edits_test.go
+++ b/controller/edits_test.go
@@ -14,6 +14,7 @@
 	"cherviltide.example/cherviltide/clock"
 	"cherviltide.example/cherviltide/journaler"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/registrar"
 	"cherviltide.example/cherviltide/runner"
 )
 
@@ -128,3 +129,51 @@
 		})
 	}
 }
+
+// TestEditIsParsedOnce guards against an instance that parses the text of an edit again at each step: when it arrives, when it is
+// proposed, when it is compared with the next one and when it is published.
+func TestEditIsParsedOnce(t *testing.T) {
+	var parsed []string
+	parse := func(text string) (cherviltide.Rules, error) {
+		parsed = append(parsed, text)
+		return cherviltide.Rules{}, nil
+	}
+	withController(t, t.TempDir(), parse, func(ctx context.Context, c *Controller, _ uint64) {
+		for i, text := range []string{"a", "b", "c"} {
+			_, err := c.apply(ctx, &messenger.ApplyRequest{Number: uint64(i) + 1, Text: text})
+			require.NoError(t, err)
+		}
+		var published string
+		require.NoError(t, c.runInLoop(ctx, func() { published = c.members.configuration.Edit.Text }))
+		require.Equal(t, "c", published)
+		require.Equal(t, []string{"a", "b", "c"}, parsed)
+	})
+}
+
+// TestLoopDoesNotParse guards against a control goroutine that parses an edit of another instance: it would send no heartbeats
+// and answer no announcements meanwhile.
+func TestLoopDoesNotParse(t *testing.T) {
+	parser := blockingParser{started: make(chan struct{}, 10), release: make(chan struct{}, 10)}
+	withController(t, t.TempDir(), parser.parse, func(ctx context.Context, c *Controller, _ uint64) {
+		parser.release <- struct{}{}
+		applyEdit(ctx, t, c, "one", "first", 0)
+		<-parser.started
+		publishedRevision := func() (revision uint64) {
+			require.NoError(t, c.runInLoop(ctx, func() { revision = c.members.configuration.Number }))
+			return revision
+		}
+		require.EqualValues(t, 1, publishedRevision())
+		var err error
+		require.NoError(t, c.runInLoop(ctx, func() {
+			var entry []byte
+			entry, err = c.registrar.Encode(registrar.Edit{ID: "two", Base: 1, Text: "second"})
+			c.registrar.Apply(2, entry)
+			c.publish()
+		}))
+		require.NoError(t, err)
+		<-parser.started
+		require.EqualValues(t, 1, publishedRevision(), "an unparsed revision was published")
+		parser.release <- struct{}{}
+		require.Eventually(t, func() bool { return publishedRevision() == 2 }, 10*time.Second, time.Millisecond)
+	})
+}
--- a/controller/members.go
+++ b/controller/members.go
@@ -11,6 +11,7 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/messenger"
+	"cherviltide.example/cherviltide/registrar"
 	"cherviltide.example/cherviltide/tracker"
 )
 
@@ -41,8 +42,12 @@
 	log membershipLog
 	// announcements has the last announcement of each member to this instance.
 	announcements map[string]messenger.AnnounceRequest
-	// rules are those of the registrar's current revision.
-	rules cherviltide.Rules
+	// configuration is the newest revision that was parsed, and rules are its rules. The registrar may have a newer one for
+	// as long as parsing it takes.
+	configuration registrar.Revision
+	rules         cherviltide.Rules
+	// parsing is the number of the revision that is being parsed; 0 if none is.
+	parsing uint64
 	// lastHeld is the list of held groups that was logged last.
 	lastHeld string
 	// stale is true if this instance was not current at the last check.
@@ -104,22 +109,64 @@
 	c.config.Log.Warn("FailStatic", zap.String("Held", held))
 }
 
-// publish parses a new rules revision, defines the tables of its new services and gives the newest state to the distributor.
-func (c *Controller) publish() {
+// updateRules takes the rules of the registrar's current revision into use. Rules that no edit at this instance has parsed are
+// parsed by another goroutine, since that takes time that grows with their text; the next call of publish has them.
+func (c *Controller) updateRules() {
 	current := c.registrar.Current()
-	if current.Number != c.members.rules.Revision {
-		rules, err := c.config.Parse(current.Edit.Text)
-		if err != nil {
-			c.config.Log.Error("RulesNotParsed", zap.Uint64("Revision", current.Number), zap.Error(err))
+	if current.Number == c.members.configuration.Number {
+		return
+	}
+	rules, parsed := c.parsed.Cached(current.Edit.Text)
+	if !parsed && c.members.configuration.Number > 0 && c.startParse != nil {
+		if c.members.parsing == 0 {
+			c.members.parsing = current.Number
+			c.startParse(current)
 		}
-		c.members.rules = rules.WithRevision(current.Number)
-		c.proposeEvents(c.tracker.ReconcileTables(c.config.Clock.Now(), c.members.rules.Services))
+		return
+	}
+	if !parsed {
+		rules = c.parse(current)
+	}
+	c.useRules(current, rules)
+}
+
+// parse returns the rules of an accepted revision, or no rules if this version of the program cannot read its text.
+func (c *Controller) parse(revision registrar.Revision) cherviltide.Rules {
+	if revision.Number == 0 {
+		return cherviltide.Rules{}
+	}
+	rules, err := c.parsed.Parse(revision.Edit.Text)
+	if err != nil {
+		c.config.Log.Error("RulesNotParsed", zap.Uint64("Revision", revision.Number), zap.Error(err))
 	}
+	return rules
+}
+
+func (c *Controller) useRules(revision registrar.Revision, rules cherviltide.Rules) {
+	c.members.configuration, c.members.rules = revision, rules.WithRevision(revision.Number)
+	c.proposeEvents(c.tracker.ReconcileTables(c.config.Clock.Now(), c.members.rules.Services))
+}
+
+// parseBeside parses a revision beside the control goroutine, and publishes it unless a newer one was published meanwhile.
+func (c *Controller) parseBeside(ctx context.Context, revision registrar.Revision) error {
+	rules := c.parse(revision)
+	return c.runInLoop(ctx, func() {
+		c.members.parsing = 0
+		if revision.Number > c.members.configuration.Number {
+			c.useRules(revision, rules)
+		}
+		c.publish()
+	})
+}
+
+// publish gives the newest state to the distributor.
+func (c *Controller) publish() {
+	c.updateRules()
 	events, oldest := c.tracker.Events()
 	c.distributor.Publish(distributor.State{
-		Revision:    current.Number,
-		Text:        current.Edit.Text,
-		Former:      current.Edit.Former,
+		Revision:    c.members.configuration.Number,
+		Text:        c.members.configuration.Edit.Text,
+		Former:      c.members.configuration.Edit.Former,
 		Base:        c.tracker.Base(),
 		Position:    c.tracker.Position(),
 		EventsSince: oldest,
