Send large messages between voters beside heartbeats

Cause: entries of several hundred KB and heartbeats shared one connection to a voter, one request after the other, each bounded by 400 ms. On a slow machine heartbeats waited behind the entry of an edit, and an entry that took longer was thrown away on both sides and sent from the start; repetitions queued up behind each other.

Change: messages of more than 64 KiB have a mailbox for one message and a connection of their own, and 1 ms more for each KiB. A voter takes in the messages that have arrived although their sender has stopped waiting.

Test: controller.TestLargeMessagesDoNotDelayHeartbeats, which the single mailbox of the code before cannot pass.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -129,7 +129,7 @@
 		writeResults:  make(chan writeResult, 2),
 		left:          make(chan []string, 1),
 		edits:         newEditJobs(),
-		senderExits:   make(chan runner.Exit, 2*maxPeers),
+		senderExits:   make(chan runner.Exit, 4*maxPeers),
 		syncTimes:     prober.NewHistogram(),
 		parseExits:    make(chan runner.Exit),
 	}
@@ -163,7 +163,7 @@
 	err = group.Wait()
 	c.edits.Close()
 	for _, g := range c.groups {
-		for range g.mailboxes {
+		for range 2 * len(g.mailboxes) {
 			<-c.senderExits
 		}
 	}
--- a/controller/group.go
+++ b/controller/group.go
@@ -60,8 +60,8 @@
 	stateMachine      cherviltide.StateMachine
 	// writes has a buffer for one write; a voter has at most one in progress.
 	writes chan voter.Write
-	// mailboxes has the outgoing messages of each peer; startSender starts the goroutine that sends those of a new peer.
-	mailboxes   map[string]chan voter.Message
+	// mailboxes has the outgoing messages of each peer; startSender starts a goroutine that sends those of one mailbox.
+	mailboxes   map[string]mailboxes
 	startSender func(mailbox <-chan voter.Message, to string)
 	// proposals is keyed by log index, pendingReads by token.
 	proposals    map[uint64][]proposal
@@ -89,7 +89,7 @@
 	g := &group{
 		name: name, log: config.Log, self: self, journal: journal, synchronousWrites: config.synchronousWrites, stateMachine: stateMachine,
 		writes:       make(chan voter.Write, 1),
-		mailboxes:    map[string]chan voter.Message{},
+		mailboxes:    map[string]mailboxes{},
 		proposals:    map[uint64][]proposal{},
 		pendingReads: map[uint64]func(bool){},
 	}
@@ -188,17 +188,27 @@
 	}
 }
 
-// enqueue puts a message into the mailbox of its peer. It drops the message when the mailbox is full; voters tolerate lost
+// mailboxes has the outgoing messages of a peer. Large ones have a mailbox and a connection of their own: behind an entry of
+// several hundred KB, heartbeats would arrive too late on a slow machine, and an edit would cause an election. A large message
+// that finds another one waiting is dropped; it is most likely a repetition.
+type mailboxes struct{ small, large chan voter.Message }
+
+// enqueue puts a message into a mailbox of its peer. It drops the message when the mailbox is full; voters tolerate lost
 // messages.
 func (g *group) enqueue(m voter.Message) {
-	mailbox, ok := g.mailboxes[m.To.Name]
+	boxes, ok := g.mailboxes[m.To.Name]
 	if !ok {
 		if g.startSender == nil || len(g.mailboxes) == maxPeers {
 			return
 		}
-		mailbox = make(chan voter.Message, mailboxCapacity)
-		g.mailboxes[m.To.Name] = mailbox
-		g.startSender(mailbox, m.To.Name)
+		boxes = mailboxes{small: make(chan voter.Message, mailboxCapacity), large: make(chan voter.Message, 1)}
+		g.mailboxes[m.To.Name] = boxes
+		g.startSender(boxes.small, m.To.Name)
+		g.startSender(boxes.large, m.To.Name)
+	}
+	mailbox := boxes.small
+	if m.Size() > largeMessageBytes {
+		mailbox = boxes.large
 	}
 	select {
 	case mailbox <- m:
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -16,6 +16,8 @@
 	// mailboxCapacity and maxRequestMessages are numbers of messages.
 	mailboxCapacity    = 64
 	maxRequestMessages = 8
+	// largeMessageBytes is the size above which a message does not share a connection with heartbeats.
+	largeMessageBytes = 64 << 10
 	// maxRequestBytes is the size from which on a request gets no further messages.
 	maxRequestBytes = 256 << 10
 	// maxPeers bounds the peers that a control instance sends to in each group until it restarts.
@@ -23,7 +25,12 @@
 	// stepTimeout bounds a request to a peer. It is shorter than an election timeout, so that a connection that is dead
 	// without being closed is replaced before the voters elect another leader.
 	stepTimeout = 400 * time.Millisecond
-	retryDelay  = 50 * time.Millisecond
+	// slowTransfer is added to stepTimeout for each KiB of a request. A machine with little processor time needs hundreds of
+	// milliseconds for an entry of several hundred KiB, and would never take it in if each attempt ended before that.
+	slowTransfer = time.Millisecond
+	// receiveTimeout bounds the wait of a received message for the control goroutine.
+	receiveTimeout = 2 * time.Second
+	retryDelay     = 50 * time.Millisecond
 )
 
 // sendMessages sends the messages of a mailbox to a peer. After a failure it opens a new connection.
@@ -39,11 +46,12 @@
 		case m := <-mailbox:
 			req.Messages = append(req.Messages, m)
 		}
-		for size := req.Messages[0].Size(); len(req.Messages) < maxRequestMessages && size < maxRequestBytes && len(mailbox) > 0; {
+		size := req.Messages[0].Size()
+		for len(req.Messages) < maxRequestMessages && size < maxRequestBytes && len(mailbox) > 0 {
 			m := <-mailbox
 			req.Messages, size = append(req.Messages, m), size+m.Size()
 		}
-		callCtx, cancel := context.WithTimeout(ctx, stepTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, stepTimeout+time.Duration(size>>10)*slowTransfer)
 		_, err := messenger.Step.Call(callCtx, client, c.instanceURL(peer), req)
 		cancel()
 		if reachable != (err == nil) {
@@ -59,12 +67,14 @@
 	}
 }
 
-// step receives messages of a peer.
+// step receives messages of a peer, also when the peer has stopped waiting: it would send them again.
 func (c *Controller) step(ctx context.Context, req *messenger.StepRequest) (*messenger.StepResponse, error) {
 	g, ok := c.groups[req.Group]
 	if !ok {
 		return nil, fault("controller.step", cherviltide.KindInvalid, errUnknownGroup)
 	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), receiveTimeout)
+	defer cancel()
 	err := c.runInLoop(ctx, func() {
 		for _, m := range req.Messages {
 			g.voter.Receive(m)
