Measure the phases of an edit and the time of the control goroutine

Which part of an edit is slow, how many edits are joined or abandoned, and for how long one call holds the control goroutine could not be told from the metrics of a control instance.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -99,6 +99,7 @@
 	edits        *coalescer.Coalescer[editKey, *messenger.ApplyResponse]
 	calls        chan call
 	writeResults chan writeResult
+	times        phaseTimes
 	// syncTimes has the durations of disk writes.
 	syncTimes *prober.Histogram
 	// leaving is true from a call of Leave until left receives the names of the groups that have removed this instance.
@@ -131,6 +132,7 @@
 		edits:         newEditJobs(),
 		senderExits:   make(chan runner.Exit, 4*maxPeers),
 		syncTimes:     prober.NewHistogram(),
+		times:         newPhaseTimes(),
 		parseExits:    make(chan runner.Exit),
 	}
 	c.members = newMembers(&memberLog{controller: c})
@@ -182,6 +184,7 @@
 		return err
 	}
 	c.configuration.onApplied, c.membership.onApplied = c.publish, c.publish
+	c.configuration.applyTimes = c.times
 	for _, g := range []*group{c.configuration, c.membership} {
 		c.groups[g.name] = g
 	}
@@ -249,20 +252,28 @@
 	defer ticker.Stop()
 	for {
 		done := make(chan struct{})
+		var started time.Time
 		select {
 		case <-ctx.Done():
 			return nil
 		case call := <-c.calls:
+			started = time.Now()
 			call.f()
 			done = call.done
 		case w := <-c.writeResults:
+			started = time.Now()
 			w.group.completeWrite(w.sequence, w.err)
 		case <-c.parseExits:
+			started = time.Now()
 			c.parses--
 		case <-ticker.C:
+			started = time.Now()
 			c.tick()
 		}
 		err := c.processGroupOutputs()
+		if held := time.Since(started); held >= minLoopTime {
+			c.times[phaseLoop].Record(cherviltide.MillisOf(held))
+		}
 		close(done)
 		if err != nil {
 			return err
--- a/controller/edits.go
+++ b/controller/edits.go
@@ -56,9 +56,11 @@
 	if res, err, accepted := c.acceptedEdit(detached, req); accepted {
 		return res, err
 	}
+	started := time.Now()
 	if _, err := c.parsed.Parse(req.Text); err != nil {
 		return nil, err
 	}
+	c.times.since(started, phaseParse)
 	r, err := c.locateLeader(detached, c.configuration)
 	if err != nil {
 		return nil, err
@@ -107,6 +109,7 @@
 func (c *Controller) forwardEdit(ctx context.Context, leader string, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
 	forwarded := *req
 	forwarded.Forwarded = true
+	defer c.times.since(time.Now(), phaseForward)
 	for timeout := firstForwardTimeout; ; timeout *= 2 {
 		attempt, cancel := context.WithTimeout(ctx, timeout)
 		res, err := callOnNewClient(attempt, c.config.NewClient, messenger.Apply, leader, &forwarded)
@@ -194,6 +197,7 @@
 // enters the control goroutine, since that takes time that grows with the text.
 func (c *Controller) proposeEdit(ctx context.Context, base registrar.Revision, edit registrar.Edit, rules cherviltide.Rules) (uint64, error) {
 	var entry []byte
+	started := time.Now()
 	if edit.Base == base.Number {
 		edit.Former = cherviltide.UpdateFormerServices(c.parse(base).Routes, rules.Routes, base.Edit.Former)
 		var err error
@@ -201,6 +205,8 @@
 			return 0, err
 		}
 	}
+	c.times.since(started, phaseEncode)
+	defer c.times.since(time.Now(), phaseReplicate)
 	answer := make(chan editOutcome, 1)
 	result := func() {
 		number, err := c.registrar.EditResult(edit)
--- a/controller/group.go
+++ b/controller/group.go
@@ -72,6 +72,8 @@
 	admitted    bool
 	// leaving is true after a call of Leave.
 	leaving bool
+	// applyTimes records how long the application of entries takes; nil records nothing.
+	applyTimes phaseTimes
 	// onApplied is called after entries or a snapshot were applied.
 	onApplied func()
 }
@@ -233,12 +235,16 @@
 	if len(entries) == 0 {
 		return
 	}
+	started := time.Now()
 	for _, e := range entries {
 		if e.Type == voter.EntryNormal && len(e.Data) > 0 {
 			g.stateMachine.Apply(e.Index, e.Data)
 		}
 	}
 	g.onApplied()
+	if g.applyTimes != nil {
+		g.applyTimes.since(started, phaseApply)
+	}
 	for _, e := range entries {
 		if list, ok := g.proposals[e.Index]; ok {
 			g.completeProposals(e.Index, list, e.Term)
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -149,6 +149,7 @@
 
 // confirmLeadership reports whether a majority confirms within confirmTimeout that this instance leads the group.
 func (c *Controller) confirmLeadership(ctx context.Context, g *group) bool {
+	defer c.times.since(time.Now(), phaseConfirm)
 	answer := make(chan bool, 1)
 	if err := c.runInLoop(ctx, func() { g.confirmLeadership(func(ok bool) { answer <- ok }) }); err != nil {
 		return false
--- a/controller/ready.go
+++ b/controller/ready.go
@@ -31,6 +31,8 @@
 	p.Metric("Rules.Revision", c.loopMetric(func() any { return c.registrar.Current().Number }))
 	p.Metric("Membership.Position", c.loopMetric(func() any { return c.tracker.Position() }))
 	p.Metric("Disk.SyncMs", c.syncTimes.Value)
+	p.Metric("Edits", func() any { return c.edits.Counts() })
+	c.times.registerMetrics(p)
 	for name, g := range map[string]func() *group{
 		"Configuration": func() *group { return c.configuration }, "Membership": func() *group { return c.membership },
 	} {
