--- a/controller/edits.go
+++ b/controller/edits.go
@@ -53,7 +53,7 @@
 func (c *Controller) apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
 	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), editTimeout)
 	defer cancel()
-	if res, err, accepted := c.acceptedEdit(detached, req); accepted {
+	if res, accepted, err := c.acceptedEdit(detached, req); accepted {
 		return res, err
 	}
 	started := time.Now()
@@ -86,7 +86,7 @@
 
 // acceptedEdit returns the result of an edit that this instance has already applied, or that a higher number has overtaken,
 // and false for any other. An applied edit is accepted for good, so no majority has to confirm it.
-func (c *Controller) acceptedEdit(ctx context.Context, req *messenger.ApplyRequest) (res *messenger.ApplyResponse, err error, accepted bool) {
+func (c *Controller) acceptedEdit(ctx context.Context, req *messenger.ApplyRequest) (res *messenger.ApplyResponse, accepted bool, err error) {
 	res = &messenger.ApplyResponse{}
 	loopErr := c.runInLoop(ctx, func() {
 		current := c.registrar.Current()
@@ -101,7 +101,7 @@
 			c.logOvertaken(req, current)
 		}
 	})
-	return res, err, accepted && loopErr == nil
+	return res, accepted && loopErr == nil, err
 }
 
 // forwardEdit sends an edit to the leader. An attempt without an answer is repeated on a new connection, with more time, since
