--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -118,6 +118,8 @@
 	{"leader frozen and continued", "edit", "I8", processTests, "TestFrozenLeader", "1", "", passes},
 	{"two of three instances killed", "edit", "I8", processTests, "TestMinorityRejectsEdits", "1", "", passes},
 	{"disks lost one after the other, with a repair after each", "after edits", "I8", processTests, "TestSuccessiveDiskLosses", "1", "", passes},
+	{"operator gives up and calls the next instance", "edit", "I8", "controller", "TestEditOutlivesItsCaller", "", "", passes},
+	{"machines with a fraction of a core", "edit of 2,961 routes", "I8", "platform", "TestEditsOnSlowMachine", "", "", passes},
 	{"operators submit edits with the same base at once", "edit", "I8", processTests, "TestConcurrentEditsOfSameBase", "1", "", passes},
 	{"answer lost, edit sent again", "edit", "I8", "registrar", "TestConflicts", "", "", passes},
 	{"instance restarted", "after edits", "I8", "controller", "TestRestartKeepsEdits", "", "", passes},
