--- a/coalescer/coalescer.go
+++ b/coalescer/coalescer.go
@@ -109,11 +109,12 @@
 		c.counts.Joined++
 		return j, nil
 	}
-	c.readExits()
-	switch {
-	case c.closed:
+	if c.closed {
+		// Close reads the exits of the remaining goroutines.
 		return nil, fault(errClosed)
-	case c.running >= c.config.MaxJobs, len(c.jobs) > 0 && c.bytes+size > c.config.MaxBytes:
+	}
+	c.readExits()
+	if c.running >= c.config.MaxJobs || (len(c.jobs) > 0 && c.bytes+size > c.config.MaxBytes) {
 		c.counts.Refused++
 		return nil, fault(fmt.Errorf("%w: %d jobs of %d bytes", ErrTooManyJobs, len(c.jobs), c.bytes))
 	}
--- a/controller/delegate.go
+++ b/controller/delegate.go
@@ -19,7 +19,8 @@
 	"cherviltide.example/cherviltide/voter"
 )
 
-// delegateTimeout bounds one request to a voter, or its first attempt in the case of an edit. Operators wait for about a second, so it leaves time to try another.
+// delegateTimeout bounds one request to a voter, or the first attempt of an edit. Operators wait for about a second, so it leaves
+// time to try another voter.
 const delegateTimeout = 700 * time.Millisecond
 
 // DelegateConfig describes a delegate.
