Give elections more time when nobody wins them

Cause: a voter that has had no contact with a leader for long starts an election 150 to 300 ms after the last one. A candidate stores its own vote before it asks for others, and these are stored before they are sent. Where that takes longer, each voter starts the next term before the votes of the last one arrive, for good.

Change: the time doubles with each election that this voter has started since there was a leader, up to the usual election timeout. Pre-votes, which need no disk, do not count, so instances that wait for a majority to start keep the short time.

--- a/voter/election.go
+++ b/voter/election.go
@@ -5,11 +5,12 @@
 )
 
 // resetElectionTimer chooses a random time for the next election. If there was no contact with a leader for a long time,
-// as after a power failure, the timeout is short; pre-votes prevent this from disrupting a working group.
+// as after a power failure, the timeout is short; pre-votes prevent this from disrupting a working group. It grows with each
+// election that nobody has won, since the disks may take longer to store a vote.
 func (v *Voter) resetElectionTimer() {
 	timeout := ElectionTimeout
 	if v.now-v.leaderContact >= 2*ElectionTimeout {
-		timeout = leaderlessTimeout
+		timeout = min(leaderlessTimeout<<min(v.elections, maxElectionShift), ElectionTimeout)
 	}
 	v.electionDeadline = v.now + timeout + cherviltide.Millis(v.random.Int64N(int64(timeout)))
 }
@@ -53,6 +54,7 @@
 
 func (v *Voter) startElection() {
 	v.becomeFollower(v.hardState.Term+1, ID{})
+	v.elections++
 	v.hardState.Vote = v.config.Self
 	v.role = candidate
 	v.requestVotes(MessageVote, v.hardState.Term)
--- a/voter/follower.go
+++ b/voter/follower.go
@@ -16,7 +16,7 @@
 	if v.role != follower || v.leader != m.From {
 		v.becomeFollower(v.hardState.Term, m.From)
 	}
-	v.leaderContact, v.formerLeader = v.now, m.From
+	v.leaderContact, v.formerLeader, v.elections = v.now, m.From, 0
 	v.resetElectionTimer()
 	if m.Type == MessageSnapshotChunk {
 		v.handleSnapshotChunk(m)
--- a/voter/leader.go
+++ b/voter/leader.go
@@ -46,7 +46,7 @@
 }
 
 func (v *Voter) becomeLeader() {
-	v.role, v.leader = leader, v.config.Self
+	v.role, v.leader, v.elections = leader, v.config.Self, 0
 	formerLeaderVoted := v.votes[v.formerLeader]
 	v.votes = nil
 	v.peers = map[ID]*peer{}
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -32,6 +32,8 @@
 	// leaderlessTimeout replaces ElectionTimeout for a voter that has had no contact with a leader for 2*ElectionTimeout.
 	// Two rounds of messages and a disk sync fit into it.
 	leaderlessTimeout cherviltide.Millis = 150
+	// maxElectionShift doubles leaderlessTimeout until it reaches ElectionTimeout.
+	maxElectionShift = 2
 )
 
 // retainedEntries and retainedBytes bound the entries before the snapshot that stay in memory, so that a voter that is a
@@ -104,6 +106,8 @@
 	// last call.
 	now, lastTick    cherviltide.Millis
 	electionDeadline cherviltide.Millis
+	// elections is the number of elections that this voter has started since there was a leader.
+	elections int
 	// leaderContact is the time of the last message from a leader of the current term.
 	leaderContact cherviltide.Millis
 	// commitIndex >= appliedIndex
