Keep the leader on disks that are always slow

Cause: a write of more than 500 ms counted as a stalled disk, and the leader stepped down. A compaction takes several syncs, on all voters at about the same time. A voter also kept back its replies to heartbeats until its running write was stored, so that the leader lost contact with a majority.

Change: a write is stalled after four times the usual time of a write, 500 ms at least and 4 s at most. A reply that acknowledges only stored entries in a stored term is sent at once. The time between elections that nobody wins grows further, so that syncs of 900 ms still elect a leader.

Tests: voter.TestSlowDisksKeepLeader failed before ("edit 1 was not committed within 5 s"), and so did TestElectionWithSlowDisks for 600 and 900 ms.

--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -120,6 +120,8 @@
 	{"disks lost one after the other, with a repair after each", "after edits", "I8", processTests, "TestSuccessiveDiskLosses", "1", "", passes},
 	{"operator gives up and calls the next instance", "edit", "I8", "controller", "TestEditOutlivesItsCaller", "", "", passes},
 	{"machines with a fraction of a core", "edit of 2,961 routes", "I8", "platform", "TestEditsOnSlowMachine", "", "", passes},
+	{"syncs of 5 to 900 ms", "election", "I8", "voter", "TestElectionWithSlowDisks", "0 to 49", "", passes},
+	{"syncs of 300 ms", "edits and compactions", "I8", "voter", "TestSlowDisksKeepLeader", "0 to 19", "", passes},
 	{"operators submit edits with the same base at once", "edit", "I8", processTests, "TestConcurrentEditsOfSameBase", "1", "", passes},
 	{"answer lost, edit sent again", "edit", "I8", "registrar", "TestConflicts", "", "", passes},
 	{"instance restarted", "after edits", "I8", "controller", "TestRestartKeepsEdits", "", "", passes},
--- a/voter/disk.go
+++ b/voter/disk.go
@@ -13,8 +13,10 @@
 	installing bool
 	// issuedWrite and completedWrite are the sequence numbers of the newest write and the newest completed one.
 	issuedWrite, completedWrite uint64
-	// issuedAt is when the newest write was issued.
-	issuedAt cherviltide.Millis
+	// issuedAt is when the newest write was issued, and usualTime how long a write has taken lately.
+	issuedAt, usualTime cherviltide.Millis
+	// durableTerm is the term on the disk, and writeTerm the one that the running write stores.
+	durableTerm, writeTerm uint64
 	// nextCompaction is when a compaction that failed is tried again; 0 if none failed.
 	nextCompaction cherviltide.Millis
 	// writeLastIndex is the last index that the running write makes durable.
@@ -30,14 +32,42 @@
 	message    Message
 }
 
-// diskStallTimeout is how long a write may take before the voter treats its disk as stalled. A slow sync takes a
-// fraction of it.
-const diskStallTimeout cherviltide.Millis = 500
+const (
+	// diskStallTimeout is how long a write may take before the voter treats its disk as stalled. A slow sync takes a fraction
+	// of it.
+	diskStallTimeout cherviltide.Millis = 500
+	// stallFactor times the usual time of a write replaces diskStallTimeout on a disk that is always slow, up to
+	// maxStallTimeout. A compaction takes several syncs. Without it, a disk that needs 300 ms for a sync cost the group its leader
+	// at each compaction.
+	stallFactor                        = 4
+	maxStallTimeout cherviltide.Millis = 4_000
+)
 
-// isStalled reports whether a write has not completed within diskStallTimeout. The voter then does not lead or start an
-// election, and the entries that it applies fall behind.
+// isStalled reports whether a write takes much longer than usual. The voter then does not lead or start an election, and the
+// entries that it applies fall behind.
 func (d *diskState) isStalled(now cherviltide.Millis) bool {
-	return d.issuedWrite > d.completedWrite && now-d.issuedAt > diskStallTimeout
+	timeout := min(max(diskStallTimeout, stallFactor*d.usualTime), maxStallTimeout)
+	return d.issuedWrite > d.completedWrite && now-d.issuedAt > timeout
+}
+
+// recordTime adds the time of a completed write to the usual one: at once if it is longer, but for one above the usual limit,
+// which is a stall; otherwise gradually.
+func (d *diskState) recordTime(taken cherviltide.Millis) {
+	if taken <= maxStallTimeout/stallFactor && taken > d.usualTime {
+		d.usualTime = taken
+		return
+	}
+	d.usualTime = (7*d.usualTime + min(taken, maxStallTimeout/stallFactor)) / 8
+}
+
+// sendWhenStored queues a message that acknowledges the entries up to index in the current term. It waits for the disk only if
+// it has not stored these: replies to heartbeats that waited for later entries would cost the leader its majority.
+func (v *Voter) sendWhenStored(m Message, index uint64) {
+	if index <= v.disk.durableIndex && v.disk.durableTerm == v.hardState.Term {
+		v.send(m)
+		return
+	}
+	v.sendWhenDurable(m)
 }
 
 func (d *diskState) needsWrite() bool {
@@ -98,6 +128,7 @@
 	}
 	d.issuedWrite++
 	d.issuedAt = v.now
+	d.writeTerm = v.hardState.Term
 	w := &Write{Sequence: d.issuedWrite, Hard: v.hardState}
 	d.writeLastIndex = d.durableIndex
 	switch {
@@ -151,6 +182,8 @@
 func (v *Voter) completeWrite(sequence uint64) {
 	d := &v.disk
 	d.completedWrite = sequence
+	d.durableTerm = d.writeTerm
+	d.recordTime(v.now - d.issuedAt)
 	d.durableIndex = max(d.durableIndex, d.writeLastIndex)
 	if d.installing && !d.snapshotDirty {
 		d.installing = false
--- a/voter/election.go
+++ b/voter/election.go
@@ -10,7 +10,7 @@
 func (v *Voter) resetElectionTimer() {
 	timeout := ElectionTimeout
 	if v.now-v.leaderContact >= 2*ElectionTimeout {
-		timeout = min(leaderlessTimeout<<min(v.elections, maxElectionShift), ElectionTimeout)
+		timeout = leaderlessTimeout << min(v.elections, maxElectionShift)
 	}
 	v.electionDeadline = v.now + timeout + cherviltide.Millis(v.random.Int64N(int64(timeout)))
 }
--- a/voter/follower.go
+++ b/voter/follower.go
@@ -44,7 +44,7 @@
 	}
 	last := m.Index + uint64(len(m.Entries))
 	v.commitIndex = max(v.commitIndex, min(m.Commit, last))
-	v.sendWhenDurable(Message{Type: MessageAppendReply, To: m.From, Round: m.Round, Index: last})
+	v.sendWhenStored(Message{Type: MessageAppendReply, To: m.From, Round: m.Round, Index: last}, last)
 }
 
 func (v *Voter) handleSnapshotChunk(m Message) {
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -32,8 +32,9 @@
 	// leaderlessTimeout replaces ElectionTimeout for a voter that has had no contact with a leader for 2*ElectionTimeout.
 	// Two rounds of messages and a disk sync fit into it.
 	leaderlessTimeout cherviltide.Millis = 150
-	// maxElectionShift doubles leaderlessTimeout until it reaches ElectionTimeout.
-	maxElectionShift = 2
+	// maxElectionShift is how often leaderlessTimeout is doubled when nobody wins an election. Two syncs of a second fit into the
+	// result.
+	maxElectionShift = 4
 )
 
 // retainedEntries and retainedBytes bound the entries before the snapshot that stay in memory, so that a voter that is a
@@ -162,7 +163,7 @@
 		emptyVoters:   map[string]ID{},
 		withoutDisk:   map[string]bool{},
 	}
-	v.disk.durableIndex = v.log.lastIndex()
+	v.disk.durableIndex, v.disk.durableTerm = v.log.lastIndex(), stored.Hard.Term
 	if v.snapshot.Index > 0 {
 		restore := v.snapshot
 		v.output.Restore = &restore
