--- a/voter/disk.go
+++ b/voter/disk.go
@@ -50,8 +50,8 @@
 	return d.issuedWrite > d.completedWrite && now-d.issuedAt > timeout
 }
 
-// recordTime adds the time of a completed write to the usual one: at once if it is longer, but for one above the usual limit,
-// which is a stall; otherwise gradually.
+// recordTime updates the usual time of a write. It rises to a longer time at once, unless that is so long that it was a stall, and
+// falls gradually.
 func (d *diskState) recordTime(taken cherviltide.Millis) {
 	if taken <= maxStallTimeout/stallFactor && taken > d.usualTime {
 		d.usualTime = taken
