--- a/rules.go
+++ b/rules.go
@@ -14,6 +14,7 @@
 	ClassNormal  Class = "Normal"  // Ordered by priority and deadline.
 	ClassBulky   Class = "Bulky"   // Long transfers; never occupies the last slot.
 	ClassPatient Class = "Patient" // Waits, but is never starved.
+	ClassUpload  Class = "Upload"  // Long requests; the target works on them once they are complete. For routes only.
 )
 
 // Source is the line of a rule in the rules file and the person who requested the rule.
@@ -82,7 +83,7 @@
 	Deadline, Goal Millis
 	// AtMostOnce is true when the requests may not be repeated.
 	AtMostOnce bool
-	// Class is ClassBulky for long transfers and ClassNormal otherwise.
+	// Class is ClassBulky for long answers, ClassUpload for long requests and ClassNormal otherwise.
 	Class Class
 }
 
