Decide which uploads an entry admits to its link

The windows of a few concurrent uploads on a thin link take longer to drain than callers wait before they retransmit, so that each packet is sent twice. Package shaper counts the uploads in progress, admits as many as drain within 200 ms, lets further opening packets wait by priority and time to their goal, and refuses those whose wait, predicted from the present drain rate, exceeds the patience of the caller. The order and the prediction are those of package queuer.

go test ./shaper passes (100 random sequences included). Nothing uses the package yet.

--- /dev/null
+++ b/shaper/shaper.go
@@ -0,0 +1,308 @@
+// Package shaper decides how an entry uses its link: which uploads it lets through at once, and in which order packets leave.
+//
+// The decisions serve thin links with more uploads than they carry. Callers send windows of 16 packets and retransmit after
+// 200 ms. As soon as the windows of all uploads in progress need longer than that to drain, each packet is sent twice and the
+// link delivers less the more uploads share it. Only as many uploads are admitted as drain before the first retransmission.
+// The opening packets of the others wait, because a caller sends its request only once its opening packet was answered, and an
+// opening packet that cannot be admitted before its caller gives up is refused at once, so that the caller can try another
+// entry.
+package shaper
+
+import (
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/queuer"
+)
+
+// Config describes the link.
+type Config struct {
+	// Rate is the rate of the link, in bytes a second. It is above 0.
+	Rate int64
+	// Separate is true when the link carries Rate in each direction at the same time. Otherwise packets that arrive and
+	// packets that leave share it.
+	Separate bool
+	// ForwardHeader is the number of bytes that the entry adds to a packet when it forwards it.
+	ForwardHeader int
+}
+
+// Sizes of callers' packets. A caller has a window of at most windowPackets packets in flight.
+const (
+	// FullPayload is the payload of a full packet, in bytes. A shorter packet ends a request.
+	FullPayload   = 1_200
+	windowPackets = 16
+	// packetHeader is the size of a packet's header, datagramHeader that of the IPv4 and UDP headers, in bytes.
+	packetHeader   = 36
+	datagramHeader = 28
+)
+
+const (
+	// drainTimeout is the time until callers first retransmit a packet.
+	drainTimeout cherviltide.Millis = 200
+	// silenceTimeout is the time without a packet of the request after which a transfer has ended. A caller that waits for an
+	// acknowledgement has retransmitted by then.
+	silenceTimeout cherviltide.Millis = 500
+	// openingTimeout is how long an admitted transfer may take to send data. An answer that takes longer waits for a slot of its
+	// target, or is lost, and would leave the link idle.
+	openingTimeout cherviltide.Millis = 300
+	// callerTimeout is how long a caller waits for an answer to its opening packet.
+	callerTimeout cherviltide.Millis = 1_400
+	// MaxTransfers bounds the transfers that are remembered. One takes about 200 bytes.
+	MaxTransfers = 4_096
+	// maxWaitingBytes bounds the memory of the opening packets that wait, in bytes.
+	maxWaitingBytes = 1 << 20
+	// smoothing is the weight of a new value in the means of times.
+	smoothing = 0.125
+)
+
+// retransmissionAges has the age of each copy of an opening packet.
+var retransmissionAges = [...]cherviltide.Millis{0, 200, 600}
+
+// Verdict is the decision about an opening packet.
+type Verdict uint8
+
+// The verdicts.
+const (
+	VerdictForward  Verdict = iota // The packet is forwarded at once.
+	VerdictWait                    // The packet waits; Next returns it later.
+	VerdictAbsorbed                // A packet of the same flow waits, which this one has replaced.
+	VerdictRefuse                  // The flow cannot be admitted before its caller gives up.
+)
+
+// Opening is the opening packet of an upload.
+type Opening struct {
+	Flow cherviltide.FlowKey
+	// Priority orders flows; the lowest is the most urgent.
+	Priority int
+	// Goal is the latency that the caller expects, from the first transmission; 0 means none.
+	Goal cherviltide.Millis
+	// Retransmission is the number of the copy; 0 for the first transmission.
+	Retransmission uint32
+	// Datagram is the packet as it is forwarded. A Shaper copies it when the packet has to wait.
+	Datagram []byte
+}
+
+// startedAt returns when the caller sent the first copy.
+func (o Opening) startedAt(now cherviltide.Millis) cherviltide.Millis {
+	return now - retransmissionAges[min(int(o.Retransmission), len(retransmissionAges)-1)]
+}
+
+// Departure is an opening packet that has waited.
+type Departure struct {
+	Opening
+	// Refused is true when the caller gets a reset instead.
+	Refused bool
+	// Wait is the time for which the packet has waited.
+	Wait cherviltide.Millis
+}
+
+// waitingOpening is an opening packet that waits.
+type waitingOpening struct {
+	Opening
+	since cherviltide.Millis
+}
+
+// Shaper decides about the transfers of one link. It reads no clock and is not safe for concurrent use.
+type Shaper struct {
+	config     Config
+	windowCost float64
+	transfers  map[cherviltide.FlowKey]*transfer
+	// lists has the transfers by state, each in the order of their last change. Its first two have a place.
+	lists [stateCount]transferList
+	queue *queuer.Queue[*waitingOpening]
+	// waitingBytes is the size of the packets in queue.
+	waitingBytes int
+	// holdTime is the mean time for which a transfer has a place, openingTime that from its admission to its first data, in
+	// milliseconds.
+	holdTime, openingTime float64
+	other                 byteRate
+}
+
+// New returns a shaper for a link without transfers.
+func New(config Config) *Shaper {
+	s := &Shaper{config: config, transfers: map[cherviltide.FlowKey]*transfer{}, queue: queuer.New[*waitingOpening]()}
+	s.windowCost = float64(windowPackets * s.cost(FullPayload+packetHeader))
+	// Until a transfer has ended, the link is assumed to be shared by as many as are admitted.
+	s.holdTime = float64(s.Places(0)) * s.windowCost * 1000 / float64(config.Rate)
+	return s
+}
+
+// cost returns the bytes of the link that a caller's packet of a given size takes.
+func (s *Shaper) cost(size int) int {
+	out := size + datagramHeader + s.config.ForwardHeader
+	if s.config.Separate {
+		return out
+	}
+	return out + size + datagramHeader
+}
+
+// Places returns how many transfers may be in progress: those whose windows drain before callers retransmit, beside the other
+// traffic of the link. There is always one.
+func (s *Shaper) Places(now cherviltide.Millis) int {
+	rate := float64(s.config.Rate) - s.other.perSecond(now)
+	return max(int(rate*float64(drainTimeout)/1000/s.windowCost), 1)
+}
+
+// InProgress returns the number of transfers that have a place.
+func (s *Shaper) InProgress(now cherviltide.Millis) int {
+	s.expire(now)
+	return s.lists[stateOpening].length + s.lists[stateActive].length
+}
+
+// Waiting returns the number of opening packets that wait.
+func (s *Shaper) Waiting() int { return s.queue.Len() }
+
+// Ready reports whether Next would admit a waiting opening packet.
+func (s *Shaper) Ready(now cherviltide.Millis) bool {
+	return s.queue.Len() > 0 && s.InProgress(now) < s.Places(now)
+}
+
+// CountOther counts a caller's packet that belongs to no upload.
+func (s *Shaper) CountOther(now cherviltide.Millis, size int) {
+	s.other.add(now, s.cost(size))
+}
+
+// Open decides about an opening packet.
+func (s *Shaper) Open(now cherviltide.Millis, o Opening) Verdict {
+	s.expire(now)
+	if t := s.transfers[o.Flow]; t != nil {
+		if t.state != stateComplete {
+			return VerdictForward
+		}
+		// The caller uses the port again.
+		s.forget(t)
+	}
+	if w, ok := s.queue.Get(o.Flow); ok {
+		s.replace(w, o)
+		return VerdictAbsorbed
+	}
+	if s.queue.Len() == 0 && s.InProgress(now) < s.Places(now) {
+		s.admit(now, o.Flow)
+		return VerdictForward
+	}
+	if s.waitingBytes+len(o.Datagram) > maxWaitingBytes {
+		return VerdictRefuse
+	}
+	s.updateCapacity(now)
+	w := &waitingOpening{Opening: o, since: now}
+	if _, verdict := s.queue.Submit(now, o.queued(now), w); verdict == queuer.VerdictRefused {
+		return VerdictRefuse
+	}
+	w.Datagram = append([]byte(nil), o.Datagram...)
+	s.waitingBytes += len(w.Datagram)
+	return VerdictWait
+}
+
+// queued returns the opening packet as the queue orders it.
+func (o Opening) queued(now cherviltide.Millis) queuer.Flow {
+	startedAt := o.startedAt(now)
+	return queuer.Flow{Key: o.Flow, Priority: o.Priority, StartedAt: startedAt, Goal: o.Goal, GiveUpAt: startedAt + callerTimeout}
+}
+
+// replace puts a newer copy in the place of an opening packet that waits, so that the agent learns the age of the flow.
+func (s *Shaper) replace(w *waitingOpening, o Opening) {
+	if o.Retransmission <= w.Retransmission {
+		return
+	}
+	s.waitingBytes += len(o.Datagram) - len(w.Datagram)
+	w.Retransmission, w.Datagram = o.Retransmission, append(w.Datagram[:0], o.Datagram...)
+}
+
+// Next returns an opening packet that waits no longer, and false when there is none.
+func (s *Shaper) Next(now cherviltide.Millis) (Departure, bool) {
+	if s.queue.Len() == 0 {
+		return Departure{}, false
+	}
+	s.expire(now)
+	s.updateCapacity(now)
+	if s.InProgress(now) < s.Places(now) {
+		if f, ok := s.queue.Next(now, false); ok {
+			refused := now+cherviltide.Millis(s.openingTime) > f.GiveUpAt
+			if !refused {
+				s.queue.Started(now, f)
+				s.admit(now, f.Key)
+			}
+			return s.depart(now, f.Key, refused), true
+		}
+	}
+	if f, ok := s.queue.NextRefused(now); ok {
+		return s.depart(now, f.Key, true), true
+	}
+	return Departure{}, false
+}
+
+func (s *Shaper) depart(now cherviltide.Millis, key cherviltide.FlowKey, refused bool) Departure {
+	w, _ := s.queue.Remove(key)
+	s.waitingBytes -= len(w.Datagram)
+	return Departure{Opening: w.Opening, Refused: refused, Wait: now - w.since}
+}
+
+// updateCapacity tells the queue the present drain rate of the link.
+func (s *Shaper) updateCapacity(now cherviltide.Millis) {
+	s.queue.SetCapacity(queuer.Capacity{Slots: s.Places(now), ServiceTime: s.holdTime, OpeningTime: s.openingTime})
+}
+
+// Packet records a caller's packet that does not open a flow. Such a packet is always forwarded.
+func (s *Shaper) Packet(now cherviltide.Millis, flow cherviltide.FlowKey, p cherviltide.Packet) {
+	s.expire(now)
+	t := s.transfers[flow]
+	switch {
+	case p.Flags&(cherviltide.PacketFinish|cherviltide.PacketReset) != 0:
+		if t != nil {
+			s.release(now, t)
+			s.forget(t)
+		}
+		s.cancel(flow)
+	case p.Length > 0:
+		// Another entry has forwarded a copy of the opening packet if this entry lets one wait.
+		s.cancel(flow)
+		s.recordData(now, flow, t, p)
+	}
+}
+
+// cancel drops the opening packet of a flow if it waits.
+func (s *Shaper) cancel(flow cherviltide.FlowKey) {
+	if s.queue.Len() == 0 {
+		return
+	}
+	if w, ok := s.queue.Remove(flow); ok {
+		s.waitingBytes -= len(w.Datagram)
+	}
+}
+
+// recordData records a packet of a request.
+func (s *Shaper) recordData(now cherviltide.Millis, flow cherviltide.FlowKey, t *transfer, p cherviltide.Packet) {
+	if t == nil {
+		// The flow was opened before this entry started, or through another entry.
+		if t = s.add(now, flow, stateActive); t == nil {
+			return
+		}
+	}
+	end := p.Sequence + uint32(p.Length)
+	if t.state == stateComplete && int32(end-t.end) <= 0 {
+		return
+	}
+	switch t.state {
+	case stateOpening:
+		s.openingTime += smoothing * (float64(now-t.placedAt) - s.openingTime)
+	case stateLapsed, stateComplete:
+		t.placedAt = now
+	}
+	if p.Length >= FullPayload {
+		s.move(now, t, stateActive)
+		return
+	}
+	s.release(now, t)
+	t.end = end
+	s.move(now, t, stateComplete)
+}
+
+// admit gives a flow a place.
+func (s *Shaper) admit(now cherviltide.Millis, flow cherviltide.FlowKey) {
+	s.add(now, flow, stateOpening)
+}
+
+// release records the time for which a transfer had a place.
+func (s *Shaper) release(now cherviltide.Millis, t *transfer) {
+	if t.hasPlace() {
+		s.holdTime += smoothing * (float64(now-t.placedAt) - s.holdTime)
+	}
+}
--- /dev/null
+++ b/shaper/shaper_test.go
@@ -0,0 +1,206 @@
+package shaper
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cherviltide.example/cherviltide"
+)
+
+// thinRate is a link of 3.9 Mbit/s, in bytes a second.
+const thinRate = 487_500
+
+// thinLink has places for two transfers, halfLink for one.
+var (
+	thinLink = Config{Rate: thinRate, ForwardHeader: 98}
+	halfLink = Config{Rate: thinRate / 2, ForwardHeader: 98}
+)
+
+func flow(i int) cherviltide.FlowKey {
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), 4000)
+	return cherviltide.FlowKey{Caller: caller, Virtual: netip.MustParseAddrPort("198.18.0.1:443")}
+}
+
+func opening(i int, copies uint32) Opening {
+	return Opening{Flow: flow(i), Priority: 3, Goal: 800, Retransmission: copies, Datagram: make([]byte, 134)}
+}
+
+func data(sequence uint32, length int) cherviltide.Packet {
+	return cherviltide.Packet{Flags: cherviltide.PacketAck, Sequence: sequence, Length: length}
+}
+
+// TestPlaces guards against more windows on a link than it drains before callers retransmit, and against a link without places.
+func TestPlaces(t *testing.T) {
+	for name, c := range map[string]struct {
+		config Config
+		other  int
+		want   int
+	}{
+		"both directions share a thin link": {thinLink, 0, 2},
+		"a thin link with two directions":   {Config{Rate: thinRate, Separate: true, ForwardHeader: 98}, 0, 4},
+		"a thin link with other traffic":    {thinLink, 40, 1},
+		"a fast link":                       {Config{Rate: 12_500_000, ForwardHeader: 98}, 0, 59},
+		"a link below one window":           {Config{Rate: 1_000}, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(c.config)
+			for now := range cherviltide.Millis(2_000) {
+				if now%10 == 0 && c.other > 0 {
+					s.CountOther(now, c.other*FullPayload/100)
+				}
+			}
+			require.Equal(t, c.want, s.Places(2_000))
+		})
+	}
+}
+
+// TestTransferEnds guards against places that stay taken after the end of their transfer, and against places that are given
+// back while data still comes.
+func TestTransferEnds(t *testing.T) {
+	finish := cherviltide.Packet{Flags: cherviltide.PacketFinish | cherviltide.PacketAck}
+	for name, c := range map[string]struct {
+		packets []cherviltide.Packet
+		// freeAt is the time after the last packet at which the place is free.
+		freeAt cherviltide.Millis
+	}{
+		"no data after the opening":           {nil, openingTimeout},
+		"acknowledgements only":               {[]cherviltide.Packet{data(1, 0)}, openingTimeout},
+		"silence":                             {[]cherviltide.Packet{data(1, FullPayload)}, silenceTimeout},
+		"the last packet of the request":      {[]cherviltide.Packet{data(1, FullPayload), data(1201, 400)}, 0},
+		"a copy after the last packet":        {[]cherviltide.Packet{data(1, FullPayload), data(1201, 400), data(1, FullPayload)}, 0},
+		"a second request":                    {[]cherviltide.Packet{data(1, 400), data(401, FullPayload)}, silenceTimeout},
+		"finished by the caller":              {[]cherviltide.Packet{data(1, FullPayload), finish}, 0},
+		"reset by the caller":                 {[]cherviltide.Packet{data(1, FullPayload), {Flags: cherviltide.PacketReset}}, 0},
+		"data after the opening was forsaken": {[]cherviltide.Packet{data(1, FullPayload)}, silenceTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now := New(halfLink), cherviltide.Millis(5)
+			require.Equal(t, VerdictForward, s.Open(now, opening(1, 0)))
+			for _, p := range c.packets {
+				now += 50
+				s.Packet(now, flow(1), p)
+			}
+			verdict := s.Open(now, opening(2, 0))
+			if c.freeAt == 0 {
+				require.Equal(t, VerdictForward, verdict)
+				return
+			}
+			require.Equal(t, VerdictWait, verdict)
+			end := now + c.freeAt
+			if len(c.packets) == 1 && c.packets[0].Length == 0 {
+				end -= 50
+			}
+			_, ok := s.Next(end - 1)
+			require.False(t, ok)
+			d, ok := s.Next(end)
+			require.True(t, ok)
+			require.False(t, d.Refused)
+		})
+	}
+}
+
+// TestWaitingOrder guards against urgent uploads behind others, against copies that are forwarded twice, and against the loss
+// of the newest copy, from which the agent learns the age of the flow.
+func TestWaitingOrder(t *testing.T) {
+	s := New(halfLink)
+	require.Equal(t, VerdictForward, s.Open(0, opening(1, 0)))
+	require.Equal(t, VerdictForward, s.Open(200, opening(1, 1)), "a copy of an admitted flow")
+	urgent, later := opening(3, 0), opening(2, 0)
+	urgent.Priority, later.Goal = 1, 2_000
+	require.Equal(t, VerdictWait, s.Open(200, later))
+	require.Equal(t, VerdictWait, s.Open(200, opening(4, 0)))
+	require.Equal(t, VerdictWait, s.Open(200, urgent))
+	newest := opening(4, 1)
+	newest.Datagram = []byte("newest")
+	require.Equal(t, VerdictAbsorbed, s.Open(201, newest))
+	require.Equal(t, VerdictAbsorbed, s.Open(202, opening(4, 0)))
+	var order []cherviltide.FlowKey
+	for s.Waiting() > 0 {
+		order = append(order, takeNext(t, s, 210).Flow)
+	}
+	require.Equal(t, []cherviltide.FlowKey{urgent.Flow, flow(4), flow(2)}, order)
+	require.Zero(t, s.waitingBytes)
+}
+
+// takeNext ends the transfer that has the place and returns the opening packet that gets it.
+func takeNext(t *testing.T, s *Shaper, now cherviltide.Millis) Departure {
+	s.Packet(now, s.lists[stateOpening].first.flow, cherviltide.Packet{Flags: cherviltide.PacketReset})
+	d, ok := s.Next(now)
+	require.True(t, ok)
+	require.False(t, d.Refused)
+	if d.Flow == flow(4) {
+		require.Equal(t, "newest", string(d.Datagram))
+	}
+	return d
+}
+
+// TestRefusalIsPredicted guards against callers that wait for their time-out although the link cannot drain in time, and
+// against copies that are taken for new flows with all of their time left.
+func TestRefusalIsPredicted(t *testing.T) {
+	for name, copies := range map[string]uint32{"new": 0, "first copy": 1, "second copy": 2} {
+		t.Run(name, func(t *testing.T) {
+			s, waiting := New(halfLink), 0
+			s.Open(0, opening(0, 0))
+			for i := 1; s.Open(0, opening(i, copies)) == VerdictWait; i++ {
+				waiting++
+			}
+			left := float64(callerTimeout - retransmissionAges[copies])
+			require.InDelta(t, left/s.holdTime, float64(waiting), 1)
+		})
+	}
+}
+
+// TestRandomTraffic guards, under random packets, against more admissions than places, openings that are lost, answered
+// twice or kept beyond the time-out of their caller, state without a bound, and places that are never given back.
+func TestRandomTraffic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now, pending := New(thinLink), cherviltide.Millis(1), map[cherviltide.FlowKey]cherviltide.Millis{}
+		drain := func() {
+			for d, ok := s.Next(now); ok; d, ok = s.Next(now) {
+				since, waits := pending[d.Flow]
+				if !waits || now-since > callerTimeout+40 || (!d.Refused && s.InProgress(now) > s.Places(now)) {
+					t.Fatalf("%+v after %d ms with %d in progress", d, now-since, s.InProgress(now))
+				}
+				delete(pending, d.Flow)
+			}
+		}
+		for range 150 {
+			now += cherviltide.Millis(rapid.IntRange(0, 20).Draw(t, "elapsed"))
+			i := rapid.IntRange(0, 40).Draw(t, "flow")
+			switch rapid.IntRange(0, 3).Draw(t, "packet") {
+			case 0:
+				before := s.InProgress(now)
+				verdict := s.Open(now, opening(i, uint32(rapid.IntRange(0, 2).Draw(t, "copy"))))
+				if verdict == VerdictWait {
+					pending[flow(i)] = now
+				}
+				if s.InProgress(now) > before && s.InProgress(now) > s.Places(now) {
+					t.Fatalf("%d in progress", s.InProgress(now))
+				}
+			case 1:
+				s.Packet(now, flow(i), data(uint32(rapid.IntRange(0, 9).Draw(t, "sequence"))*FullPayload, FullPayload))
+				delete(pending, flow(i))
+			case 2:
+				s.Packet(now, flow(i), data(10*FullPayload, 40))
+				delete(pending, flow(i))
+			case 3:
+				s.Packet(now, flow(i), cherviltide.Packet{Flags: cherviltide.PacketFinish})
+				delete(pending, flow(i))
+			}
+			drain()
+			if s.Waiting() != len(pending) || s.waitingBytes != 134*len(pending) {
+				t.Fatalf("%d wait, expected %d", s.Waiting(), len(pending))
+			}
+		}
+		for range 200 {
+			now += 20
+			drain()
+		}
+		if s.InProgress(now) > 0 || len(pending) > 0 || len(s.transfers) > 0 {
+			t.Fatalf("%d openings and %d transfers are left", len(pending), len(s.transfers))
+		}
+	})
+}
