--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -20,21 +20,21 @@
 	// Separate is true when the link carries Rate in each direction at the same time. Otherwise packets that arrive and
 	// packets that leave share it.
 	Separate bool
-	// ForwardHeader is the number of bytes that the entry adds to a packet when it forwards it.
-	ForwardHeader int
+	// PacketHeader and ForwardHeader are the sizes of a packet's header and of the header that the entry adds, in bytes.
+	PacketHeader, ForwardHeader int
+	// MaxPayload is the payload of a full packet, in bytes. A shorter one ends a request.
+	MaxPayload int
+	// OpeningRetransmissions are the times, from the first transmission, at which callers send their opening packet again, and
+	// OpeningTimeout is when they give up.
+	OpeningRetransmissions []cherviltide.Millis
+	OpeningTimeout         cherviltide.Millis
 }
 
-// Sizes of callers' packets. A caller has a window of at most windowPackets packets in flight.
 const (
-	// FullPayload is the payload of a full packet, in bytes. A shorter packet ends a request.
-	FullPayload   = 1_200
+	// windowPackets is the largest number of packets that a caller has in flight.
 	windowPackets = 16
-	// packetHeader is the size of a packet's header, datagramHeader that of the IPv4 and UDP headers, in bytes.
-	packetHeader   = 36
+	// datagramHeader is the size of the IPv4 and UDP headers, in bytes.
 	datagramHeader = 28
-)
-
-const (
 	// drainTimeout is the time until callers first retransmit a packet.
 	drainTimeout cherviltide.Millis = 200
 	// silenceTimeout is the time without a packet of the request after which a transfer has ended. A caller that waits for an
@@ -43,8 +43,6 @@
 	// openingTimeout is how long an admitted transfer may take to send data. An answer that takes longer waits for a slot of its
 	// target, or is lost, and would leave the link idle.
 	openingTimeout cherviltide.Millis = 300
-	// callerTimeout is how long a caller waits for an answer to its opening packet.
-	callerTimeout cherviltide.Millis = 1_400
 	// MaxTransfers bounds the transfers that are remembered. One takes about 200 bytes.
 	MaxTransfers = 4_096
 	// maxWaitingBytes bounds the memory of the opening packets that wait, in bytes.
@@ -53,9 +51,6 @@
 	smoothing = 0.125
 )
 
-// retransmissionAges has the age of each copy of an opening packet.
-var retransmissionAges = [...]cherviltide.Millis{0, 200, 600}
-
 // Verdict is the decision about an opening packet.
 type Verdict uint8
 
@@ -80,11 +75,6 @@
 	Datagram []byte
 }
 
-// startedAt returns when the caller sent the first copy.
-func (o Opening) startedAt(now cherviltide.Millis) cherviltide.Millis {
-	return now - retransmissionAges[min(int(o.Retransmission), len(retransmissionAges)-1)]
-}
-
 // Departure is an opening packet that has waited.
 type Departure struct {
 	Opening
@@ -107,7 +97,9 @@
 	transfers  map[cherviltide.FlowKey]*transfer
 	// lists has the transfers by state, each in the order of their last change. Its first two have a place.
 	lists [stateCount]transferList
-	queue *queuer.Queue[*waitingOpening]
+	// timeouts has the time without a change after which a transfer leaves its state.
+	timeouts [stateCount]cherviltide.Millis
+	queue    *queuer.Queue[*waitingOpening]
 	// waitingBytes is the size of the packets in queue.
 	waitingBytes int
 	// holdTime is the mean time for which a transfer has a place, openingTime that from its admission to its first data, in
@@ -119,7 +111,9 @@
 // New returns a shaper for a link without transfers.
 func New(config Config) *Shaper {
 	s := &Shaper{config: config, transfers: map[cherviltide.FlowKey]*transfer{}, queue: queuer.New[*waitingOpening]()}
-	s.windowCost = float64(windowPackets * s.cost(FullPayload+packetHeader))
+	// Transfers without a place are remembered as long as copies of their opening packet may come.
+	s.timeouts = [stateCount]cherviltide.Millis{openingTimeout, silenceTimeout, config.OpeningTimeout, config.OpeningTimeout}
+	s.windowCost = float64(windowPackets * s.cost(config.MaxPayload+config.PacketHeader))
 	// Until a transfer has ended, the link is assumed to be shared by as many as are admitted.
 	s.holdTime = float64(s.Places(0)) * s.windowCost * 1000 / float64(config.Rate)
 	return s
@@ -183,7 +177,7 @@
 	}
 	s.updateCapacity(now)
 	w := &waitingOpening{Opening: o, since: now}
-	if _, verdict := s.queue.Submit(now, o.queued(now), w); verdict == queuer.VerdictRefused {
+	if _, verdict := s.queue.Submit(now, s.queued(now, o), w); verdict == queuer.VerdictRefused {
 		return VerdictRefuse
 	}
 	w.Datagram = append([]byte(nil), o.Datagram...)
@@ -191,10 +185,15 @@
 	return VerdictWait
 }
 
-// queued returns the opening packet as the queue orders it.
-func (o Opening) queued(now cherviltide.Millis) queuer.Flow {
-	startedAt := o.startedAt(now)
-	return queuer.Flow{Key: o.Flow, Priority: o.Priority, StartedAt: startedAt, Goal: o.Goal, GiveUpAt: startedAt + callerTimeout}
+// queued returns the opening packet as the queue orders it. A copy tells when the caller sent the first one.
+func (s *Shaper) queued(now cherviltide.Millis, o Opening) queuer.Flow {
+	startedAt := now
+	if copies := s.config.OpeningRetransmissions; len(copies) > 0 && o.Retransmission > 0 {
+		startedAt -= copies[min(int(o.Retransmission), len(copies))-1]
+	}
+	return queuer.Flow{
+		Key: o.Flow, Priority: o.Priority, StartedAt: startedAt, Goal: o.Goal, GiveUpAt: startedAt + s.config.OpeningTimeout,
+	}
 }
 
 // replace puts a newer copy in the place of an opening packet that waits, so that the agent learns the age of the flow.
@@ -286,7 +285,7 @@
 	case stateLapsed, stateComplete:
 		t.placedAt = now
 	}
-	if p.Length >= FullPayload {
+	if p.Length >= s.config.MaxPayload {
 		s.move(now, t, stateActive)
 		return
 	}
--- a/shaper/shaper_test.go
+++ b/shaper/shaper_test.go
@@ -14,11 +14,20 @@
 const thinRate = 487_500
 
 // thinLink has places for two transfers, halfLink for one.
-var (
-	thinLink = Config{Rate: thinRate, ForwardHeader: 98}
-	halfLink = Config{Rate: thinRate / 2, ForwardHeader: 98}
+var thinLink, halfLink = link(thinRate, false), link(thinRate/2, false)
+
+const (
+	fullPayload                      = 1_200
+	callerTimeout cherviltide.Millis = 1_400
 )
 
+func link(rate int64, separate bool) Config {
+	return Config{
+		Rate: rate, Separate: separate, PacketHeader: 36, ForwardHeader: 98, MaxPayload: fullPayload,
+		OpeningRetransmissions: []cherviltide.Millis{200, 600}, OpeningTimeout: callerTimeout,
+	}
+}
+
 func flow(i int) cherviltide.FlowKey {
 	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), 4000)
 	return cherviltide.FlowKey{Caller: caller, Virtual: netip.MustParseAddrPort("198.18.0.1:443")}
@@ -40,16 +49,16 @@
 		want   int
 	}{
 		"both directions share a thin link": {thinLink, 0, 2},
-		"a thin link with two directions":   {Config{Rate: thinRate, Separate: true, ForwardHeader: 98}, 0, 4},
+		"a thin link with two directions":   {link(thinRate, true), 0, 4},
 		"a thin link with other traffic":    {thinLink, 40, 1},
-		"a fast link":                       {Config{Rate: 12_500_000, ForwardHeader: 98}, 0, 59},
-		"a link below one window":           {Config{Rate: 1_000}, 0, 1},
+		"a fast link":                       {link(12_500_000, false), 0, 59},
+		"a link below one window":           {link(1_000, false), 0, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := New(c.config)
 			for now := range cherviltide.Millis(2_000) {
 				if now%10 == 0 && c.other > 0 {
-					s.CountOther(now, c.other*FullPayload/100)
+					s.CountOther(now, c.other*fullPayload/100)
 				}
 			}
 			require.Equal(t, c.want, s.Places(2_000))
@@ -68,13 +77,13 @@
 	}{
 		"no data after the opening":           {nil, openingTimeout},
 		"acknowledgements only":               {[]cherviltide.Packet{data(1, 0)}, openingTimeout},
-		"silence":                             {[]cherviltide.Packet{data(1, FullPayload)}, silenceTimeout},
-		"the last packet of the request":      {[]cherviltide.Packet{data(1, FullPayload), data(1201, 400)}, 0},
-		"a copy after the last packet":        {[]cherviltide.Packet{data(1, FullPayload), data(1201, 400), data(1, FullPayload)}, 0},
-		"a second request":                    {[]cherviltide.Packet{data(1, 400), data(401, FullPayload)}, silenceTimeout},
-		"finished by the caller":              {[]cherviltide.Packet{data(1, FullPayload), finish}, 0},
-		"reset by the caller":                 {[]cherviltide.Packet{data(1, FullPayload), {Flags: cherviltide.PacketReset}}, 0},
-		"data after the opening was forsaken": {[]cherviltide.Packet{data(1, FullPayload)}, silenceTimeout},
+		"silence":                             {[]cherviltide.Packet{data(1, fullPayload)}, silenceTimeout},
+		"the last packet of the request":      {[]cherviltide.Packet{data(1, fullPayload), data(1201, 400)}, 0},
+		"a copy after the last packet":        {[]cherviltide.Packet{data(1, fullPayload), data(1201, 400), data(1, fullPayload)}, 0},
+		"a second request":                    {[]cherviltide.Packet{data(1, 400), data(401, fullPayload)}, silenceTimeout},
+		"finished by the caller":              {[]cherviltide.Packet{data(1, fullPayload), finish}, 0},
+		"reset by the caller":                 {[]cherviltide.Packet{data(1, fullPayload), {Flags: cherviltide.PacketReset}}, 0},
+		"data after the opening was forsaken": {[]cherviltide.Packet{data(1, fullPayload)}, silenceTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, now := New(halfLink), cherviltide.Millis(5)
@@ -140,14 +149,17 @@
 // TestRefusalIsPredicted guards against callers that wait for their time-out although the link cannot drain in time, and
 // against copies that are taken for new flows with all of their time left.
 func TestRefusalIsPredicted(t *testing.T) {
-	for name, copies := range map[string]uint32{"new": 0, "first copy": 1, "second copy": 2} {
+	for name, c := range map[string]struct {
+		copies uint32
+		age    cherviltide.Millis
+	}{"new": {0, 0}, "first copy": {1, 200}, "second copy": {2, 600}} {
 		t.Run(name, func(t *testing.T) {
 			s, waiting := New(halfLink), 0
 			s.Open(0, opening(0, 0))
-			for i := 1; s.Open(0, opening(i, copies)) == VerdictWait; i++ {
+			for i := 1; s.Open(0, opening(i, c.copies)) == VerdictWait; i++ {
 				waiting++
 			}
-			left := float64(callerTimeout - retransmissionAges[copies])
+			left := float64(callerTimeout - c.age)
 			require.InDelta(t, left/s.holdTime, float64(waiting), 1)
 		})
 	}
@@ -181,10 +193,10 @@
 					t.Fatalf("%d in progress", s.InProgress(now))
 				}
 			case 1:
-				s.Packet(now, flow(i), data(uint32(rapid.IntRange(0, 9).Draw(t, "sequence"))*FullPayload, FullPayload))
+				s.Packet(now, flow(i), data(uint32(rapid.IntRange(0, 9).Draw(t, "sequence"))*fullPayload, fullPayload))
 				delete(pending, flow(i))
 			case 2:
-				s.Packet(now, flow(i), data(10*FullPayload, 40))
+				s.Packet(now, flow(i), data(10*fullPayload, 40))
 				delete(pending, flow(i))
 			case 3:
 				s.Packet(now, flow(i), cherviltide.Packet{Flags: cherviltide.PacketFinish})
--- a/shaper/transfer.go
+++ b/shaper/transfer.go
@@ -14,10 +14,6 @@
 	stateCount
 )
 
-// timeouts has the time without a change after which a transfer leaves its state. Transfers without a place are remembered as
-// long as copies of their opening packet may come.
-var timeouts = [stateCount]cherviltide.Millis{openingTimeout, silenceTimeout, callerTimeout, callerTimeout}
-
 // transfer is an upload that the entry has let through.
 type transfer struct {
 	flow  cherviltide.FlowKey
@@ -98,8 +94,8 @@
 // expire ends the states of transfers whose time-out has passed.
 func (s *Shaper) expire(now cherviltide.Millis) {
 	for state := range s.lists {
-		for t := s.lists[state].first; t != nil && now-t.changedAt >= timeouts[state]; t = s.lists[state].first {
-			end := t.changedAt + timeouts[state]
+		for t := s.lists[state].first; t != nil && now-t.changedAt >= s.timeouts[state]; t = s.lists[state].first {
+			end := t.changedAt + s.timeouts[state]
 			s.release(end, t)
 			if t.state == stateOpening {
 				s.move(end, t, stateLapsed)
