Schedule uploads through the links of entries

An entry forwarded the opening packets of all uploads in the order of their arrival. With a link rate in RelayConfig, it asks the shaper about the callers' packets of routes with uploads: opening packets wait for a place, or are answered with a reset to the callers' port. A goroutine releases waiting packets when a place becomes free, and every 10 ms while some wait. Without a rate nothing changes.

--- /dev/null
+++ b/forwarder/link_test.go
@@ -0,0 +1,125 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/shaper"
+)
+
+// linkCodec decodes packets whose first byte has their flags, and whose second byte has the caller's port.
+type linkCodec struct{ textCodec }
+
+func (linkCodec) Decode(b []byte) (cherviltide.Packet, error) {
+	return cherviltide.Packet{
+		Source: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(b[1])), Destination: relayFlow.Virtual,
+		Flags: cherviltide.PacketFlags(b[0]), Length: len(b) - 2,
+	}, nil
+}
+
+func (linkCodec) AppendReset(b []byte, flow cherviltide.FlowKey, sequence uint32) []byte {
+	return append(b, byte(flow.Caller.Port()), byte(sequence))
+}
+
+// newLinkFixture returns a relay whose link has a place for one upload, and whose route has the given class.
+func newLinkFixture(t testing.TB, class cherviltide.Class) *relayFixture {
+	x := newRelayFixture(t)
+	x.relay.config.Codec = linkCodec{}
+	x.relay.config.CallerPort = uint16(x.caller.LocalAddr().(*net.UDPAddr).Port)
+	x.relay.config.Link = shaper.Config{Rate: 200_000, MaxPayload: 1_200, OpeningTimeout: 1_400}
+	x.relay.link = newLink(x.relay)
+	x.setRules(1, "a")
+	rules := x.view.Rules.WithRevision(2)
+	rules.Routes = []cherviltide.Route{rules.Routes[0]}
+	rules.Routes[0].Class = class
+	x.view = x.view.WithRules(rules)
+	return x
+}
+
+// requireNothingReceived fails if a datagram has arrived at the agent of a service.
+func (x *relayFixture) requireNothingReceived(service string) {
+	x.t.Helper()
+	require.NoError(x.t, x.agents[service].SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	_, err := x.agents[service].Read(make([]byte, 2048))
+	require.True(x.t, isTimeout(err))
+}
+
+// TestLinkReleasesOpenings guards against uploads beyond the places of the link, against a waiting opening packet that is
+// forwarded twice or never, and against admission control of packets of open flows.
+func TestLinkReleasesOpenings(t *testing.T) {
+	x := newLinkFixture(t, cherviltide.ClassUpload)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- x.relay.link.run(ctx) }()
+	defer func() { cancel(); require.NoError(t, <-ended) }()
+	x.send("\x01\x01")
+	_, payload := x.receivedBy("a")
+	require.Equal(t, "\x01\x01", payload)
+	x.send("\x01\x02")
+	x.send("\x01\x02")
+	x.requireNothingReceived("a")
+	x.send("\x02\x03data of a flow that is open")
+	_, payload = x.receivedBy("a")
+	require.Equal(t, byte(3), payload[1])
+
+	x.send("\x08\x01")
+	_, first := x.receivedBy("a")
+	_, second := x.receivedBy("a")
+	require.ElementsMatch(t, []string{"\x08\x01", "\x01\x02"}, []string{first, second})
+	x.requireNothingReceived("a")
+	require.EqualValues(t, 2, x.relay.LinkCounters.Admitted.Load())
+	require.EqualValues(t, 1, x.relay.LinkCounters.Absorbed.Load())
+}
+
+// TestLinkRefuses guards against callers that wait for a time-out instead of a reset, and against a reset that an open flow
+// takes for its own.
+func TestLinkRefuses(t *testing.T) {
+	x := newLinkFixture(t, cherviltide.ClassUpload)
+	for port := byte(1); x.relay.LinkCounters.Refused.Load() == 0; port++ {
+		x.send(string([]byte{byte(cherviltide.PacketOpen), port}))
+	}
+	require.NoError(t, x.caller.SetReadDeadline(time.Now().Add(10*time.Second)))
+	reset := make([]byte, 10)
+	n, err := x.caller.Read(reset)
+	require.NoError(t, err)
+	require.Equal(t, []byte{byte(x.relay.LinkCounters.Waited.Load() + 2), 0}, reset[:n])
+}
+
+// TestLinkIgnoresOtherRoutes guards against admission control of small requests, and of uploads without a known rate.
+func TestLinkIgnoresOtherRoutes(t *testing.T) {
+	for name, class := range map[string]cherviltide.Class{"normal": cherviltide.ClassNormal, "without a rate": cherviltide.ClassUpload} {
+		t.Run(name, func(t *testing.T) {
+			x := newLinkFixture(t, class)
+			if class == cherviltide.ClassUpload {
+				x.relay.config.Link.Rate = 0
+				x.relay.link = newLink(x.relay)
+			}
+			for port := byte(1); port < 100; port++ {
+				x.send(string([]byte{byte(cherviltide.PacketOpen), port}))
+				_, payload := x.receivedBy("a")
+				require.Equal(t, port, payload[1])
+			}
+		})
+	}
+}
+
+// BenchmarkLinkAccept measures the decision about a packet of an idle link.
+func BenchmarkLinkAccept(b *testing.B) {
+	for name, class := range map[string]cherviltide.Class{"small": cherviltide.ClassNormal, "upload": cherviltide.ClassUpload} {
+		b.Run(name, func(b *testing.B) {
+			x := newLinkFixture(b, class)
+			datagram := make([]byte, 1_300)
+			packet := cherviltide.Packet{Source: relayFlow.Caller, Destination: relayFlow.Virtual, Flags: cherviltide.PacketAck, Length: 1_200}
+			require.Zero(b, testing.AllocsPerRun(100, func() { x.relay.link.accept(x.view, relayFlow, packet, datagram) }))
+			for b.Loop() {
+				x.relay.link.accept(x.view, relayFlow, packet, datagram)
+			}
+		})
+	}
+}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -16,7 +16,9 @@
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/prober"
 	"cherviltide.example/cherviltide/runner"
+	"cherviltide.example/cherviltide/shaper"
 )
 
 // RelayConfig has the settings of an entry's data path for flows that agents relay without terminating them.
@@ -26,10 +28,15 @@
 	Codec            cherviltide.PacketCodec
 	View             func() *follower.View
 	Log              *zap.Logger
+	// Link describes the link of the entry; with a rate of 0 packets are forwarded in the order of their arrival. ListenRelay
+	// sets the size of the forwarding header.
+	Link shaper.Config
+	// CallerPort is the port on which callers' machines receive the resets of flows that the link does not admit.
+	CallerPort uint16
 }
 
 // Relay is an entry's data path for relayed flows. It sends each packet to the agent that the service's table selects.
-// Agents answer callers directly. It keeps no state per flow.
+// Agents answer callers directly. It keeps no state per flow, except for uploads when it schedules its link.
 type Relay struct {
 	config    RelayConfig
 	public    *net.UDPConn
@@ -38,6 +45,11 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 	Counters  Counters
+	// LinkCounters count the opening packets of uploads, and LinkWaits has the times for which they waited for the link, when the
+	// link is scheduled.
+	LinkCounters LinkCounters
+	LinkWaits    *prober.Histogram
+	link         *link
 }
 
 // ListenRelay opens the sockets. An error of kind Invalid means that an address is not IPv4.
@@ -45,7 +57,8 @@
 	if !config.Public.Addr().Is4() || !config.Internal.Addr().Is4() {
 		return nil, fault(cherviltide.KindInvalid, errNotIPv4)
 	}
-	r := &Relay{config: config, closed: make(chan struct{})}
+	r := &Relay{config: config, closed: make(chan struct{}), LinkWaits: prober.NewHistogram()}
+	r.link = newLink(r)
 	var err error
 	if r.public, err = binder.ListenUDP(config.Public, socketBufferSize); err != nil {
 		return nil, fault(cherviltide.KindInternal, err)
@@ -68,10 +81,13 @@
 	stop := context.AfterFunc(ctx, r.close)
 	defer stop()
 	defer r.close()
-	group := runner.NewGroup(ctx, 3)
+	group := runner.NewGroup(ctx, 4)
 	group.Go("receive", func(context.Context) error { return r.receivePackets(r.public, r.forward) })
 	group.Go("return", func(context.Context) error { return r.receivePackets(r.internal, r.tryNextService) })
 	group.Go("log", func(context.Context) error { logDrops(&r.Counters, r.config.Log, r.closed); return nil })
+	if r.link != nil {
+		group.Go("link", r.link.run)
+	}
 	return group.Wait()
 }
 
@@ -127,13 +143,15 @@
 		r.Counters.countDrop(ReasonMalformed)
 		return
 	}
-	header := framer.Header{
-		Type:     framer.TypeForward,
-		Flow:     cherviltide.FlowKey{Caller: packet.Source, Virtual: packet.Destination},
-		Entry:    r.config.Internal,
-		Revision: view.Rules.Revision,
+	header := r.header(view, cherviltide.FlowKey{Caller: packet.Source, Virtual: packet.Destination})
+	if r.link == nil || r.link.accept(view, header.Flow, packet, datagram) {
+		r.send(view, datagram, header, packet.OpensFlow(), out)
 	}
-	r.send(view, datagram, header, packet.OpensFlow(), out)
+}
+
+// header returns the header of a caller's packet without the fields that the receiver determines.
+func (r *Relay) header(view *follower.View, flow cherviltide.FlowKey) framer.Header {
+	return framer.Header{Type: framer.TypeForward, Flow: flow, Entry: r.config.Internal, Revision: view.Rules.Revision}
 }
 
 // tryNextService sends a packet that the agents of one service have returned to the next service that may hold its
--- a/forwarder/relaybench_test.go
+++ b/forwarder/relaybench_test.go
@@ -11,17 +11,23 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/logger"
+	"cherviltide.example/cherviltide/shaper"
 )
 
 // packetsPerFlow is the number of packets of a flow, the opening one included; a flow with one request has about as
 // many.
 const packetsPerFlow = 8
 
-// BenchmarkRelay measures the processor time per packet of a relaying entry at full load, with and without its log.
+// BenchmarkRelay measures the processor time per packet of a relaying entry at full load, with and without its log, and with a
+// link that is scheduled and idle.
 func BenchmarkRelay(b *testing.B) {
-	for name, silent := range map[string]bool{"silent": true, "logged": false} {
+	for name, silent := range map[string]bool{"silent": true, "logged": false, "link": true} {
 		b.Run(name, func(b *testing.B) {
 			x := newRelayFixture(b)
+			if name == "link" {
+				x.relay.config.Link = shaper.Config{Rate: 1 << 40, MaxPayload: 1_200, OpeningTimeout: 1_400}
+				x.relay.link = newLink(x.relay)
+			}
 			out, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
 			require.NoError(b, err)
 			defer func() { _ = out.Close() }()
