--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -283,39 +283,6 @@
 	f.requestSeen, f.answering = true, false
 }
 
-// markActive adds a flow to the active flows.
-func (d *Decider) markActive(f *flow) {
-	if f.active {
-		return
-	}
-	f.active = true
-	d.load.active++
-	if f.bulky {
-		d.load.activeBulky++
-	}
-}
-
-// markAnswered ends the work of the target on a request.
-func (d *Decider) markAnswered(f *flow) {
-	if f.working {
-		f.working = false
-		d.load.working--
-	}
-}
-
-// markIdle removes a flow from the active flows.
-func (d *Decider) markIdle(f *flow) {
-	d.markAnswered(f)
-	if !f.active {
-		return
-	}
-	f.active = false
-	d.load.active--
-	if f.bulky {
-		d.load.activeBulky--
-	}
-}
-
 func (d *Decider) removeFlow(key cherviltide.FlowKey, f *flow) {
 	d.markIdle(f)
 	delete(d.flows, key)
@@ -337,25 +304,6 @@
 	d.remoteFlows.expire(in.Now)
 }
 
-// ExpireActive removes the flows from the active ones that no longer load the target.
-func (d *Decider) ExpireActive(in Input) {
-	for _, f := range d.flows {
-		d.expireActive(in, f)
-	}
-}
-
-// expireActive removes a flow from the active ones when its caller sends no request, the target has finished its answer with
-// a full-sized packet, or the deadline of its request has passed.
-func (d *Decider) expireActive(in Input, f *flow) {
-	if !f.active {
-		return
-	}
-	if (!f.requestSeen && in.Now-f.openedAt > requestTimeout) || (f.answering && in.Now-f.lastPacketAt > fullPacketTimeout) ||
-		(f.requestSeen && f.deadline > 0 && in.Now-f.lastRequestAt > f.deadline) {
-		d.markIdle(f)
-	}
-}
-
 // OldestGeneration returns the lowest generation at which a kept flow was opened, or the given one when that is lower or no
 // flow is kept. The agent opens no flow at a lower generation afterwards. While the target may hold flows that the agent
 // does not know, their generations are unknown and the result is 0.
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -61,34 +61,3 @@
 
 // maxUnacknowledged is the largest number of bytes that a target sends before the caller's first acknowledgement arrives.
 const maxUnacknowledged = 76_800
-
-// load is the load of the agent's target.
-type load struct {
-	// active is the number of active flows. A flow is active from its opening packet or a request until the target has
-	// finished its answer, one side has reset the flow, or a timeout has passed.
-	active int
-	// activeBulky is the number of active flows that are bulky, working that of requests that the target has not begun to
-	// answer.
-	activeBulky, working int
-	// lastOrdinaryAt is when the last flow that is not bulky was opened; 0 when there was none.
-	lastOrdinaryAt cherviltide.Millis
-	// serviceTime is the smoothed time from a request to the first byte of its answer when no request waits for a slot.
-	serviceTime smoothedTime
-	// openingTime is the smoothed time from the delivery of an opening packet to the request.
-	openingTime smoothedTime
-}
-
-// smoothedTimeWeight is the weight of a new sample in a smoothed time.
-const smoothedTimeWeight = 1.0 / 16
-
-// smoothedTime is a moving average, in milliseconds; its value is 0 before the first sample.
-type smoothedTime struct {
-	value float64
-	count int
-}
-
-// add adds a sample. The first samples have equal weights, so that the very first one does not bias the average.
-func (t *smoothedTime) add(duration cherviltide.Millis) {
-	t.count++
-	t.value += (float64(duration) - t.value) * max(smoothedTimeWeight, 1/float64(t.count))
-}
