Count uploads against a bound of their own until they are complete

An upload took a slot of its target from its opening to its answer, although the target works only once the request has arrived. With 4.2 ms of work and 100 to 500 ms under way, agents refused uploads and small requests before idle targets.

Flows of class Upload now count as transfers (4 for each slot, fewer when the work of uploads exceeds 5 ms) until their request is complete: a packet that is not full, with all earlier payload seen, or a silence of 250 ms after a full one. From then on they count against the slots until the answer. They wait in a queue of their own, whose predictions use the time under way. Their service times start at the end of the request and do not enter the predictions for small requests. A transfer without a packet for 650 ms gives its place back until the next one. Flows of other classes are counted as before.

FuzzDecider ran for 8 s with uploads and a check of the counts; go test ./relayer passes.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -36,7 +36,11 @@
 	}
 	if p.Length > 0 && f.requestedAt != 0 {
 		phase, duration = PhaseService, in.Now-f.requestedAt
-		d.load.serviceTime.add(duration)
+		if f.transfer != nil {
+			d.load.uploadTime.add(duration)
+		} else {
+			d.load.serviceTime.add(duration)
+		}
 		f.requestedAt = 0
 	}
 	if p.Length > 0 {
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -117,8 +117,9 @@
 	remoteFlows remoteFlows
 	tokens      tokens
 	load        load
-	// queue has the new flows that wait for a slot of the target.
+	// queue has the new flows that wait for a slot of the target, uploads those that wait for a place among the transfers.
 	queue    *queuer.Queue[Arrival]
+	uploads  *queuer.Queue[Arrival]
 	detector *detector.Detector
 	// unansweredSince is when the first opening packet was delivered after the target's last packet; 0 when there is none.
 	unansweredSince cherviltide.Millis
@@ -149,7 +150,7 @@
 func NewDecider(limits Limits, now cherviltide.Millis) *Decider {
 	return &Decider{
 		limits: limits, started: now, target: Target{PredatesAgent: true}, flows: map[cherviltide.FlowKey]*flow{}, remoteFlows: newRemoteFlows(), detector: detector.New(),
-		queue: queuer.New[Arrival](),
+		queue: queuer.New[Arrival](), uploads: queuer.New[Arrival](),
 	}
 }
 
@@ -170,8 +171,14 @@
 // Flows returns the number of flows that the agent keeps, including ended ones until they expire.
 func (d *Decider) Flows() int { return len(d.flows) }
 
-// ServiceTimeMs returns the smoothed service time of the target, in milliseconds; 0 when it is not known.
-func (d *Decider) ServiceTimeMs() float64 { return d.load.serviceTime.value }
+// ServiceTimeMs returns the smoothed service time of the target, in milliseconds; 0 when it is not known. Uploads count only
+// at a target that gets nothing else.
+func (d *Decider) ServiceTimeMs() float64 {
+	if d.load.serviceTime.count == 0 {
+		return d.load.uploadTime.value
+	}
+	return d.load.serviceTime.value
+}
 
 // observeTable records a change of the table, and the idle timeout of the rules.
 func (d *Decider) observeTable(in Input) {
@@ -188,7 +195,7 @@
 
 // withLoad returns a decision with the present load, for the log.
 func (d *Decider) withLoad(decision Decision) Decision {
-	decision.Active, decision.Slots, decision.Waiting = d.load.active, d.target.Slots, d.queue.Len()
+	decision.Active, decision.Slots, decision.Waiting = d.load.active, d.target.Slots, d.Waiting()
 	return decision
 }
 
@@ -216,7 +223,7 @@
 func (d *Decider) decideLaterPacket(in Input, a Arrival) Decision {
 	key := a.Header.Flow
 	// The caller sends such a packet after another target has answered, or when it gives up.
-	d.queue.Remove(key)
+	d.removeWaiting(key)
 	f := d.flows[key]
 	if f != nil && f.acknowledgesOtherTarget(a.Packet) {
 		d.removeFlow(key, f)
@@ -251,7 +258,11 @@
 	if f.answered && p.Has(cherviltide.PacketAck) {
 		f.established = true
 	}
-	if p.Length > 0 && !f.targetFinished && (!f.requestSeen || int32(p.Sequence-f.nextCallerSequence) >= 0) {
+	if f.transfer != nil && !f.targetFinished {
+		if p.Length > 0 || p.Has(cherviltide.PacketFinish) && f.requestSeen {
+			d.recordUpload(in, f, p)
+		}
+	} else if p.Length > 0 && !f.targetFinished && (!f.requestSeen || int32(p.Sequence-f.nextCallerSequence) >= 0) {
 		d.recordRequest(in, f)
 		f.nextCallerSequence = p.Sequence + uint32(p.Length)
 	}
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -37,7 +37,9 @@
 	working bool
 	// bulky is true for a flow of a route with long transfers.
 	bulky bool
-	// active is true while the flow counts as load of the target.
+	// transfer is the state of the newest request of a flow of a route with uploads; nil for other flows.
+	transfer *transfer
+	// active is true while the flow counts against the slots of the target.
 	active bool
 	// noticed is the owner that was told that this agent holds the flow; it is invalid while this agent is the owner.
 	noticed                        netip.AddrPort
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -15,9 +15,13 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		d, in := newDecider(), inputAt(10, member(1), table)
 		d.limits.OpeningRetransmissions, d.limits.OpeningTimeout = []cherviltide.Millis{200, 600}, 1_400
-		in.Rules = rules{accepts: true, revision: 1, route: cherviltide.Route{Goal: 250, Deadline: 2_500}}
 		for ; len(data) >= 9; data = data[9:] {
 			flow := key(2000 + int(data[0]&7))
+			route := cherviltide.Route{Goal: 250, Deadline: 2_500}
+			if data[0]&32 != 0 {
+				route.Class = cherviltide.ClassUpload
+			}
+			in.Rules = rules{accepts: true, revision: 1, route: route}
 			p := cherviltide.Packet{
 				Flags: cherviltide.PacketFlags(data[1]), Sequence: uint32(data[2]), Acknowledgement: uint32(data[3]) << 20,
 				Retransmission: uint32(data[3]) << 24, Length: int(data[4]) * 8, Token: uint32(data[4]),
@@ -42,6 +46,18 @@
 			if d.Waiting() > 8 || d.Active() < 0 {
 				panic("the counts of flows are wrong")
 			}
+			transfers, active := 0, 0
+			for _, f := range d.flows {
+				if f.active {
+					active++
+				}
+				if f.transfer != nil && f.transfer.moving {
+					transfers++
+				}
+			}
+			if transfers != d.Transfers() || active != d.Active() {
+				panic("the load differs from that of the flows")
+			}
 		}
 	})
 }
--- a/relayer/load.go
+++ b/relayer/load.go
@@ -7,17 +7,23 @@
 // load is the load of the agent's target.
 type load struct {
 	// active is the number of active flows. A flow is active from its opening packet or a request until the target has
-	// finished its answer, one side has reset the flow, or a timeout has passed.
+	// finished its answer, one side has reset the flow, or a timeout has passed. One of a route with uploads is active from
+	// the end of a request.
 	active int
 	// activeBulky is the number of active flows that are bulky, working that of requests that the target has not begun to
 	// answer.
 	activeBulky, working int
+	// transfers is the number of transfers in progress. They do not count as active.
+	transfers int
 	// lastOrdinaryAt is when the last flow that is not bulky was opened; 0 when there was none.
 	lastOrdinaryAt cherviltide.Millis
 	// serviceTime is the smoothed time from a request to the first byte of its answer when no request waits for a slot.
 	serviceTime smoothedTime
 	// openingTime is the smoothed time from the delivery of an opening packet to the request.
 	openingTime smoothedTime
+	// transferTime is the smoothed time for which a request of an upload is under way. uploadTime is the service time of
+	// uploads, from the end of the request.
+	transferTime, uploadTime smoothedTime
 }
 
 // smoothedTimeWeight is the weight of a new sample in a smoothed time.
@@ -47,8 +53,9 @@
 	}
 }
 
-// markAnswered ends the work of the target on a request.
+// markAnswered ends the work of the target on a request, and its transfer.
 func (d *Decider) markAnswered(f *flow) {
+	d.stopMoving(f.transfer)
 	if f.working {
 		f.working = false
 		d.load.working--
@@ -78,6 +85,9 @@
 // expireActive removes a flow from the active ones when its caller sends no request, the target has finished its answer with
 // a full-sized packet, or the deadline of its request has passed.
 func (d *Decider) expireActive(in Input, f *flow) {
+	if f.transfer != nil {
+		d.expireTransfer(in, f)
+	}
 	if !f.active {
 		return
 	}
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -20,7 +20,7 @@
 
 // offerPosition encodes the position of an offer.
 func (d *Decider) offerPosition(in Input, a Arrival, attempt int) uint8 {
-	wait, _ := d.queue.Predict(in.Now, d.waitingFlow(in, a))
+	wait, _ := d.waitingQueue(in, a).Predict(in.Now, d.waitingFlow(in, a))
 	position := uint8(attempt&attemptMask) | uint8(min(wait/waitStep, maxWaitSteps))<<waitShift
 	if !d.acceptsNewFlows(in.Now) {
 		position |= cannotServeBit
@@ -90,8 +90,7 @@
 		return d.forward(in, a, owner.Address, 0, 0, ReasonNotOwner)
 	}
 	acceptsNewFlows := d.acceptsNewFlows(in.Now)
-	bulky := d.isBulky(in, a)
-	if acceptsNewFlows && d.queue.Len() == 0 && d.hasFreeSlot(in.Now, bulky, 0) {
+	if acceptsNewFlows && d.hasRoom(in, a) {
 		return d.openFlow(in, a)
 	}
 	d.candidates = d.appendAlternates(d.candidates[:0], 0, in, a.Header.Flow)
@@ -150,11 +149,15 @@
 		deadline: route.Deadline, bulky: route.Class == cherviltide.ClassBulky,
 	}
 	d.flows[a.Header.Flow] = f
-	d.markActive(f)
+	if route.Class == cherviltide.ClassUpload {
+		d.openTransfer(in, f)
+	} else {
+		d.markActive(f)
+	}
 	if !f.bulky {
 		d.load.lastOrdinaryAt = in.Now
 	}
-	d.queue.Started(in.Now, d.waitingFlow(in, a))
+	d.waitingQueue(in, a).Started(in.Now, d.waitingFlow(in, a))
 	decision := d.deliverOpening(in, a)
 	decision.Reason = ReasonOpened
 	if a.Header.Flags == framer.FlagOffered {
@@ -221,10 +224,10 @@
 		return decision
 	}
 	if d.acceptsNewFlows(in.Now) {
-		if d.queue.Len() == 0 && d.hasFreeSlot(in.Now, d.isBulky(in, a), 0) {
+		if d.hasRoom(in, a) {
 			return d.openFlow(in, a)
 		}
-		wait, verdict := d.queue.Predict(in.Now, d.waitingFlow(in, a))
+		wait, verdict := d.waitingQueue(in, a).Predict(in.Now, d.waitingFlow(in, a))
 		shorter := verdict == queuer.VerdictTimely && wait+waitStep < offeredWait(a.Header.Position)
 		if verdict != queuer.VerdictRefused && (shorter || a.Header.Position&cannotServeBit != 0) {
 			return d.submit(in, a)
--- a/relayer/recall.go
+++ b/relayer/recall.go
@@ -213,7 +213,7 @@
 // recordHolder records which agent holds a flow. If it is this agent, which has restarted, its target has the flow.
 func (d *Decider) recordHolder(in Input, key cherviltide.FlowKey, holder netip.AddrPort, confirmed bool) {
 	if holder != in.Self.Address {
-		d.queue.Remove(key)
+		d.removeWaiting(key)
 		if confirmed || !d.remoteFlows.get(key, in.Now).confirmed {
 			d.remoteFlows.set(key, remoteFlow{state: remoteHeld, agent: holder, confirmed: confirmed}, in.Now)
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -410,6 +410,13 @@
 	return r.decider.Active(), r.decider.ServiceTimeMs()
 }
 
+// Transfers returns the number of uploads whose requests are under way.
+func (r *Relayer) Transfers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.decider.Transfers()
+}
+
 // DecisionsByReason returns the number of decisions for each reason.
 func (r *Relayer) DecisionsByReason() map[string]uint64 {
 	counts := map[string]uint64{}
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -34,9 +34,27 @@
 	}
 }
 
-// isBulky reports whether the route of a new flow carries long transfers.
-func (d *Decider) isBulky(in Input, a Arrival) bool {
-	return in.Rules.Route(a.Header.Flow.Virtual).Class == cherviltide.ClassBulky
+// waitingQueue returns the queue in which a new flow waits: for a slot, or for a place among the transfers.
+func (d *Decider) waitingQueue(in Input, a Arrival) *queuer.Queue[Arrival] {
+	if in.Rules.Route(a.Header.Flow.Virtual).Class == cherviltide.ClassUpload {
+		return d.uploads
+	}
+	return d.queue
+}
+
+// hasRoom reports whether a new flow may be opened at once: no flow waits before it, and there is a free slot or, for an
+// upload, a free place among the transfers.
+func (d *Decider) hasRoom(in Input, a Arrival) bool {
+	if d.waitingQueue(in, a).Len() > 0 {
+		return false
+	}
+	switch in.Rules.Route(a.Header.Flow.Virtual).Class {
+	case cherviltide.ClassUpload:
+		return d.hasTransferPlace()
+	case cherviltide.ClassBulky:
+		return d.hasFreeSlot(in.Now, true, 0)
+	}
+	return d.hasFreeSlot(in.Now, false, 0)
 }
 
 // hasFreeSlot reports whether the target has a free slot for a new flow. overlap is the number of flows that may be opened
@@ -59,6 +77,7 @@
 	d.queue.SetCapacity(queuer.Capacity{
 		Slots: d.target.Slots, ServiceTime: d.load.serviceTime.value, OpeningTime: d.load.openingTime.value,
 	})
+	d.uploads.SetCapacity(queuer.Capacity{Slots: d.transferLimit(), ServiceTime: d.load.transferTime.value})
 }
 
 // submit makes a new flow wait for a slot, or refuses it when it cannot be served before its caller gives up.
@@ -66,7 +85,7 @@
 	f := d.waitingFlow(in, a)
 	kept := a
 	kept.Datagram, kept.waitingSince = bytes.Clone(a.Datagram), in.Now
-	wait, verdict := d.queue.Submit(in.Now, f, kept)
+	wait, verdict := d.waitingQueue(in, a).Submit(in.Now, f, kept)
 	if verdict == queuer.VerdictRefused {
 		d.remoteFlows.remove(a.Header.Flow)
 		return Decision{Action: ActionRefuse, Reason: ReasonOverloaded, Wait: wait}
@@ -82,40 +101,54 @@
 // number opens another flow from the same port, so that the former one is dropped.
 func (d *Decider) absorbCopy(a Arrival) (Decision, bool) {
 	waiting, ok := d.queue.Get(a.Header.Flow)
+	if !ok {
+		waiting, ok = d.uploads.Get(a.Header.Flow)
+	}
 	if !ok {
 		return Decision{}, false
 	}
 	if waiting.Packet.Sequence != a.Packet.Sequence {
-		d.queue.Remove(a.Header.Flow)
+		d.removeWaiting(a.Header.Flow)
 		return Decision{}, false
 	}
 	return Decision{Action: ActionWait, Reason: ReasonWaiting}, true
 }
 
-// Waiting returns the number of flows that wait for a slot.
-func (d *Decider) Waiting() int { return d.queue.Len() }
+// Waiting returns the number of flows that wait for a slot, or for a place among the transfers.
+func (d *Decider) Waiting() int { return d.queue.Len() + d.uploads.Len() }
 
 // NextWaiting decides about a waiting flow whose turn has come: it is opened, offered to another agent because the target no
 // longer takes new flows, dropped or refused. It returns false when all go on waiting.
 func (d *Decider) NextWaiting(in Input) (Arrival, Decision, bool) {
-	if d.queue.Len() == 0 {
+	if d.Waiting() == 0 {
 		return Arrival{}, Decision{}, false
 	}
 	d.updateCapacity()
+	if a, decision, ok := d.nextWaiting(in, d.queue); ok {
+		return a, decision, true
+	}
+	return d.nextWaiting(in, d.uploads)
+}
+
+// nextWaiting decides about the flows of one queue.
+func (d *Decider) nextWaiting(in Input, queue *queuer.Queue[Arrival]) (Arrival, Decision, bool) {
+	if queue.Len() == 0 {
+		return Arrival{}, Decision{}, false
+	}
 	if !d.target.AcceptsNewFlows || d.targetUnresponsive(in.Now) {
-		f, _ := d.queue.First()
+		f, _ := queue.First()
 		return d.release(in, f, func(a Arrival) Decision { return d.placeFlow(in, a, 0) })
 	}
-	if f, ok := d.queue.NextRefused(in.Now); ok {
+	if f, ok := queue.NextRefused(in.Now); ok {
 		return d.release(in, f, func(Arrival) Decision {
 			d.remoteFlows.remove(f.Key)
 			return Decision{Action: ActionRefuse, Reason: ReasonOverloaded}
 		})
 	}
-	if !d.acceptsNewFlows(in.Now) || !d.hasFreeSlot(in.Now, false, d.queue.Overlap()) {
+	if !d.acceptsNewFlows(in.Now) || !d.hasRoomForWaiting(in.Now, queue) {
 		return Arrival{}, Decision{}, false
 	}
-	f, ok := d.queue.Next(in.Now, !d.hasBulkySlot(in.Now))
+	f, ok := queue.Next(in.Now, !d.hasBulkySlot(in.Now))
 	if !ok {
 		return Arrival{}, Decision{}, false
 	}
@@ -127,9 +160,17 @@
 	})
 }
 
+// hasRoomForWaiting reports whether a flow of a queue may be opened.
+func (d *Decider) hasRoomForWaiting(now cherviltide.Millis, queue *queuer.Queue[Arrival]) bool {
+	if queue == d.uploads {
+		return d.hasTransferPlace()
+	}
+	return d.hasFreeSlot(now, false, queue.Overlap())
+}
+
 // release removes a waiting flow from the queue and decides about it.
 func (d *Decider) release(in Input, f queuer.Flow, decide func(Arrival) Decision) (Arrival, Decision, bool) {
-	a, _ := d.queue.Remove(f.Key)
+	a, _ := d.removeWaiting(f.Key)
 	decision := d.withLoad(decide(a))
 	decision.Wait = in.Now - a.waitingSince
 	return a, decision, true
