--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -117,8 +117,9 @@
 	remoteFlows remoteFlows
 	tokens      tokens
 	load        load
-	// queue has the new flows that wait for a slot of the target.
+	// queue has the new flows that wait for a slot of the target, uploads those that wait for a place among the transfers.
 	queue    *queuer.Queue[Arrival]
+	uploads  *queuer.Queue[Arrival]
 	detector *detector.Detector
 	// unansweredSince is when the first opening packet was delivered after the target's last packet; 0 when there is none.
 	unansweredSince cherviltide.Millis
@@ -149,7 +150,7 @@
 func NewDecider(limits Limits, now cherviltide.Millis) *Decider {
 	return &Decider{
 		limits: limits, started: now, target: Target{PredatesAgent: true}, flows: map[cherviltide.FlowKey]*flow{}, remoteFlows: newRemoteFlows(), detector: detector.New(),
-		queue: queuer.New[Arrival](),
+		queue: queuer.New[Arrival](), uploads: queuer.New[Arrival](),
 	}
 }
 
@@ -170,8 +171,14 @@
 // Flows returns the number of flows that the agent keeps, including ended ones until they expire.
 func (d *Decider) Flows() int { return len(d.flows) }
 
-// ServiceTimeMs returns the smoothed service time of the target, in milliseconds; 0 when it is not known.
-func (d *Decider) ServiceTimeMs() float64 { return d.load.serviceTime.value }
+// ServiceTimeMs returns the smoothed service time of the target, in milliseconds; 0 when it is not known. Uploads count only
+// at a target that gets nothing else.
+func (d *Decider) ServiceTimeMs() float64 {
+	if d.load.serviceTime.count == 0 {
+		return d.load.uploadTime.value
+	}
+	return d.load.serviceTime.value
+}
 
 // observeTable records a change of the table, and the idle timeout of the rules.
 func (d *Decider) observeTable(in Input) {
@@ -188,7 +195,7 @@
 
 // withLoad returns a decision with the present load, for the log.
 func (d *Decider) withLoad(decision Decision) Decision {
-	decision.Active, decision.Slots, decision.Waiting = d.load.active, d.target.Slots, d.queue.Len()
+	decision.Active, decision.Slots, decision.Waiting = d.load.active, d.target.Slots, d.Waiting()
 	return decision
 }
 
@@ -216,7 +223,7 @@
 func (d *Decider) decideLaterPacket(in Input, a Arrival) Decision {
 	key := a.Header.Flow
 	// The caller sends such a packet after another target has answered, or when it gives up.
-	d.queue.Remove(key)
+	d.removeWaiting(key)
 	f := d.flows[key]
 	if f != nil && f.acknowledgesOtherTarget(a.Packet) {
 		d.removeFlow(key, f)
@@ -251,7 +258,11 @@
 	if f.answered && p.Has(cherviltide.PacketAck) {
 		f.established = true
 	}
-	if p.Length > 0 && !f.targetFinished && (!f.requestSeen || int32(p.Sequence-f.nextCallerSequence) >= 0) {
+	if f.transfer != nil && !f.targetFinished {
+		if p.Length > 0 || p.Has(cherviltide.PacketFinish) && f.requestSeen {
+			d.recordUpload(in, f, p)
+		}
+	} else if p.Length > 0 && !f.targetFinished && (!f.requestSeen || int32(p.Sequence-f.nextCallerSequence) >= 0) {
 		d.recordRequest(in, f)
 		f.nextCallerSequence = p.Sequence + uint32(p.Length)
 	}
@@ -283,39 +294,6 @@
 	f.requestSeen, f.answering = true, false
 }
 
-// markActive adds a flow to the active flows.
-func (d *Decider) markActive(f *flow) {
-	if f.active {
-		return
-	}
-	f.active = true
-	d.load.active++
-	if f.bulky {
-		d.load.activeBulky++
-	}
-}
-
-// markAnswered ends the work of the target on a request.
-func (d *Decider) markAnswered(f *flow) {
-	if f.working {
-		f.working = false
-		d.load.working--
-	}
-}
-
-// markIdle removes a flow from the active flows.
-func (d *Decider) markIdle(f *flow) {
-	d.markAnswered(f)
-	if !f.active {
-		return
-	}
-	f.active = false
-	d.load.active--
-	if f.bulky {
-		d.load.activeBulky--
-	}
-}
-
 func (d *Decider) removeFlow(key cherviltide.FlowKey, f *flow) {
 	d.markIdle(f)
 	delete(d.flows, key)
@@ -337,25 +315,6 @@
 	d.remoteFlows.expire(in.Now)
 }
 
-// ExpireActive removes the flows from the active ones that no longer load the target.
-func (d *Decider) ExpireActive(in Input) {
-	for _, f := range d.flows {
-		d.expireActive(in, f)
-	}
-}
-
-// expireActive removes a flow from the active ones when its caller sends no request, the target has finished its answer with
-// a full-sized packet, or the deadline of its request has passed.
-func (d *Decider) expireActive(in Input, f *flow) {
-	if !f.active {
-		return
-	}
-	if (!f.requestSeen && in.Now-f.openedAt > requestTimeout) || (f.answering && in.Now-f.lastPacketAt > fullPacketTimeout) ||
-		(f.requestSeen && f.deadline > 0 && in.Now-f.lastRequestAt > f.deadline) {
-		d.markIdle(f)
-	}
-}
-
 // OldestGeneration returns the lowest generation at which a kept flow was opened, or the given one when that is lower or no
 // flow is kept. The agent opens no flow at a lower generation afterwards. While the target may hold flows that the agent
 // does not know, their generations are unknown and the result is 0.
