Keep targets of evacuated failure domains out of the placement

Operators must be able to empty a failure domain. The membership log gets the events Evacuated and Restored of a domain, and a placement table has the evacuated domains: their targets are neither owners, secondaries nor alternates while another domain has a live target, and enter the history like former owners. If no other domain has one, the table still names owners, so that packets of open flows find their holders.

--- a/member.go
+++ b/member.go
@@ -74,6 +74,19 @@
 	EventDefined EventType = "Defined"
 )
 
+// The events that concern all members of the failure domain Member.FailureDomain, also those that join later. They have no
+// service and apply to the tables of all services.
+const (
+	// EventEvacuated ends new flows to the targets of the domain. EventRestored allows them again.
+	EventEvacuated EventType = "Evacuated"
+	EventRestored  EventType = "Restored"
+)
+
+// IsAboutDomain reports whether events of this type concern a failure domain instead of a member or a service.
+func (t EventType) IsAboutDomain() bool {
+	return t == EventEvacuated || t == EventRestored
+}
+
 // MemberEvent is one entry of the membership log.
 type MemberEvent struct {
 	Type EventType `cbor:"1,keyasint,omitzero"`
@@ -86,6 +99,10 @@
 	Buckets int `cbor:"4,keyasint,omitzero"`
 	// Key is set for Founded: the packet key of the entries and agents without a key in their settings.
 	Key []byte `cbor:"5,keyasint,omitempty"`
+	// Operator and Time are set for Evacuated and Restored: who gave the order, and when the leader proposed it, in
+	// milliseconds since the Unix epoch.
+	Operator string `cbor:"6,keyasint,omitzero"`
+	Time     Millis `cbor:"7,keyasint,omitzero"`
 }
 
 // PositionedEvent is a member event with its log position.
--- a/picker/assigner.go
+++ b/picker/assigner.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 
 	"cherviltide.example/cherviltide"
 )
@@ -42,19 +43,22 @@
 	eligibleIndex int
 }
 
-// newAssigner returns an assigner for the targets that take new flows: the active ones. If there are none, it takes the
-// suspect ones, and then the leaving ones, so that packets of open flows still reach the agents that hold them.
-func newAssigner(targets []target, previous func(int) *row) *assigner {
+// newAssigner returns an assigner for the targets that take new flows: the active ones outside the evacuated failure domains.
+// If there are none, it takes the suspect ones, and then the leaving ones, so that packets of open flows still reach the
+// agents that hold them. It takes targets of evacuated domains, by the same states, only if there are no others.
+func newAssigner(targets []target, evacuated []string, previous func(int) *row) *assigner {
 	a := &assigner{targets: targets, previousRow: previous}
 	states := []cherviltide.MemberState{cherviltide.StateActive, cherviltide.StateSuspect, cherviltide.StateLeaving}
-	for _, state := range states {
-		for i := range targets {
-			if targets[i].state == state {
-				a.eligible = append(a.eligible, uint16(i))
+	for _, inEvacuated := range []bool{false, true} {
+		for _, state := range states {
+			for i := range targets {
+				if targets[i].state == state && slices.Contains(evacuated, targets[i].member.FailureDomain) == inEvacuated {
+					a.eligible = append(a.eligible, uint16(i))
+				}
+			}
+			if len(a.eligible) > 0 {
+				return a
 			}
-		}
-		if len(a.eligible) > 0 {
-			break
 		}
 	}
 	return a
--- a/picker/assigner_test.go
+++ b/picker/assigner_test.go
@@ -19,10 +19,10 @@
 			m := cherviltide.Member{Name: fmt.Sprint("agent-", i), Weight: uint32(rapid.IntRange(0, 4_000).Draw(t, "weight"))}
 			targets = append(targets, target{member: m, nameHash: uint64(i+1) * 0x9e3779b97f4a7c15, state: cherviltide.StateActive})
 		}
-		a := newAssigner(targets, func(int) *row { return &row{} })
+		a := newAssigner(targets, nil, func(int) *row { return &row{} })
 		const buckets = 64
 		a.rank(buckets)
-		all := newAssigner(targets, func(int) *row { return &row{} })
+		all := newAssigner(targets, nil, func(int) *row { return &row{} })
 		for b := range buckets {
 			var after *proposal
 			for {
--- a/picker/baseline.go
+++ b/picker/baseline.go
@@ -13,7 +13,7 @@
 // NewModulo returns modulo hashing over the targets that take new flows in a table.
 func NewModulo(t *Table) *Modulo {
 	m := &Modulo{}
-	for _, i := range newAssigner(t.targets, nil).eligible {
+	for _, i := range newAssigner(t.targets, t.evacuated, nil).eligible {
 		m.members = append(m.members, t.targets[i].member)
 	}
 	return m
@@ -40,7 +40,7 @@
 // NewConsistent returns rendezvous hashing over the targets that take new flows in a table.
 func NewConsistent(t *Table) *Consistent {
 	c := &Consistent{}
-	for _, i := range newAssigner(t.targets, nil).eligible {
+	for _, i := range newAssigner(t.targets, t.evacuated, nil).eligible {
 		c.targets = append(c.targets, t.targets[i])
 	}
 	return c
--- a/picker/generate_test.go
+++ b/picker/generate_test.go
@@ -13,6 +13,8 @@
 
 const testBuckets = 64
 
+var testDomains = []string{"howrah", "rajarhat", "salt-lake"}
+
 func testService() cherviltide.Service {
 	return cherviltide.Service{Name: "chart-store", ID: cherviltide.ServiceIDOf("chart-store"), Buckets: testBuckets}
 }
@@ -21,7 +23,7 @@
 	return cherviltide.Member{
 		Name: fmt.Sprintf("agent-%02d", name), Role: cherviltide.RoleAgent, Incarnation: incarnation,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(name)}), 7000), Region: "south",
-		FailureDomain: "rajarhat", Service: "chart-store", Weight: weight,
+		FailureDomain: testDomains[name%len(testDomains)], Service: "chart-store", Weight: weight,
 	}
 }
 
@@ -37,6 +39,7 @@
 	types := []cherviltide.EventType{
 		cherviltide.EventJoined, cherviltide.EventJoined, cherviltide.EventWeighed, cherviltide.EventSuspected,
 		cherviltide.EventCleared, cherviltide.EventLeaving, cherviltide.EventReleased, cherviltide.EventDied,
+		cherviltide.EventEvacuated, cherviltide.EventRestored,
 	}
 	n := rapid.IntRange(0, 40).Draw(t, "events")
 	list := make([]cherviltide.PositionedEvent, n)
--- a/picker/secondary.go
+++ b/picker/secondary.go
@@ -19,15 +19,16 @@
 	return dst
 }
 
-// Active returns the agents that are neither suspect nor leaving, in the order of their names.
+// Active returns the agents that take new flows, in the order of their names; see AppendActive.
 func (t *Table) Active() []cherviltide.Member {
 	return t.AppendActive(nil)
 }
 
-// AppendActive appends the agents that are neither suspect nor leaving to dst, in the order of their names.
+// AppendActive appends the agents that are neither suspect nor leaving nor in an evacuated failure domain to dst, in the
+// order of their names.
 func (t *Table) AppendActive(dst []cherviltide.Member) []cherviltide.Member {
 	for _, x := range t.targets {
-		if x.state == cherviltide.StateActive {
+		if x.state == cherviltide.StateActive && !t.IsEvacuated(x.member.FailureDomain) {
 			dst = append(dst, x.member)
 		}
 	}
--- a/picker/snapshot.go
+++ b/picker/snapshot.go
@@ -13,8 +13,15 @@
 	"cherviltide.example/cherviltide"
 )
 
-// snapshotVersion is the only format of snapshots that this package reads and writes.
-const snapshotVersion = 1
+const (
+	// snapshotVersion is the format of the snapshots of tables without evacuated domains.
+	snapshotVersion = 1
+	// evacuatedVersion is the format of the snapshots of tables with evacuated domains: a list of this version, the table in
+	// the format above, and the domains. Only these snapshots need readers of this version.
+	evacuatedVersion = 2
+	// evacuatedHeader is the first byte of a snapshot in evacuatedVersion: the CBOR header of a list of three elements.
+	evacuatedHeader = 0x83
+)
 
 var (
 	errVersion = errors.New("snapshot format is not supported")
@@ -41,6 +48,14 @@
 	BucketCount int
 }
 
+// evacuatedSnapshot is the encoded form of a table with evacuated domains.
+type evacuatedSnapshot struct {
+	_         struct{} `cbor:",toarray"`
+	Version   uint
+	Table     snapshot
+	Evacuated []string
+}
+
 type snapshotTarget struct {
 	_             struct{} `cbor:",toarray"`
 	Name          string
@@ -88,7 +103,11 @@
 	if !t.rowsDerivable() {
 		s.Rows, s.Buckets = t.encodeRows()
 	}
-	b, err := cbor.Marshal(s)
+	var encoded any = s
+	if len(t.evacuated) > 0 {
+		encoded = evacuatedSnapshot{Version: evacuatedVersion, Table: s, Evacuated: t.evacuated}
+	}
+	b, err := cbor.Marshal(encoded)
 	if err != nil {
 		return nil, fault("picker.Snapshot", cherviltide.KindInternal, err)
 	}
@@ -113,14 +132,11 @@
 // Restore decodes the table of a service from its snapshot. An error of kind Damaged means that the bytes are not a
 // valid snapshot; one of kind Conflict means that they belong to another service or number of buckets.
 func Restore(service cherviltide.Service, data []byte) (*Table, error) {
-	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	s, evacuated, err := decodeSnapshot(data)
+	if err != nil {
 		return nil, fault("picker.Restore", cherviltide.KindDamaged, err)
 	}
-	if s.Version != snapshotVersion {
-		return nil, fault("picker.Restore", cherviltide.KindDamaged, errVersion)
-	}
-	t := New(service)
+	t := New(service).WithEvacuated(evacuated)
 	if s.Service != service.Name || s.BucketCount != len(t.buckets) {
 		err := fmt.Errorf("snapshot is of service %q with %d buckets, want service %q with %d buckets",
 			s.Service, s.BucketCount, service.Name, len(t.buckets))
@@ -140,13 +156,33 @@
 	return t, nil
 }
 
+// decodeSnapshot decodes a snapshot of either format, with the evacuated domains.
+func decodeSnapshot(data []byte) (s snapshot, evacuated []string, err error) {
+	if len(data) > 0 && data[0] == evacuatedHeader {
+		var e evacuatedSnapshot
+		if err := cbor.Unmarshal(data, &e); err != nil {
+			return s, nil, err
+		}
+		if e.Version != evacuatedVersion {
+			return s, nil, errVersion
+		}
+		s, evacuated = e.Table, e.Evacuated
+	} else if err := cbor.Unmarshal(data, &s); err != nil {
+		return s, nil, err
+	}
+	if s.Version != snapshotVersion {
+		return s, nil, errVersion
+	}
+	return s, evacuated, nil
+}
+
 // rowsDerivable reports whether the targets alone determine the rows, so that a snapshot can omit them.
 func (t *Table) rowsDerivable() bool {
 	if slices.ContainsFunc(t.histories, func(h []formerOwner) bool { return len(h) > 0 }) {
 		return false
 	}
 	rebuilt := New(t.service)
-	rebuilt.targets = t.targets
+	rebuilt.targets, rebuilt.evacuated = t.targets, t.evacuated
 	rebuilt.assignBuckets(nil)
 	return slices.Equal(rebuilt.buckets, t.buckets) && slices.Equal(rebuilt.rows, t.rows)
 }
--- a/picker/table.go
+++ b/picker/table.go
@@ -23,6 +23,8 @@
 	targets []target
 	// tombstones are the incarnations that died last, the newest at the end.
 	tombstones []tombstone
+	// evacuated has the evacuated failure domains in the order of their names. Its array is never modified.
+	evacuated []string
 	// rowSet has the placement of the buckets.
 	rowSet
 	// withoutHistory is set for tables that exist for comparison only; see NewWithoutHistory.
@@ -67,6 +69,9 @@
 // WithEvent returns the table after an event. Events of other services and events that change nothing leave the table
 // and its generation as they are.
 func (t *Table) WithEvent(position uint64, e cherviltide.MemberEvent) *Table {
+	if e.Type.IsAboutDomain() {
+		return t.withDomainEvent(position, e)
+	}
 	if e.Member.Service != t.service.Name {
 		return t
 	}
@@ -143,6 +148,7 @@
 		generation:     t.generation,
 		targets:        t.targets,
 		tombstones:     t.tombstones,
+		evacuated:      t.evacuated,
 		rowSet:         t.rowSet,
 		withoutHistory: t.withoutHistory,
 	}
@@ -155,7 +161,7 @@
 	for i := range t.rows {
 		old[i] = t.rowAt(uint16(i)).remapped(newIndexes)
 	}
-	a := newAssigner(t.targets, func(bucket int) *row { return &old[buckets[bucket]] })
+	a := newAssigner(t.targets, t.evacuated, func(bucket int) *row { return &old[buckets[bucket]] })
 	a.assign(len(buckets))
 	// Buckets that had the same row before the event and get the same owner and secondary have the same row after it.
 	type assignment struct{ old, owner, secondary uint16 }
