Keep evacuated failure domains in the membership state and send them to all followers

Events about domains have no service: the distributor sends them to each follower, also to one with a single service, and a view applies them to all its tables. An update that replaces the tables has the domains. More than 16 missed orders are sent as tables, as for other events. A process logs when its own domain is evacuated or restored.

--- a/controller/members.go
+++ b/controller/members.go
@@ -172,6 +172,7 @@
 		EventsSince: oldest,
 		Events:      events,
 		Tables:      c.tracker.Tables(),
+		Evacuated:   c.tracker.EvacuatedDomains(),
 		Control:     c.voterURLs(),
 		Key:         c.tracker.PacketKey(),
 		Stale:       !c.members.log.IsCurrent(),
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -49,6 +49,8 @@
 	Events []cherviltide.PositionedEvent
 	// Tables has the table of each defined service at Position.
 	Tables map[string]*picker.Table
+	// Evacuated has the evacuated failure domains at Position, in the order of their names.
+	Evacuated []string
 	// Control has the base URLs of the control instances.
 	Control []string
 	// Key is the packet key of the membership log.
--- a/distributor/update.go
+++ b/distributor/update.go
@@ -63,10 +63,10 @@
 		held.Revision, held.RulesDigest = p.Revision, shared.update.Digest
 	}
 	var err error
-	if p.hasEventsFor(held) {
+	if p.hasEventsFor(held) && p.domainEventsAfter(held.Position) <= maxEventsPerService {
 		err = p.addEvents(u, held)
 	} else {
-		u.ReplaceTables = true
+		u.ReplaceTables, u.Evacuated = true, p.Evacuated
 		err = p.addTables(u, slices.Sorted(maps.Keys(p.Tables)), held.Service)
 	}
 	if heartbeat {
@@ -80,11 +80,28 @@
 // follower assigns the buckets again, which takes longer than decoding a table.
 const maxEventsPerService = 16
 
+// eventsAfter returns the kept events after a position.
+func (p *publishedState) eventsAfter(position uint64) []cherviltide.PositionedEvent {
+	first := sort.Search(len(p.Events), func(i int) bool { return p.Events[i].Position > position })
+	return p.Events[first:]
+}
+
+// domainEventsAfter returns the number of kept events about failure domains after a position.
+func (p *publishedState) domainEventsAfter(position uint64) int {
+	n := 0
+	for _, e := range p.eventsAfter(position) {
+		if e.Event.Type.IsAboutDomain() {
+			n++
+		}
+	}
+	return n
+}
+
 // addEvents adds the events after the follower's position to an update. For services that were defined since then or have
-// many events it adds the tables instead. It omits the events of services without a table.
+// many events it adds the tables instead. It omits the events of services without a table. Events about failure domains have
+// no service and concern all tables, so that every follower gets them.
 func (p *publishedState) addEvents(u *messenger.FollowUpdate, held *messenger.FollowRequest) error {
-	first := sort.Search(len(p.Events), func(i int) bool { return p.Events[i].Position > held.Position })
-	events := p.Events[first:]
+	events := p.eventsAfter(held.Position)
 	sendTable, counts := map[string]bool{}, map[string]int{}
 	for _, e := range events {
 		service := e.Event.Member.Service
@@ -96,6 +113,11 @@
 	after := held.Position
 	for _, e := range events {
 		service := e.Event.Member.Service
+		if e.Event.Type.IsAboutDomain() {
+			u.Events = append(u.Events, messenger.NewMemberDelta(after, e))
+			after = e.Position
+			continue
+		}
 		if p.Tables[service] == nil || sendTable[service] || (held.Service != "" && service != held.Service) {
 			continue
 		}
--- a/follower/accept.go
+++ b/follower/accept.go
@@ -44,7 +44,7 @@
 	if len(u.ControlURLs) > 0 {
 		f.control.announce(u.ControlURLs)
 	}
-	f.view.Store(view)
+	f.logEvacuation(f.view.Swap(view), view)
 	if u.Digest != 0 && u.Digest != distributor.Digest(view.controlTables) {
 		f.needTables.Store(true)
 		f.config.Log.Warn("StateDiverged", zap.Uint64("Position", view.Position))
@@ -75,7 +75,7 @@
 	}
 	if u.ReplaceTables || len(u.Tables) > 0 {
 		var err error
-		if next, err = next.withTables(u.Tables, u.ReplaceTables); err != nil {
+		if next, err = next.withTables(u.Tables, u.ReplaceTables, u.Evacuated); err != nil {
 			return view, err
 		}
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -113,7 +113,7 @@
 	events, oldest := x.tracker.Events()
 	x.distributor.Publish(distributor.State{
 		Revision: x.revision, Text: x.text, Base: x.tracker.Base(), Position: x.tracker.Position(),
-		EventsSince: oldest, Events: events, Tables: x.tracker.Tables(),
+		EventsSince: oldest, Events: events, Tables: x.tracker.Tables(), Evacuated: x.tracker.EvacuatedDomains(),
 	})
 }
 
--- a/follower/view.go
+++ b/follower/view.go
@@ -30,6 +30,8 @@
 	formerServices []cherviltide.FormerServices
 	// controlTables has the tables that control sent, including those of services that are not or no longer in the rules.
 	controlTables map[string]*picker.Table
+	// evacuated has the evacuated failure domains at Position, in the order of their names. All tables have them.
+	evacuated []string
 	// text is the rules file at receivedRevision, which is newer than Rules when the file could not be parsed.
 	text             string
 	receivedRevision uint64
@@ -58,7 +60,7 @@
 			table, ok = v.Tables[s.Name]
 		}
 		if !ok || table.Service().Buckets != min(s.Buckets, picker.MaxBuckets) {
-			table = picker.New(s)
+			table = v.newTable(s)
 		}
 		next.Tables[s.Name] = table.WithService(s)
 	}
@@ -82,9 +84,26 @@
 	return &next
 }
 
-// applyEvent applies an event to the tables of its service. The maps of the view must not be shared with another view.
+// applyEvent applies an event to the tables of its service, or to all tables if it is about a failure domain. The maps of the
+// view must not be shared with another view.
 func (v *View) applyEvent(e cherviltide.PositionedEvent) {
-	name := e.Event.Member.Service
+	if !e.Event.Type.IsAboutDomain() {
+		v.applyToService(e.Event.Member.Service, e)
+		return
+	}
+	v.evacuated = picker.New(cherviltide.Service{}).WithEvacuated(v.evacuated).WithEvent(e.Position, e.Event).Evacuated()
+	for name := range v.controlTables {
+		if _, ok := v.Tables[name]; !ok {
+			v.applyToService(name, e)
+		}
+	}
+	for name := range v.Tables {
+		v.applyToService(name, e)
+	}
+}
+
+// applyToService applies an event to the tables of a service.
+func (v *View) applyToService(name string, e cherviltide.PositionedEvent) {
 	controlTable, sent := v.controlTables[name]
 	if sent {
 		v.controlTables[name] = controlTable.WithEvent(e.Position, e.Event)
@@ -100,15 +119,15 @@
 }
 
 // withTables returns the view with tables that control sent. A snapshot without data removes the table of its service from
-// controlTables. With reset all other tables are dropped.
-func (v *View) withTables(snapshots []messenger.TableSnapshot, reset bool) (*View, error) {
+// controlTables. With reset all other tables are dropped, and evacuated are the evacuated failure domains.
+func (v *View) withTables(snapshots []messenger.TableSnapshot, reset bool, evacuated []string) (*View, error) {
 	next := *v
 	next.Tables, next.controlTables = maps.Clone(v.Tables), maps.Clone(v.controlTables)
 	if reset || next.controlTables == nil {
 		next.controlTables = map[string]*picker.Table{}
 	}
 	if reset {
-		next.Tables = map[string]*picker.Table{}
+		next.Tables, next.evacuated = map[string]*picker.Table{}, evacuated
 	}
 	for _, s := range snapshots {
 		delete(next.controlTables, s.Service)
@@ -128,13 +147,23 @@
 		case ok && table.Service().Buckets == min(s.Buckets, picker.MaxBuckets):
 			next.Tables[s.Name] = table.WithService(s)
 		case next.Tables[s.Name] == nil:
-			next.Tables[s.Name] = picker.New(s)
+			next.Tables[s.Name] = next.newTable(s)
 		}
 	}
 	next.rebuildIndexes()
 	return &next, nil
 }
 
+// newTable returns an empty table of a service, with the evacuated failure domains.
+func (v *View) newTable(s cherviltide.Service) *picker.Table {
+	return picker.New(s).WithEvacuated(v.evacuated)
+}
+
+// Evacuated returns the evacuated failure domains in the order of their names. The caller must not change them.
+func (v *View) Evacuated() []string {
+	return v.evacuated
+}
+
 func (v *View) withPosition(base, position uint64) *View {
 	if v.Base == base && v.Position == position {
 		return v
--- a/messenger/follow.go
+++ b/messenger/follow.go
@@ -49,6 +49,9 @@
 	// Greeting is true in the first message of an accepted subscription, which has only ControlURLs. So a follower that asks
 	// several instances knows which of them accepts it before tables and rules are sent.
 	Greeting bool `cbor:"11,keyasint,omitempty"`
+	// Evacuated has the evacuated failure domains at Position. It is set only with ReplaceTables; otherwise the events have the
+	// changes.
+	Evacuated []string `cbor:"12,keyasint,omitempty"`
 }
 
 // IsReferral reports whether the update only names control instances, since its sender does not accept the follower.
@@ -98,8 +101,9 @@
 	// Step is the difference to the position of the previous delta or, for the first one, to the follower's position.
 	Step uint64
 	// Type is the index of the event's type in eventTypes.
-	Type        int
-	Service     string
+	Type    int
+	Service string
+	// Name is the name of the member, or of the failure domain that the event is about.
 	Name        string
 	Incarnation uint64
 	// Value is the weight for Weighed events and the generation for Released events.
@@ -113,6 +117,7 @@
 var eventTypes = []cherviltide.EventType{
 	cherviltide.EventJoined, cherviltide.EventWeighed, cherviltide.EventSuspected, cherviltide.EventCleared,
 	cherviltide.EventLeaving, cherviltide.EventReleased, cherviltide.EventDied,
+	cherviltide.EventEvacuated, cherviltide.EventRestored,
 }
 
 // NewMemberDelta returns the compact form of an event, relative to the given earlier position.
@@ -125,6 +130,9 @@
 	if e.Event.Type == cherviltide.EventWeighed {
 		d.Value = uint64(m.Weight)
 	}
+	if e.Event.Type.IsAboutDomain() {
+		d.Name = m.FailureDomain
+	}
 	if e.Event.Type == cherviltide.EventJoined {
 		d.Service, d.Name, d.Incarnation, d.Member = "", "", 0, &m
 	}
@@ -141,6 +149,8 @@
 		Role: cherviltide.RoleAgent, Service: d.Service, Name: d.Name, Incarnation: d.Incarnation,
 	}}
 	switch {
+	case e.Type.IsAboutDomain():
+		e.Member = cherviltide.Member{FailureDomain: d.Name}
 	case d.Member != nil:
 		e.Member = *d.Member
 	case e.Type == cherviltide.EventWeighed:
--- a/picker/evacuation_test.go
+++ b/picker/evacuation_test.go
@@ -52,13 +52,12 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			table, before := New(testService()), New(testService())
-			position := uint64(0)
+			table, position := New(testService()), uint64(0)
 			for i := 1; i <= 9; i++ {
 				position++
 				table = table.WithEvent(position, about(cherviltide.EventJoined, i))
 			}
-			before = table
+			before := table
 			for _, e := range test.events {
 				position++
 				next := table.WithEvent(position, e)
--- a/tracker/lease.go
+++ b/tracker/lease.go
@@ -55,7 +55,8 @@
 	elapsed, lastClock cherviltide.Millis
 	contacts           map[string]*memberContact
 	// pendingProposals has the time of the last proposed event that is not committed yet, by the name of its member. The key
-	// is "Service " and the service's name for a definition of its table, and empty for the first event of the log.
+	// is "Service " and the service's name for a definition of its table, and empty for the first event of the log. Orders about
+	// failure domains are never held back, because each of them must be committed.
 	pendingProposals map[string]cherviltide.Millis
 	// recentDeaths has the deaths by an expired lease that this leader proposed within deathWindow.
 	recentDeaths []leaseDeath
--- a/tracker/maintain.go
+++ b/tracker/maintain.go
@@ -43,8 +43,11 @@
 
 // pendingKey returns the key under which a proposed event counts as pending.
 func pendingKey(e cherviltide.MemberEvent) string {
-	if e.Type == cherviltide.EventDefined {
+	switch {
+	case e.Type == cherviltide.EventDefined:
 		return "Service " + e.Member.Service
+	case e.Type.IsAboutDomain():
+		return "FailureDomain " + e.Member.FailureDomain
 	}
 	return e.Member.Name
 }
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -20,6 +20,9 @@
 	Graves         map[string]tombstone
 	Tables         []tableSnapshot
 	Key            []byte
+	// Evacuations has the evacuated failure domains in the order of their names. Snapshots of versions without evacuations
+	// have none, and neither have snapshots while no domain is evacuated.
+	Evacuations []Evacuation `cbor:",omitempty"`
 }
 
 // tableSnapshot is the table of one service.
@@ -31,7 +34,7 @@
 
 // Snapshot returns the encoded state for Restore.
 func (t *Tracker) Snapshot() ([]byte, error) {
-	s := snapshot{Base: t.logBase, Position: t.position, Entries: t.LiveMembers(), Graves: t.tombstones, Key: t.packetKey}
+	s := snapshot{Base: t.logBase, Position: t.position, Entries: t.LiveMembers(), Graves: t.tombstones, Key: t.packetKey, Evacuations: t.Evacuations()}
 	for _, name := range slices.Sorted(maps.Keys(t.tables)) {
 		data, err := t.tables[name].Snapshot()
 		if err != nil {
@@ -53,6 +56,9 @@
 	for _, x := range s.Entries {
 		next.live[x.Member.Name] = x
 	}
+	for _, x := range s.Evacuations {
+		next.evacuations[x.FailureDomain] = x
+	}
 	for _, x := range s.Tables {
 		table, err := picker.Restore(newService(x.Service, x.Buckets), x.Data)
 		if err != nil {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -55,6 +55,8 @@
 	// live has the members that are not dead, by name.
 	live       map[string]MemberRecord
 	tombstones map[string]tombstone
+	// evacuations has the evacuated failure domains, by name. The tables have the same domains.
+	evacuations map[string]Evacuation
 	// events has at most 2*maxFollowerEvents events; older ones are contained in tables and live only.
 	events []cherviltide.PositionedEvent
 	tables map[string]*picker.Table
@@ -69,7 +71,10 @@
 
 // NewWithLimits returns a tracker without members.
 func NewWithLimits(limits Limits) *Tracker {
-	return &Tracker{limits: limits, live: map[string]MemberRecord{}, tombstones: map[string]tombstone{}, tables: map[string]*picker.Table{}}
+	return &Tracker{
+		limits: limits, live: map[string]MemberRecord{}, tombstones: map[string]tombstone{},
+		evacuations: map[string]Evacuation{}, tables: map[string]*picker.Table{},
+	}
 }
 
 // Encode returns the log entry of an event.
@@ -107,6 +112,12 @@
 		return
 	}
 	t.appendEvent(cherviltide.PositionedEvent{Position: t.position, Event: e})
+	if e.Type.IsAboutDomain() {
+		for name, table := range t.tables {
+			t.tables[name] = table.WithEvent(t.position, e)
+		}
+		return
+	}
 	if table, ok := t.tables[e.Member.Service]; ok {
 		t.tables[e.Member.Service] = table.WithEvent(t.position, e)
 	}
@@ -121,6 +132,10 @@
 		return t.defineTable(e)
 	case cherviltide.EventJoined:
 		return t.join(e.Member)
+	case cherviltide.EventEvacuated:
+		return t.evacuate(e)
+	case cherviltide.EventRestored:
+		return t.restoreDomain(e.Member.FailureDomain)
 	}
 	current, known := t.live[e.Member.Name]
 	if !known || current.Member.Incarnation != e.Member.Incarnation {
@@ -177,7 +192,7 @@
 	if old, ok := t.tables[name]; ok && old.Service().Buckets == min(e.Buckets, picker.MaxBuckets) {
 		return false
 	}
-	table := picker.New(newService(name, e.Buckets))
+	table := picker.New(newService(name, e.Buckets)).WithEvacuated(t.EvacuatedDomains())
 	for _, x := range t.LiveMembers() {
 		for _, event := range x.replayEvents() {
 			table = table.WithEvent(t.position, event)
