Open no new flows at agents in an evacuated failure domain

Entries with an older table go on sending flows to the domain, so the agent beside the target decides, as for draining. It opens no flow as owner, for an offer, for a flow that waits or as last resort; it forwards and offers flows to agents elsewhere, and refuses them at once when none takes them. Offers leave out agents in evacuated domains, also the secondary of a table whose domains are all evacuated. Packets of open flows reach the target as before. Agents that end QUIC connections refuse new ones in the same way.

Announcements get the number of open flows, and the data path counts what it refuses or hands on because of an evacuation.

go test ./relayer ./holder ./explainer: ok. The tests fail when one of the four conditions is removed (tried one by one).

--- a/commands/agent.go
+++ b/commands/agent.go
@@ -58,6 +58,7 @@
 	f, err := newFollower(s.Process, member, s.Service, log.Logger, func(r *messenger.AnnounceRequest) {
 		r.RevisionInForce = data.RevisionInForce()
 		r.Generation, r.OldestGeneration = data.Generations()
+		r.OpenFlows = data.Flows()
 		r.Rate = serviceRate(slots)
 		r.Counters = counter.Snapshot()
 	})
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -182,6 +182,7 @@
 // reasonMeanings describes the reasons for which agents log that they refused or dropped a packet.
 var reasonMeanings = map[string]string{
 	"Unavailable": "every agent that was asked is full, leaving or without its target; the request was not executed",
+	"Evacuated":   "the agent's failure domain is evacuated and no agent elsewhere took the flow; the request was not executed",
 	"Overloaded":  "no target could have served the flow before its caller gave up: see WaitMs and Waiting of the lines before; the request was not executed",
 	"NoHolder":    "no agent holds the flow: its target has ended, or its agent restarted and could not find it",
 	"Gone":        "the target returned a packet of a flow that it had held: it has restarted",
--- a/holder/connection.go
+++ b/holder/connection.go
@@ -69,9 +69,10 @@
 	h.refusesNew.Store(true)
 }
 
-// refusesConnection reports whether a datagram opens a connection that the agent does not take.
+// refusesConnection reports whether a datagram opens a connection that the agent does not take, because it stops or because
+// its failure domain is evacuated.
 func (h *Holder) refusesConnection(in DecisionInput) bool {
-	return in.CanOpen && h.refusesNew.Load()
+	return in.CanOpen && (h.refusesNew.Load() || in.Table.IsEvacuated(in.Self.FailureDomain))
 }
 
 // decide decides about a datagram by its connection ID if that has the tag of an agent, and by its flow otherwise.
--- a/holder/connection_test.go
+++ b/holder/connection_test.go
@@ -78,18 +78,27 @@
 	}
 }
 
-// TestLeavingAgentRefusesNewConnections guards against a leaving agent that accepts a caller's new connection because it
-// holds the flow of the old one. Without RefuseNewConnections, the same datagram is delivered.
+// TestLeavingAgentRefusesNewConnections guards against an agent that leaves, or whose failure domain is evacuated, and accepts a
+// caller's new connection because it holds the flow of the old one. Without RefuseNewConnections and in another domain, the
+// same datagram is delivered.
 func TestLeavingAgentRefusesNewConnections(t *testing.T) {
 	table, members := agentTable(t, "desk-1", "desk-2")
-	for name, refusing := range map[string]bool{"leaving": true, "mechanism off": false} {
+	table = table.WithEvent(9, cherviltide.MemberEvent{Type: cherviltide.EventEvacuated, Member: cherviltide.Member{FailureDomain: "z1"}})
+	for name, test := range map[string]struct {
+		leaving  bool
+		domain   string
+		refusing bool
+	}{
+		"leaving": {true, "", true}, "evacuated": {false, "z1", true}, "other domain": {false, "z2", false}, "mechanism off": {false, "", false},
+	} {
 		t.Run(name, func(t *testing.T) {
-			h := &Holder{config: Config{Self: members["desk-1"]}}
-			if refusing {
+			h, refusing, self := &Holder{config: Config{Self: members["desk-1"]}}, test.refusing, members["desk-1"]
+			self.FailureDomain = test.domain
+			if test.leaving {
 				h.RefuseNewConnections()
 			}
 			in := DecisionInput{
-				Self: members["desk-1"], Table: table, Held: true, CanOpen: true, Sender: members["desk-2"].Address,
+				Self: self, Table: table, Held: true, CanOpen: true, Sender: members["desk-2"].Address,
 				Header: framer.Header{Flags: framer.FlagProbe, Position: 1, Generation: table.Generation()},
 			}
 			require.Equal(t, refusing, h.decide(in, initialDatagram(8)).Action == ActionReturn)
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -29,6 +29,8 @@
 	// OldestGeneration is the lowest generation at which the agent opened a flow that it still holds. It equals Generation
 	// when the agent holds no flow.
 	OldestGeneration uint64
+	// OpenFlows is the number of flows that are open at the agent's target.
+	OpenFlows int
 	// Started is the start time of the process, by its own clock.
 	Started cherviltide.Millis
 	// Counters are the request counts since the start of the process; they never decrease within an incarnation.
--- /dev/null
+++ b/relayer/evacuation_test.go
@@ -0,0 +1,133 @@
+package relayer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/picker"
+)
+
+// evacuated returns a table of two agents in z1 and two in z2, in which the given domains are evacuated.
+func evacuated(domains ...string) *picker.Table {
+	t := picker.New(cherviltide.Service{Name: service, ID: cherviltide.ServiceIDOf(service), Buckets: 64})
+	for i := 1; i <= 4; i++ {
+		t = t.WithEvent(uint64(i), cherviltide.MemberEvent{Type: cherviltide.EventJoined, Member: zoned(i)})
+	}
+	for i, domain := range domains {
+		t = t.WithEvent(uint64(5+i), cherviltide.MemberEvent{Type: cherviltide.EventEvacuated, Member: cherviltide.Member{FailureDomain: domain}})
+	}
+	return t
+}
+
+func zoned(n int) cherviltide.Member {
+	m := member(n)
+	m.FailureDomain = []string{"z1", "z1", "z2", "z2"}[n-1]
+	return m
+}
+
+// TestAgentInEvacuatedDomain guards against a new flow that reaches a target of an evacuated domain, against one that is
+// refused although an agent elsewhere takes it, and against an open flow that ends because of the order.
+func TestAgentInEvacuatedDomain(t *testing.T) {
+	flow := ownedBy(t, evacuated(), zoned(1))
+	opened := func(d *Decider, in *Input, _ *Arrival) {
+		before := *in
+		before.Table = evacuated()
+		d.FromPeer(before, syn(flow, 0))
+		d.FromTarget(before, synAck(flow))
+		d.FromPeer(before, ack(flow, 501))
+	}
+	waits := func(d *Decider, in *Input, a *Arrival) {
+		before := *in
+		before.Table, d.load.active = evacuated(), 2
+		first := syn(flow, 0)
+		first.Header.Flags, first.Header.Position = framer.FlagDeclined, maxOffers-1
+		require.Equal(t, ActionWait, d.FromPeer(before, first).Action)
+		*a = Arrival{}
+	}
+	for name, test := range map[string]struct {
+		table   *picker.Table
+		prepare func(d *Decider, in *Input, a *Arrival)
+		action  Action
+		reason  Reason
+		flags   framer.Flags
+	}{
+		"entry with an older table":    {evacuated("z1"), nil, ActionForward, ReasonNotOwner, 0},
+		"agent with an older table":    {evacuated("z1"), func(_ *Decider, _ *Input, a *Arrival) { a.Header.Hops = 1 }, ActionForward, ReasonOffered, framer.FlagOffered},
+		"offer":                        {evacuated("z1"), func(_ *Decider, _ *Input, a *Arrival) { a.Header.Flags = framer.FlagOffered }, ActionForward, ReasonDeclined, framer.FlagDeclined},
+		"nobody elsewhere takes it":    {evacuated("z1"), lastDecline, ActionRefuse, ReasonEvacuated, 0},
+		"only a last resort is left":   {evacuated("z1"), func(d *Decider, in *Input, a *Arrival) { d.target.AcceptsNewFlows = false; lastDecline(d, in, a) }, ActionRefuse, ReasonEvacuated, 0},
+		"all domains":                  {evacuated("z1", "z2"), nil, ActionRefuse, ReasonEvacuated, 0},
+		"waiting flow":                 {evacuated("z1"), waits, ActionForward, ReasonOffered, framer.FlagOffered},
+		"waiting flow, all domains":    {evacuated("z1", "z2"), waits, ActionRefuse, ReasonEvacuated, 0},
+		"packet of an open flow":       {evacuated("z1", "z2"), func(d *Decider, in *Input, a *Arrival) { opened(d, in, a); *a = ack(flow, 501) }, ActionDeliver, ReasonHeld, 0},
+		"another domain":               {evacuated("z2"), nil, ActionDeliver, ReasonOpened, 0},
+		"agent without the order yet":  {evacuated(), nil, ActionDeliver, ReasonOpened, 0},
+		"withdrawn":                    {evacuated("z1").WithEvent(9, cherviltide.MemberEvent{Type: cherviltide.EventRestored, Member: zoned(1)}), nil, ActionDeliver, ReasonOpened, 0},
+		"started, and no table is yet": {picker.New(cherviltide.Service{Name: service}).WithEvacuated([]string{"z1"}), nil, ActionRefuse, ReasonEvacuated, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, in, a := newDecider(), inputAt(10, zoned(1), test.table), syn(flow, 0)
+			in.Rules = rules{accepts: true, revision: 1, route: cherviltide.Route{Goal: 250, Deadline: 2_500}}
+			if test.prepare != nil {
+				test.prepare(d, &in, &a)
+			}
+			var decision Decision
+			if a.Header == (framer.Header{}) {
+				var ok bool
+				_, decision, ok = d.NextWaiting(in)
+				require.True(t, ok, "a flow goes on waiting")
+			} else {
+				decision = d.FromPeer(in, a)
+			}
+			require.Equal(t, test.action, decision.Action, decision.Reason.String())
+			require.Equal(t, test.reason, decision.Reason, decision.Reason.String())
+			require.Equal(t, test.flags, decision.Header.Flags)
+			if decision.Action == ActionForward && decision.Reason != ReasonDeclined {
+				require.Contains(t, []cherviltide.Member{zoned(3), zoned(4)}, memberAt(decision))
+			}
+		})
+	}
+}
+
+// lastDecline makes an arrival the last offer, which was declined.
+func lastDecline(_ *Decider, _ *Input, a *Arrival) {
+	a.Header.Flags, a.Header.Position = framer.FlagDeclined, maxOffers-1
+}
+
+// memberAt returns the agent that a packet is forwarded to.
+func memberAt(decision Decision) cherviltide.Member {
+	for i := 1; i <= 4; i++ {
+		if zoned(i).Address == decision.To {
+			return zoned(i)
+		}
+	}
+	return cherviltide.Member{}
+}
+
+// TestOffersLeaveOutEvacuatedAgents guards against offers to agents that decline each of them, so that a flow is refused although
+// an agent elsewhere is free.
+func TestOffersLeaveOutEvacuatedAgents(t *testing.T) {
+	for name, table := range map[string]*picker.Table{"other domain": evacuated("z1"), "own domain": evacuated("z2")} {
+		for port := 3000; port < 3100; port++ {
+			d, in := newDecider(), inputAt(10, zoned(3), table)
+			for _, m := range d.appendAlternates(nil, 0, in, key(port)) {
+				require.False(t, table.IsEvacuated(m.FailureDomain), "%s: %s", name, m.Name)
+			}
+		}
+	}
+}
+
+// TestOpenFlowsAreCounted guards against an operator who stops a domain in which flows are still open.
+func TestOpenFlowsAreCounted(t *testing.T) {
+	d, in := newDecider(), inputAt(10, member(1), tableOf(1))
+	d.FromPeer(in, syn(key(3000), 0))
+	require.Zero(t, d.OpenFlows(), "the target has not answered")
+	d.FromTarget(in, synAck(key(3000)))
+	d.FromPeer(in, ack(key(3000), 501))
+	require.Equal(t, 1, d.OpenFlows())
+	d.FromPeer(in, arrival(key(3000), cherviltide.Packet{Flags: cherviltide.PacketReset, Sequence: 111}))
+	require.Zero(t, d.OpenFlows())
+}
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -22,7 +22,7 @@
 func (d *Decider) offerPosition(in Input, a Arrival, attempt int) uint8 {
 	wait, _ := d.queue.Predict(in.Now, d.waitingFlow(in, a))
 	position := uint8(attempt&attemptMask) | uint8(min(wait/waitStep, maxWaitSteps))<<waitShift
-	if !d.acceptsNewFlows(in.Now) {
+	if !d.acceptsNewFlows(in) {
 		position |= cannotServeBit
 	}
 	return position
@@ -89,7 +89,7 @@
 	if ok && !isSelf(in, owner) && a.Header.Flags == 0 && a.Header.Hops == 0 && !d.detector.IsUnresponsive(owner.Address, in.Now) {
 		return d.forward(in, a, owner.Address, 0, 0, ReasonNotOwner)
 	}
-	acceptsNewFlows := d.acceptsNewFlows(in.Now)
+	acceptsNewFlows := d.acceptsNewFlows(in)
 	bulky := d.isBulky(in, a)
 	if acceptsNewFlows && d.queue.Len() == 0 && d.hasFreeSlot(in.Now, bulky, 0) {
 		return d.openFlow(in, a)
@@ -101,11 +101,11 @@
 	if acceptsNewFlows {
 		return d.submit(in, a)
 	}
-	if d.target.LastResort && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil {
+	if d.target.LastResort && !in.isEvacuated() && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil {
 		return d.openFlow(in, a)
 	}
 	d.remoteFlows.remove(a.Header.Flow)
-	return Decision{Action: ActionRefuse, Reason: ReasonUnavailable}
+	return Decision{Action: ActionRefuse, Reason: in.refusalReason()}
 }
 
 // rejectByRules returns the decision about a new flow that the rules do not send here, and false when they allow it. The
@@ -122,8 +122,8 @@
 }
 
 // acceptsNewFlows reports whether the target takes new flows at all.
-func (d *Decider) acceptsNewFlows(now cherviltide.Millis) bool {
-	return d.target.AcceptsNewFlows && !d.targetUnresponsive(now) && now >= d.targetFullUntil
+func (d *Decider) acceptsNewFlows(in Input) bool {
+	return d.target.AcceptsNewFlows && !in.isEvacuated() && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil
 }
 
 // targetUnresponsive reports whether the target leaves packets unanswered.
@@ -172,8 +172,8 @@
 
 // appendAlternates appends the agents that a new flow may be offered to and that are not in the list yet: the secondary of
 // its bucket, then others in an order that differs between flows, so that they share the flows that an owner cannot take.
-// existing is the length of the list. When it is 0, the list is for an offer, and unresponsive agents other than the
-// secondary are left out.
+// existing is the length of the list. When it is 0, the list is for an offer, and agents in evacuated failure domains and
+// unresponsive ones other than the secondary are left out.
 func (d *Decider) appendAlternates(list []cherviltide.Member, existing int, in Input, flow cherviltide.FlowKey) []cherviltide.Member {
 	count := 0
 	add := func(m cherviltide.Member) {
@@ -189,7 +189,7 @@
 		list = append(list, m)
 	}
 	secondary, ok := in.Table.Secondary(flow)
-	if ok {
+	if ok && (existing > 0 || !in.Table.IsEvacuated(secondary.FailureDomain)) {
 		add(secondary)
 	}
 	d.members = in.Table.AppendActive(d.members[:0])
@@ -220,7 +220,7 @@
 	if decision, ok := d.rejectByRules(in, a); ok {
 		return decision
 	}
-	if d.acceptsNewFlows(in.Now) {
+	if d.acceptsNewFlows(in) {
 		if d.queue.Len() == 0 && d.hasFreeSlot(in.Now, d.isBulky(in, a), 0) {
 			return d.openFlow(in, a)
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -61,6 +61,9 @@
 	Delivered, Passed, Answered, Refused, Dropped atomic.Uint64
 	// Foreign datagrams are of another service; Malformed ones cannot be decoded or authenticated.
 	Foreign, Malformed, SendFailed atomic.Uint64
+	// EvacuationRefused and EvacuationHandedOn count the opening packets that were refused, or forwarded to an agent
+	// elsewhere, while the agent's failure domain was evacuated.
+	EvacuationRefused, EvacuationHandedOn atomic.Uint64
 }
 
 // Relayer is the data path of an agent.
@@ -153,6 +156,7 @@
 	table, ok := view.Tables[self.Service]
 	if !ok {
 		table, ok = picker.New(cherviltide.Service{Name: self.Service, ID: cherviltide.ServiceIDOf(self.Service)}), len(view.Rules.Services) > 0
+		table = table.WithEvacuated(view.Evacuated())
 	}
 	r.revisionInForce.Store(view.Rules.Revision)
 	rules := r.rules.Load()
@@ -252,6 +256,7 @@
 func (r *Relayer) execute(in Input, decision Decision, header framer.Header, p cherviltide.Packet, datagram, packet []byte) {
 	key := header.Flow
 	r.byReason[decision.Reason].Add(1)
+	r.countEvacuation(in, decision, p)
 	r.log(in, decision, header, p)
 	switch decision.Action {
 	case ActionDeliver:
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -96,13 +96,13 @@
 func (d *Decider) Waiting() int { return d.queue.Len() }
 
 // NextWaiting decides about a waiting flow whose turn has come: it is opened, offered to another agent because the target no
-// longer takes new flows, dropped or refused. It returns false when all go on waiting.
+// longer takes new flows or the failure domain is evacuated, dropped or refused. It returns false when all go on waiting.
 func (d *Decider) NextWaiting(in Input) (Arrival, Decision, bool) {
 	if d.queue.Len() == 0 {
 		return Arrival{}, Decision{}, false
 	}
 	d.updateCapacity()
-	if !d.target.AcceptsNewFlows || d.targetUnresponsive(in.Now) {
+	if !d.target.AcceptsNewFlows || in.isEvacuated() || d.targetUnresponsive(in.Now) {
 		f, _ := d.queue.First()
 		return d.release(in, f, func(a Arrival) Decision { return d.placeFlow(in, a, 0) })
 	}
@@ -112,7 +112,7 @@
 			return Decision{Action: ActionRefuse, Reason: ReasonOverloaded}
 		})
 	}
-	if !d.acceptsNewFlows(in.Now) || !d.hasFreeSlot(in.Now, false, d.queue.Overlap()) {
+	if !d.acceptsNewFlows(in) || !d.hasFreeSlot(in.Now, false, d.queue.Overlap()) {
 		return Arrival{}, Decision{}, false
 	}
 	f, ok := d.queue.Next(in.Now, !d.hasBulkySlot(in.Now))
