Take orders about failure domains at control

Operators order the evacuation of a failure domain at any control instance. The leader of the membership group proposes the event and responds after the commit of that entry; other instances and delegates forward the request. An order in force is committed again, because only a commit shows that the leader still leads. An order that is sent again while it is on its way joins it, so that slow disks do not make it begin anew with each attempt.

status lists the evacuated domains with agents and open flows.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -58,6 +58,9 @@
 	// MinVoters is the number of voters that tolerates the failures that the deployment must survive; 0 if it is not known.
 	MinVoters int
 	URL       func(name string) string
+	// FailureDomains lists the failure domains that an operator may evacuate, in addition to those that members have
+	// announced.
+	FailureDomains []string
 	// Parse reads rules from the operators' configuration; nil means the rules file. Parsed keeps the results; nil means that
 	// the controller has a cacher of its own.
 	Parse  cherviltide.RulesParser
--- a/controller/delegate.go
+++ b/controller/delegate.go
@@ -71,6 +71,7 @@
 	messenger.Status.Handle(mux, func(ctx context.Context, req *messenger.StatusRequest) (*messenger.StatusResponse, error) {
 		return forwardToVoters(ctx, d, delegateTimeout, messenger.Status, req)
 	})
+	messenger.Evacuate.Handle(mux, d.Evacuate)
 	messenger.Follow.Handle(mux, d.follow)
 	messenger.Step.Handle(mux, d.step)
 	if d.config.Mount != nil {
@@ -117,6 +118,11 @@
 	return forwardToVoters(ctx, d, delegateTimeout, messenger.Current, &messenger.CurrentRequest{})
 }
 
+// Evacuate forwards an order about a failure domain to a voter.
+func (d *Delegate) Evacuate(ctx context.Context, req *messenger.EvacuateRequest) (*messenger.EvacuateResponse, error) {
+	return forwardToVoters(ctx, d, delegateTimeout, messenger.Evacuate, req)
+}
+
 // voterURLs returns the base URLs of the known voters. Requests are forwarded to voters only: two delegates would forward
 // a request to each other without end.
 func (d *Delegate) voterURLs() []string {
--- a/controller/memberlog.go
+++ b/controller/memberlog.go
@@ -21,7 +21,12 @@
 
 // Propose proposes an entry without waiting for it.
 func (l *memberLog) Propose(entry []byte) {
-	l.controller.membership.propose(entry, func(error) {})
+	l.ProposeAndReport(entry, func(error) {})
+}
+
+// ProposeAndReport proposes an entry and calls done with its result on the control goroutine.
+func (l *memberLog) ProposeAndReport(entry []byte, done func(error)) {
+	l.controller.membership.propose(entry, done)
 }
 
 // IsLeader reports whether this instance leads the group.
--- a/controller/members.go
+++ b/controller/members.go
@@ -28,6 +28,9 @@
 type membershipLog interface {
 	// Propose proposes an entry without waiting for it. The entry may be lost; the tracker then proposes it again.
 	Propose(entry []byte)
+	// ProposeAndReport proposes an entry and calls done on the control goroutine: with nil after the entry was committed and
+	// applied, or with an error when it was not appended or was lost.
+	ProposeAndReport(entry []byte, done func(error))
 	// IsLeader reports whether this instance leads the group.
 	IsLeader() bool
 	// IsCurrent reports whether this instance was recently in contact with a leader that a majority confirms. An instance
@@ -48,6 +51,10 @@
 	rules         cherviltide.Rules
 	// parsing is the number of the revision that is being parsed; 0 if none is.
 	parsing uint64
+	// orders has the orders about failure domains that this leader has proposed and that are not committed yet.
+	orders map[orderKey]*order
+	// lastEvacuated is the list of evacuated domains that was logged last.
+	lastEvacuated string
 	// lastHeld is the list of held groups that was logged last.
 	lastHeld string
 	// stale is true if this instance was not current at the last check.
@@ -55,7 +62,7 @@
 }
 
 func newMembers(log membershipLog) members {
-	return members{log: log, announcements: map[string]messenger.AnnounceRequest{}}
+	return members{log: log, announcements: map[string]messenger.AnnounceRequest{}, orders: map[orderKey]*order{}}
 }
 
 // proposeEvents logs member events and proposes them to the membership group.
@@ -82,6 +89,7 @@
 		} else {
 			c.tracker.EndLeadership()
 		}
+		clear(c.members.orders)
 		c.config.Log.Info("MembershipLeadership", zap.Bool("Leads", leads))
 	}
 	c.proposeEvents(c.tracker.Tick(now))
@@ -162,6 +170,7 @@
 // publish gives the newest state to the distributor.
 func (c *Controller) publish() {
 	c.updateRules()
+	c.logEvacuations()
 	events, oldest := c.tracker.Events()
 	c.distributor.Publish(distributor.State{
 		Revision:    c.members.configuration.Number,
@@ -261,6 +270,7 @@
 func (c *Controller) fillStatus(res *messenger.StatusResponse) {
 	res.Revision, res.Position = c.registrar.Current().Number, c.tracker.Position()
 	res.Confirmed, res.Held = c.tracker.IsLeader(), c.tracker.HeldGroups()
+	res.Evacuations = c.evacuationStatus()
 	for _, record := range append(c.tracker.LiveMembers(), c.tracker.RecentlyDead(maxListedDead)...) {
 		announcement := c.members.announcements[record.Member.Name]
 		res.Members = append(res.Members, messenger.MemberStatus{
@@ -269,6 +279,7 @@
 			RevisionSeen:    announcement.RevisionSeen,
 			RevisionInForce: announcement.RevisionInForce,
 			Generation:      announcement.Generation,
+			OpenFlows:       announcement.OpenFlows,
 			Lags:            record.State != cherviltide.StateDead && announcement.RevisionInForce < res.Revision,
 		})
 	}
--- a/controller/members_test.go
+++ b/controller/members_test.go
@@ -25,10 +25,11 @@
 	client *http.Client
 }
 
-func (l *nonLeaderLog) Propose([]byte)                 {}
-func (l *nonLeaderLog) IsLeader() bool                 { return false }
-func (l *nonLeaderLog) IsCurrent() bool                { return true }
-func (l *nonLeaderLog) Leader() (string, *http.Client) { return l.leader, l.client }
+func (l *nonLeaderLog) Propose([]byte)                       {}
+func (l *nonLeaderLog) ProposeAndReport([]byte, func(error)) {}
+func (l *nonLeaderLog) IsLeader() bool                       { return false }
+func (l *nonLeaderLog) IsCurrent() bool                      { return true }
+func (l *nonLeaderLog) Leader() (string, *http.Client)       { return l.leader, l.client }
 
 // startServer runs a control instance and returns its base URL. The instance leads unless a log is given.
 func startServer(t testing.TB, log membershipLog) string {
--- a/controller/operators.go
+++ b/controller/operators.go
@@ -15,6 +15,7 @@
 	messenger.Rules.Handle(mux, c.rules)
 	messenger.History.Handle(mux, c.history)
 	messenger.Drain.Handle(mux, c.drain)
+	messenger.Evacuate.Handle(mux, c.Evacuate)
 	messenger.Report.Handle(mux, c.report)
 }
 
--- a/controller/ready.go
+++ b/controller/ready.go
@@ -30,6 +30,7 @@
 func (c *Controller) RegisterMetrics(p *prober.Prober) {
 	p.Metric("Rules.Revision", c.loopMetric(func() any { return c.registrar.Current().Number }))
 	p.Metric("Membership.Position", c.loopMetric(func() any { return c.tracker.Position() }))
+	p.Metric("Membership.Evacuated", c.loopMetric(func() any { return len(c.tracker.Evacuations()) }))
 	p.Metric("Disk.SyncMs", c.syncTimes.Value)
 	p.Metric("Edits", func() any { return c.edits.Counts() })
 	c.times.registerMetrics(p)
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -103,11 +103,24 @@
 	Position  uint64
 	Confirmed bool
 	Members   []MemberStatus
+	// Evacuations has the evacuated failure domains in the order of their names.
+	Evacuations []EvacuationStatus
 	// Held has the services and roles of the held groups: their members are kept although their leases have expired,
 	// because too many expired at once.
 	Held []string
 }
 
+// EvacuationStatus is the state of an evacuated failure domain.
+type EvacuationStatus struct {
+	FailureDomain string
+	// Operator gave the order, and Since is when, in milliseconds since the Unix epoch.
+	Operator string
+	Since    cherviltide.Millis
+	// Agents is the number of live agents in the domain, and OpenFlows the number of flows that are still open at their
+	// targets, by the last announcement of each agent to this instance.
+	Agents, OpenFlows int
+}
+
 // MemberStatus is the state of one member.
 type MemberStatus struct {
 	Member cherviltide.Member
@@ -118,6 +131,8 @@
 	RevisionInForce uint64
 	// Generation is the generation of an agent's table.
 	Generation uint64
+	// OpenFlows is the number of flows that are open at the target of an agent.
+	OpenFlows int
 	// Lags is true when the accepted revision is not in force at the member.
 	Lags bool
 }
--- a/messenger/operators.go
+++ b/messenger/operators.go
@@ -10,7 +10,9 @@
 	Rules   = Procedure[RulesRequest, RulesResponse]{path: "/cherviltide.Control/Rules"}
 	History = Procedure[HistoryRequest, HistoryResponse]{path: "/cherviltide.Control/History"}
 	Drain   = Procedure[DrainRequest, DrainResponse]{path: "/cherviltide.Control/Drain"}
-	Report  = Procedure[ReportRequest, ReportResponse]{path: "/cherviltide.Control/Report"}
+	// Evacuate orders or withdraws the evacuation of a failure domain.
+	Evacuate = Procedure[EvacuateRequest, EvacuateResponse]{path: "/cherviltide.Control/Evacuate"}
+	Report   = Procedure[ReportRequest, ReportResponse]{path: "/cherviltide.Control/Report"}
 )
 
 // RulesRequest requests the accepted rules with their origins.
@@ -85,6 +87,22 @@
 	State cherviltide.MemberState
 }
 
+// EvacuateRequest orders the evacuation of a failure domain or withdraws it. It may be repeated.
+type EvacuateRequest struct {
+	FailureDomain string
+	// Withdraw is true to let the targets of the domain take new flows again.
+	Withdraw bool
+	Operator string
+	// Forwarded is true when another control instance has forwarded the request. It is not forwarded again.
+	Forwarded bool
+}
+
+// EvacuateResponse acknowledges that a majority has synced the order.
+type EvacuateResponse struct {
+	// Position is a position of the membership log from which on the order is included.
+	Position uint64
+}
+
 // ReportRequest requests the service-level report.
 type ReportRequest struct {
 	// Forwarded is true when another control instance has forwarded the request. It is not forwarded again.
--- a/messenger/role.go
+++ b/messenger/role.go
@@ -33,6 +33,7 @@
 	"/cherviltide.Control/Rules":    operatorRoles,
 	"/cherviltide.Control/History":  operatorRoles,
 	"/cherviltide.Control/Drain":    operatorRoles,
+	"/cherviltide.Control/Evacuate": operatorRoles,
 	"/cherviltide.Control/Report":   operatorRoles,
 	"/cherviltide.Control/Step":     controlRoles,
 	"/cherviltide.Agent/Claim":      agentRoles,
