Order evacuations from the command line and show them in status

An order whose response is lost, or which no majority commits in time, may have been synced. Control reports that as an unknown outcome (kind Internal) and no longer as an order that did not run, so the exit code is 5, not 4.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -41,6 +41,7 @@
 	History  *historyCommand   `arg:"subcommand:history" help:"show accepted revisions, newest first"`
 	Status   *statusCommand    `arg:"subcommand:status" help:"show members and the revision each has in force"`
 	Drain    *drainCommand     `arg:"subcommand:drain" help:"make a member finish its work and end"`
+	Evacuate *evacuateCommand  `arg:"subcommand:evacuate" help:"end new flows to the targets of a failure domain, or allow them again"`
 	Report   *reportCommand    `arg:"subcommand:report" help:"show the service-level report"`
 	Explain  *explainCommand   `arg:"subcommand:explain" help:"show the log lines of a flow and mark the one that decided its outcome"`
 	Settings *settingsCommand  `arg:"subcommand:settings" help:"check a settings file and print it in full"`
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -45,7 +45,14 @@
 			{Member: cherviltide.Member{Name: "slow"}, State: cherviltide.StateActive, RevisionSeen: 5, RevisionInForce: 4},
 			{Member: cherviltide.Member{Name: "dead"}, State: cherviltide.StateDead},
 		}
-		return &messenger.StatusResponse{Revision: 5, Confirmed: true, Members: members}, nil
+		evacuations := []messenger.EvacuationStatus{{FailureDomain: "z1", Operator: "rita", Since: 1_800_000_000_000, Agents: 2, OpenFlows: 17}}
+		return &messenger.StatusResponse{Revision: 5, Confirmed: true, Members: members, Evacuations: evacuations}, nil
+	})
+	messenger.Evacuate.Handle(mux, func(_ context.Context, req *messenger.EvacuateRequest) (*messenger.EvacuateResponse, error) {
+		if req.FailureDomain != "z1" || req.Operator != "rita" {
+			return nil, &Error{cherviltide.Fault{Op: "test", Kind: cherviltide.KindInvalid, Err: errors.New("known are: z1")}}
+		}
+		return &messenger.EvacuateResponse{Position: 7}, nil
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -138,7 +145,7 @@
 
 // TestNoControl guards against a command that reports an unknown outcome although no connection was established.
 func TestNoControl(t *testing.T) {
-	for _, args := range [][]string{{"apply", writeRulesFile(t, validRules), "--operator", "r"}, {"status"}, {"drain", "x"}, {"history"}, {"rules"}, {"report"}, {"rollback", "1"}} {
+	for _, args := range [][]string{{"apply", writeRulesFile(t, validRules), "--operator", "r"}, {"status"}, {"drain", "x"}, {"evacuate", "x"}, {"history"}, {"rules"}, {"report"}, {"rollback", "1"}} {
 		code, _, errOut := runCommand(append(args, "--timeout", "100ms", "--control", closedAddress(t))...)
 		require.Equal(t, ExitRefused, code, "%v: %s", args, errOut)
 	}
@@ -189,9 +196,37 @@
 	require.Contains(t, out, `"RevisionInForce": 4`)
 }
 
+// TestEvacuate guards against an operator who takes a refused order for an accepted one, or a domain for empty while flows are
+// open there.
+func TestEvacuate(t *testing.T) {
+	address := startControl(t, nil)
+	for name, test := range map[string]struct {
+		args []string
+		code int
+		want string
+	}{
+		"order":           {[]string{"evacuate", "z1"}, ExitDone, "z1 is evacuated at membership position 7"},
+		"withdrawal":      {[]string{"evacuate", "z1", "--withdraw"}, ExitDone, "z1 is restored at membership position 7"},
+		"unknown domain":  {[]string{"evacuate", "z2"}, ExitFailed, "known are: z1"},
+		"open flows":      {[]string{"evacuate", "z1", "--wait", "300ms"}, ExitLagging, "z1: 17 open flows at 2 agents"},
+		"contradiction":   {[]string{"evacuate", "z1", "--wait", "1s", "--withdraw"}, ExitUsage, "--withdraw"},
+		"shown by status": {[]string{"status"}, ExitDone, "z1         2027-01-15T08:00:00Z  rita      2       17"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			args := append(test.args, "--control", address)
+			if test.args[0] == "evacuate" {
+				args = append(args, "--operator", "rita")
+			}
+			code, out, errOut := runCommand(args...)
+			require.Equal(t, test.code, code, errOut)
+			require.Contains(t, out+errOut, test.want)
+		})
+	}
+}
+
 // TestHelp guards against commands without help or an example.
 func TestHelp(t *testing.T) {
-	for _, name := range []string{"check", "format", "diff", "apply", "rollback", "rules", "history", "status", "drain", "report", "settings", "version"} {
+	for _, name := range []string{"check", "format", "diff", "apply", "rollback", "rules", "history", "status", "drain", "evacuate", "report", "settings", "version"} {
 		code, out, _ := runCommand(name, "--help")
 		require.Zero(t, code)
 		require.Contains(t, out, "Example:\n  cherviltide "+name)
--- a/commands/show.go
+++ b/commands/show.go
@@ -43,6 +43,9 @@
 		return console.printJSON(res)
 	}
 	_, _ = fmt.Fprintf(console.Out, "Revision %d, membership position %d\n", res.Revision, res.Position)
+	if err := writeEvacuations(console.Out, res.Evacuations); err != nil {
+		return err
+	}
 	t := newTable("Name", "Role", "Service", "FailureDomain", "State", "Weight", "Seen", "InForce")
 	for _, m := range res.Members {
 		t.addRow(m.Member.Name, m.Member.Role, m.Member.Service, m.Member.FailureDomain, m.State, m.Member.Weight, m.RevisionSeen, m.RevisionInForce)
--- a/controller/evacuate.go
+++ b/controller/evacuate.go
@@ -42,7 +42,8 @@
 
 // Evacuate ends new flows to the targets of a failure domain, or allows them again. It returns after a majority has synced the
 // event in the membership log. An order that is in force already is committed again, because only a commit shows that this
-// instance still leads. Another instance than the leader forwards the request.
+// instance still leads. Another instance than the leader forwards the request. After an error of kind Internal a majority may
+// have synced the order.
 func (c *Controller) Evacuate(ctx context.Context, req *messenger.EvacuateRequest) (*messenger.EvacuateResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, evacuateTimeout)
 	defer cancel()
@@ -65,7 +66,11 @@
 	select {
 	case <-o.done:
 	case <-ctx.Done():
-		return nil, unavailableError("controller.Evacuate", errOrderNotCommitted)
+		return nil, fault("controller.Evacuate", cherviltide.KindInternal, errOrderNotCommitted)
+	}
+	if errors.Is(o.err, errEntryLost) {
+		// A snapshot of the next leader may include the entry.
+		return nil, fault("controller.Evacuate", cherviltide.KindInternal, o.err)
 	}
 	if o.err != nil {
 		return nil, unavailableError("controller.Evacuate", o.err)
@@ -128,7 +133,11 @@
 	}
 	forwarded := *req
 	forwarded.Forwarded = true
-	return forwardToLeader(ctx, c, messenger.Evacuate, base, &forwarded)
+	res, err := forwardToLeader(ctx, c, messenger.Evacuate, base, &forwarded)
+	if err != nil && !messenger.IsResponse(err) {
+		return nil, fault("controller.Evacuate", cherviltide.KindInternal, fmt.Errorf("%w: %w", errOrderNotCommitted, err))
+	}
+	return res, err
 }
 
 // knownDomains returns the failure domains that may be evacuated, in the order of their names.
--- a/controller/evacuate_test.go
+++ b/controller/evacuate_test.go
@@ -83,7 +83,7 @@
 	x := newOrderFixture(t)
 	want := []tracker.Evacuation{{FailureDomain: "z1", Operator: "refused", Since: 1_800_000_000_000}}
 	x.inLoop(func() { x.log.losesAnswer = true })
-	x.requireRefused(cherviltide.KindUnavailable, "z1", false)
+	x.requireRefused(cherviltide.KindInternal, "z1", false)
 	x.inLoop(func() { x.log.losesAnswer = false })
 	require.Equal(t, want, x.evacuations())
 	first, err := x.order("z1", false, "two")
--- a/messenger/error.go
+++ b/messenger/error.go
@@ -68,3 +68,10 @@
 	}
 	return decoded
 }
+
+// IsResponse reports whether an error is the response of the peer. Any other error of a call leaves open whether the peer has
+// executed it.
+func IsResponse(err error) bool {
+	var remote *connect.Error
+	return errors.As(err, &remote) && connect.IsWireError(remote)
+}
