--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -118,7 +118,7 @@
 func (d *Decider) Waiting() int { return d.queue.Len() + d.uploads.Len() }
 
 // NextWaiting decides about a waiting flow whose turn has come: it is opened, offered to another agent because the target no
-// longer takes new flows, dropped or refused. It returns false when all go on waiting.
+// longer takes new flows or the failure domain is evacuated, dropped or refused. It returns false when all go on waiting.
 func (d *Decider) NextWaiting(in Input) (Arrival, Decision, bool) {
 	if d.Waiting() == 0 {
 		return Arrival{}, Decision{}, false
@@ -135,7 +135,7 @@
 	if queue.Len() == 0 {
 		return Arrival{}, Decision{}, false
 	}
-	if !d.target.AcceptsNewFlows || d.targetUnresponsive(in.Now) {
+	if !d.target.AcceptsNewFlows || in.isEvacuated() || d.targetUnresponsive(in.Now) {
 		f, _ := queue.First()
 		return d.release(in, f, func(a Arrival) Decision { return d.placeFlow(in, a, 0) })
 	}
@@ -145,7 +145,7 @@
 			return Decision{Action: ActionRefuse, Reason: ReasonOverloaded}
 		})
 	}
-	if !d.acceptsNewFlows(in.Now) || !d.hasRoomForWaiting(in.Now, queue) {
+	if !d.acceptsNewFlows(in) || !d.hasRoomForWaiting(in.Now, queue) {
 		return Arrival{}, Decision{}, false
 	}
 	f, ok := queue.Next(in.Now, !d.hasBulkySlot(in.Now))
