Put an order that follows its withdrawal behind it in the log

Cause: an evacuation that arrived while an equal one was on its way joined it, also when a withdrawal had been proposed in between; it was acknowledged although the withdrawal was the last event. Change: a proposal ends the joining of the opposite order. TestOrderAfterItsWithdrawal failed before.

--- a/controller/evacuate.go
+++ b/controller/evacuate.go
@@ -104,6 +104,8 @@
 	default:
 		c.config.Log.Info("EvacuationOrdered", zap.String("FailureDomain", req.FailureDomain), zap.Bool("Withdraw", req.Withdraw),
 			zap.String("Operator", req.Operator))
+		// A repetition of the opposite order that arrives from now on must come after this one in the log.
+		delete(c.members.orders, orderKey{domain: key.domain, withdraw: !key.withdraw})
 		c.members.orders[key] = o
 		c.members.log.ProposeAndReport(entry, finish)
 	}
--- a/controller/evacuate_test.go
+++ b/controller/evacuate_test.go
@@ -126,6 +126,27 @@
 	require.NoError(t, errors.Join(<-answers, <-answers, <-answers))
 }
 
+// TestOrderAfterItsWithdrawal guards against an order that is acknowledged with an earlier one although a withdrawal comes
+// between them.
+func TestOrderAfterItsWithdrawal(t *testing.T) {
+	x := newOrderFixture(t)
+	x.inLoop(func() { x.log.held = []func(){} })
+	answers := make(chan error, 3)
+	held := func() (n int) { x.inLoop(func() { n = len(x.log.held) }); return n }
+	for i, withdraw := range []bool{false, true, false} {
+		go func() { _, err := x.order("z1", withdraw, "one"); answers <- err }()
+		require.Eventually(t, func() bool { return held() == i+1 }, 10*time.Second, time.Millisecond)
+	}
+	x.inLoop(func() {
+		for _, release := range x.log.held {
+			release()
+		}
+		x.log.held = nil
+	})
+	require.NoError(t, errors.Join(<-answers, <-answers, <-answers))
+	require.Len(t, x.evacuations(), 1)
+}
+
 // TestRefusedOrders guards against orders that are refused for good although they may be sent again, and against orders about
 // domains that do not exist.
 func TestRefusedOrders(t *testing.T) {
