Probe failure domains with datagrams under the authenticated header

The types 3 and 4 are a probe and its echo; the generation numbers the probe, and its payload names the sender's failure domain. Earlier versions drop them as an unknown type, and a domain that has never answered is not closed. Package pinger sends the probes of package reacher to a sample of 16 agents of each domain.

Nothing uses pinger yet.

--- a/framer/framer.go
+++ b/framer/framer.go
@@ -31,6 +31,20 @@
 const (
 	TypeForward Type = 1 // From the caller to the target.
 	TypeReply   Type = 2 // From the target to the caller.
+	// TypeReachProbe asks an agent for an echo, TypeReachEcho is the echo with the same generation, which numbers the probe. They
+	// show which failure domains can be reached. Earlier versions drop them as an unknown type.
+	TypeReachProbe Type = 3
+	TypeReachEcho  Type = 4
+)
+
+// Positions of a forwarded datagram without a flag. Earlier versions ignore them.
+const (
+	// PositionOwnerClosed says that the failure domain of the flow's owner is closed for the entry, which has sent the datagram to
+	// an agent in another domain instead, and a later packet of a flow also to the owner.
+	PositionOwnerClosed uint8 = 1
+	// PositionDetour says that another agent, for which the failure domain of a possible holder is closed, has sent the
+	// datagram. It makes no second detour.
+	PositionDetour uint8 = 2
 )
 
 // Flags say how far the search for the agent that holds a flow has come.
@@ -62,7 +76,7 @@
 type Header struct {
 	Type Type
 	// Position is the index of the probed agent in the candidate list of the sender. In offers of relayed flows it has
-	// the state of the offer.
+	// the state of the offer. Without a flag it is one of the positions above.
 	Position   uint8
 	Hops       uint8
 	Flags      Flags
@@ -137,7 +151,7 @@
 		ServiceIndex:  b[88],
 		ServiceCount:  b[89],
 	}
-	if h.Type != TypeForward && h.Type != TypeReply {
+	if h.Type < TypeForward || h.Type > TypeReachEcho {
 		return Header{}, nil, ErrType
 	}
 	if h.Flags&(h.Flags-1) != 0 || h.Flags > FlagTagged {
--- /dev/null
+++ b/pinger/pinger.go
@@ -0,0 +1,224 @@
+// Package pinger sends the probes of package reacher over the socket of a data path and makes its decisions available to it.
+package pinger
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/follower"
+	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/reacher"
+)
+
+const (
+	// trafficHold is how long after a packet the process counts as forwarding traffic.
+	trafficHold cherviltide.Millis = 1_000
+	// membersInterval is the shortest time between two collections of the agents to probe, which reads all tables.
+	membersInterval cherviltide.Millis = 1_000
+	// sampleSize is the number of agents of a domain that one process probes in turn. Other processes probe others.
+	sampleSize = 16
+	// maxNameSize bounds the name of the sender's failure domain in the payload of a probe, in bytes.
+	maxNameSize = 64
+)
+
+// Limits of the roles. The probes of both cost the same; agents open a domain 150 ms earlier, so that their holder notices
+// arrive before entries send packets to owners in that domain again.
+var (
+	EntryLimits = reacher.Limits{MinInterval: 50, OpenAfter: 6}
+	AgentLimits = reacher.Limits{MinInterval: 50, OpenAfter: 3}
+)
+
+// Config describes the process that probes.
+type Config struct {
+	// FailureDomain is that of the process. Self is its own address, which is not probed.
+	FailureDomain string
+	Self          netip.AddrPort
+	Limits        reacher.Limits
+	View          func() *follower.View
+	// Send sends a datagram from the address that receives the echoes. Changed is called after a domain was closed or opened.
+	Send    func(datagram []byte, to netip.AddrPort)
+	Changed func()
+	Log     *zap.Logger
+}
+
+// Counters count datagrams since the start of the process.
+type Counters struct {
+	// Probes were sent, Echoes received; Answered counts the probes of others that were answered.
+	Probes, Echoes, Answered atomic.Uint64
+}
+
+// Pinger probes failure domains. It is safe for concurrent use. A nil Pinger probes nothing and closes nothing.
+type Pinger struct {
+	config  Config
+	started time.Time
+	mu      sync.Mutex
+	reacher *reacher.Reacher
+	closed  atomic.Pointer[[]string]
+	traffic atomic.Bool
+	// view is the view whose agents are probed, collectedAt when they were collected. lastTraffic is the time of the last
+	// traffic. Only Run uses these.
+	view                     *follower.View
+	collectedAt, lastTraffic cherviltide.Millis
+	members                  []cherviltide.Member
+	Counters                 Counters
+}
+
+// New returns a pinger, or nil when the process has no failure domain.
+func New(config Config) *Pinger {
+	if config.FailureDomain == "" {
+		return nil
+	}
+	return &Pinger{
+		config: config, started: time.Now(), reacher: reacher.New(config.Limits, config.FailureDomain),
+		collectedAt: -membersInterval, lastTraffic: -trafficHold,
+	}
+}
+
+// Closed returns the names of the closed failure domains. The slice must not be modified.
+func (p *Pinger) Closed() []string {
+	if p == nil {
+		return nil
+	}
+	if closed := p.closed.Load(); closed != nil {
+		return *closed
+	}
+	return nil
+}
+
+// Domains returns the state of the failure domains, for metrics.
+func (p *Pinger) Domains() []reacher.State {
+	if p == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reacher.States(p.now())
+}
+
+// MarkTraffic records that the process forwards packets, so that domains are probed at the short interval.
+func (p *Pinger) MarkTraffic() {
+	if p != nil && !p.traffic.Load() {
+		p.traffic.Store(true)
+	}
+}
+
+// Handle handles a datagram if it is a probe or an echo, and reports whether it is one.
+func (p *Pinger) Handle(view *follower.View, header framer.Header, payload []byte, sender netip.AddrPort) bool {
+	switch {
+	case header.Type != framer.TypeReachProbe && header.Type != framer.TypeReachEcho:
+		return false
+	case p == nil:
+	case header.Type == framer.TypeReachEcho:
+		p.Counters.Echoes.Add(1)
+		p.mu.Lock()
+		p.reacher.Echo(p.now(), header.Generation)
+		p.mu.Unlock()
+	default:
+		p.Counters.Answered.Add(1)
+		p.mu.Lock()
+		p.reacher.Received(p.now(), string(payload))
+		p.mu.Unlock()
+		p.send(view, framer.TypeReachEcho, header.Generation, nil, sender)
+	}
+	return true
+}
+
+func (p *Pinger) now() cherviltide.Millis { return cherviltide.MillisOf(time.Since(p.started)) }
+
+func (p *Pinger) send(view *follower.View, kind framer.Type, number uint64, payload []byte, to netip.AddrPort) {
+	b := append(make([]byte, framer.HeaderSize, framer.HeaderSize+maxNameSize), payload...)
+	framer.New(view.Key).Encode(b, framer.Header{Type: kind, Generation: number}, len(payload))
+	p.config.Send(b, to)
+}
+
+// Run sends probes until ctx ends.
+func (p *Pinger) Run(ctx context.Context) error {
+	if p == nil {
+		<-ctx.Done()
+		return nil
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		timer.Reset(p.tick().Duration())
+	}
+}
+
+// tick sends the probes that are due and returns the time until the next call.
+func (p *Pinger) tick() cherviltide.Millis {
+	now, view := p.now(), p.config.View()
+	if p.traffic.Swap(false) {
+		p.lastTraffic = now
+	}
+	p.mu.Lock()
+	if view != p.view && now-p.collectedAt >= membersInterval {
+		p.view, p.collectedAt = view, now
+		p.reacher.SetDomains(p.collect(view))
+	}
+	probes := p.reacher.Tick(now, now-p.lastTraffic < trafficHold)
+	next, changes, closed := p.reacher.NextTick(now), p.reacher.TakeChanges(), p.reacher.Closed()
+	p.mu.Unlock()
+	p.closed.Store(&closed)
+	name := []byte(p.config.FailureDomain)
+	for _, x := range probes {
+		p.Counters.Probes.Add(1)
+		p.send(view, framer.TypeReachProbe, x.Number, name[:min(len(name), maxNameSize)], x.To)
+	}
+	for _, c := range changes {
+		p.logChange(c)
+	}
+	if len(changes) > 0 && p.config.Changed != nil {
+		p.config.Changed()
+	}
+	return next
+}
+
+// collect returns the failure domains of a view's agents, with a sample of the agents of each.
+func (p *Pinger) collect(view *follower.View) []reacher.Domain {
+	var domains []reacher.Domain
+	indexes, counts := map[string]int{}, []uint64{}
+	seed := p.config.Self.String()
+	for _, table := range view.Tables {
+		p.members = table.AppendMembers(p.members[:0])
+		for _, m := range p.members {
+			if m.Address == p.config.Self || !m.Address.Addr().Is4() || m.FailureDomain == "" {
+				continue
+			}
+			i, ok := indexes[m.FailureDomain]
+			if !ok {
+				i = len(domains)
+				indexes[m.FailureDomain] = i
+				domains, counts = append(domains, reacher.Domain{Name: m.FailureDomain}), append(counts, 0)
+			}
+			counts[i]++
+			d := &domains[i]
+			if len(d.Agents) < sampleSize {
+				d.Agents = append(d.Agents, m.Address)
+			} else if at := xxhash.Sum64String(seed+m.Name) % counts[i]; at < sampleSize {
+				d.Agents[at] = m.Address
+			}
+		}
+	}
+	return domains
+}
+
+func (p *Pinger) logChange(c reacher.Change) {
+	event := "DomainOpened"
+	if c.Closed {
+		event = "DomainClosed"
+	}
+	p.config.Log.Warn(event, zap.String("Domain", c.Domain), zap.Int("Unanswered", c.Unanswered),
+		zap.Int64("SilentMs", int64(c.SilentFor)), zap.Bool("Heard", c.Heard), zap.Bool("Isolated", c.Isolated))
+}
--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -80,6 +80,14 @@
 	Isolated bool
 }
 
+// State describes a failure domain for metrics.
+type State struct {
+	Name   string
+	Closed bool
+	// EchoMs and HeardMs are the times since the last echo and since the last other datagram of the domain; -1 for never.
+	EchoMs, HeardMs cherviltide.Millis
+}
+
 // domain is the state of one failure domain.
 type domain struct {
 	name   string
@@ -164,6 +172,21 @@
 // Closed returns the names of the closed domains in their order. The slice must not be modified.
 func (r *Reacher) Closed() []string { return r.closed }
 
+// States returns the states of all domains, in the order of their names.
+func (r *Reacher) States(now cherviltide.Millis) []State {
+	since := func(at cherviltide.Millis) cherviltide.Millis {
+		if at == 0 {
+			return -1
+		}
+		return now - at
+	}
+	list := make([]State, 0, len(r.domains))
+	for _, d := range r.domains {
+		list = append(list, State{Name: d.name, Closed: d.closed, EchoMs: since(d.lastEcho), HeardMs: since(d.lastHeard)})
+	}
+	return list
+}
+
 // TakeChanges returns the changes since the last call.
 func (r *Reacher) TakeChanges() []Change {
 	changes := r.changes
