Send new relayed flows to agents in failure domains that the entry reaches

During a cut of 6 s in which nothing gets out of one of three failure domains, two thirds of the new flows of its callers failed, although its own targets were free. The entry now sends opening packets of a closed domain's owners to the agent that Table.PickOpen names, with a mark in the unused position of the header. Later packets go to that agent and to the owner, which may be cut off in the other direction only.

go test ./forwarder passes.

--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -16,6 +16,7 @@
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/pinger"
 	"cherviltide.example/cherviltide/runner"
 )
 
@@ -25,7 +26,9 @@
 	Public, Internal netip.AddrPort
 	Codec            cherviltide.PacketCodec
 	View             func() *follower.View
-	Log              *zap.Logger
+	// FailureDomain is that of the entry. If it is empty, the entry does not find out which domains it reaches.
+	FailureDomain string
+	Log           *zap.Logger
 }
 
 // Relay is an entry's data path for relayed flows. It sends each packet to the agent that the service's table selects.
@@ -38,6 +41,8 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 	Counters  Counters
+	// Reach decides which failure domains are closed; nil without a failure domain.
+	Reach *pinger.Pinger
 }
 
 // ListenRelay opens the sockets. An error of kind Invalid means that an address is not IPv4.
@@ -54,6 +59,7 @@
 		r.close()
 		return nil, fault(cherviltide.KindInternal, err)
 	}
+	r.Reach = r.newPinger()
 	return r, nil
 }
 
@@ -68,9 +74,10 @@
 	stop := context.AfterFunc(ctx, r.close)
 	defer stop()
 	defer r.close()
-	group := runner.NewGroup(ctx, 3)
+	group := runner.NewGroup(ctx, 4)
 	group.Go("receive", func(context.Context) error { return r.receivePackets(r.public, r.forward) })
 	group.Go("return", func(context.Context) error { return r.receivePackets(r.internal, r.tryNextService) })
+	group.Go("reach", r.Reach.Run)
 	group.Go("log", func(context.Context) error { logDrops(&r.Counters, r.config.Log, r.closed); return nil })
 	return group.Wait()
 }
@@ -140,11 +147,13 @@
 // flow.
 func (r *Relay) tryNextService(view *follower.View, in *receiver, i int, out *sender) {
 	datagram := in.buffer(i)[framer.HeaderSize : framer.HeaderSize+in.length(i)]
-	header, _, err := framer.New(view.Key).Decode(datagram)
+	header, payload, err := framer.New(view.Key).Decode(datagram)
 	switch {
 	case err != nil:
 		r.Counters.countDrop(reasonForDecodeError(err))
 		return
+	case r.Reach.Handle(view, header, payload, in.source(i)):
+		return
 	case header.Flags != framer.FlagReturned:
 		r.Counters.countDrop(ReasonType)
 		return
@@ -172,15 +181,15 @@
 		r.Counters.countDrop(reason)
 		return
 	}
-	table, agent := next.table, next.agent
+	next = r.avoidClosed(next, header.Flow)
+	table := next.table
 	if opensFlow {
-		r.logNewFlow(header, agent, table, view.Rules.Revision)
+		r.logNewFlow(header, next.agent, table, view.Rules.Revision)
 	}
 	header.ServiceIndex, header.ServiceCount = next.serviceIndex, next.serviceCount
 	header.RouteRevision = route.RouteRevision
 	header.Service, header.Generation = table.Service().ID, table.Generation()
-	framer.New(view.Key).Encode(datagram, header, len(datagram)-framer.HeaderSize)
-	out.enqueue(datagram, agent.Address, netip.Addr{})
+	r.sendTo(view, datagram, header, next, opensFlow, out)
 }
 
 // relayHop is the agent that a packet is sent to next.
@@ -189,6 +198,8 @@
 	agent cherviltide.Member
 	// serviceIndex is the index of the agent's service among the serviceCount services that may hold the flow.
 	serviceIndex, serviceCount uint8
+	// closedOwner is the owner of the flow if the failure domain of the owner is closed and agent is another one.
+	closedOwner netip.AddrPort
 }
 
 // chooseOpener returns the agent of the service that takes a new flow, or the reason why there is none.
