Open, offer and search for relayed flows in failure domains that the agent reaches

Agents passed opening packets on to the owner of the bucket and offered flows to agents in other domains, also across a cut. An agent now opens a marked packet, or one whose owner is in a closed domain for it, itself, offers it only to agents in open domains, and searches there. After a search without success it sends later packets of a flow through an agent of a third domain, and to the candidate in the closed domain directly. When a domain opens, holders send their notices to its owners again, and for the age of a flow searches include the agents that would have taken the flow.

--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -97,6 +97,8 @@
 	Revision uint64
 	// IdleTimeout is how long a flow without packets is kept; 0 means the default.
 	IdleTimeout cherviltide.Millis
+	// Closed are the failure domains that this process does not reach.
+	Closed []string
 }
 
 // idleTimeout returns how long a flow without packets is kept.
@@ -140,6 +142,7 @@
 	noticedGeneration uint64
 	noticedAt         cherviltide.Millis
 	searches          searchLimit
+	reach             reach
 	// candidates and members are buffers that are reused, so that a decision does not allocate.
 	candidates []cherviltide.Member
 	members    []cherviltide.Member
@@ -176,6 +179,7 @@
 // observeTable records a change of the table, and the idle timeout of the rules.
 func (d *Decider) observeTable(in Input) {
 	d.remoteFlows.ttl = in.idleTimeout()
+	d.observeReach(in)
 	if g := in.Table.Generation(); g != d.tableGeneration {
 		d.tableGeneration, d.tableChangedAt = g, in.Now
 	}
--- a/relayer/decision.go
+++ b/relayer/decision.go
@@ -48,13 +48,14 @@
 	ReasonOverloaded         // No target can serve the new flow before its caller gives up.
 	ReasonRecalling          // The agent has started and waits to learn who holds which flow.
 	ReasonSearchLimit        // The caller's address has caused too many searches.
+	ReasonDetour             // The possible holder is in a closed failure domain, so the packet goes through a third one.
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"None", "Held", "Opened", "Unsure", "Offered", "Declined", "NotOwner", "Probed", "NotHeld", "Stage", "NoHolder",
 	"NoRoute", "OldRules", "Unavailable", "Forged", "Target", "Notice", "Gone", "Hops", "Waiting", "Overloaded",
-	"Recalling", "SearchLimit",
+	"Recalling", "SearchLimit", "Detour",
 }
 
 // String returns the name of the reason.
@@ -81,6 +82,8 @@
 	Reason Reason
 	// To is set for ActionForward.
 	To netip.AddrPort
+	// Copy also gets a forwarded packet if it is valid.
+	Copy netip.AddrPort
 	// Header is the header of a forwarded packet.
 	Header framer.Header
 	// Token is written into a delivered packet. It identifies the packet if the target returns it.
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -10,7 +10,7 @@
 // eventNames has the log events of decisions by their reason. Decisions with other reasons are only counted.
 var eventNames = map[Reason]string{
 	ReasonOpened: "FlowOpened", ReasonOffered: "FlowOffered", ReasonDeclined: "FlowDeclined", ReasonUnavailable: "FlowRefused",
-	ReasonNotOwner: "PacketPassed", ReasonProbed: "PacketPassed", ReasonNotHeld: "PacketPassed", ReasonStage: "PacketPassed",
+	ReasonNotOwner: "PacketPassed", ReasonProbed: "PacketPassed", ReasonNotHeld: "PacketPassed", ReasonDetour: "PacketPassed", ReasonStage: "PacketPassed",
 	ReasonUnsure: "TargetAsked", ReasonNoHolder: "PacketDropped", ReasonNoRoute: "PacketDropped",
 	ReasonOldRules: "PacketDropped", ReasonWaiting: "FlowWaits", ReasonOverloaded: "FlowRefused", ReasonForged: "PacketDropped", ReasonGone: "PacketDropped", ReasonHops: "PacketDropped",
 }
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -72,7 +72,8 @@
 			// The agent that was offered the first packet would have sent a holder notice if it had opened the flow.
 			return d.placeFlow(in, a, remote.attempt+1)
 		}
-		if in.Now-d.tableChangedAt < tableSettleTime {
+		if a.Header.Position != framer.PositionOwnerClosed &&
+			(in.Now-d.tableChangedAt < tableSettleTime || d.reach.openedAt != 0 && in.Now-d.reach.openedAt < tableSettleTime) {
 			return d.probeFrom(in, a, 0)
 		}
 	}
@@ -86,7 +87,8 @@
 		return decision
 	}
 	owner, ok := in.Table.Pick(a.Header.Flow)
-	if ok && !isSelf(in, owner) && a.Header.Flags == 0 && a.Header.Hops == 0 && !d.detector.IsUnresponsive(owner.Address, in.Now) {
+	if ok && !isSelf(in, owner) && a.Header.Flags == 0 && a.Header.Hops == 0 && !d.detector.IsUnresponsive(owner.Address, in.Now) &&
+		a.Header.Position != framer.PositionOwnerClosed && !in.isClosed(owner) {
 		return d.forward(in, a, owner.Address, 0, 0, ReasonNotOwner)
 	}
 	acceptsNewFlows := d.acceptsNewFlows(in.Now)
@@ -160,6 +162,10 @@
 	if a.Header.Flags == framer.FlagOffered {
 		decision.Notify, f.noticed = a.Sender, a.Sender
 	}
+	if owner, ok := in.Table.Pick(a.Header.Flow); ok && a.Header.Position == framer.PositionOwnerClosed && a.Header.Flags == 0 && !in.isClosed(owner) {
+		// The entry may send further copies of the packet to the owner.
+		decision.Notify = owner.Address
+	}
 	return decision
 }
 
@@ -189,7 +195,7 @@
 		list = append(list, m)
 	}
 	secondary, ok := in.Table.Secondary(flow)
-	if ok {
+	if ok && (existing > 0 || !in.isClosed(secondary)) {
 		add(secondary)
 	}
 	d.members = in.Table.AppendActive(d.members[:0])
@@ -199,7 +205,7 @@
 		if ok && m.Name == secondary.Name {
 			continue
 		}
-		if existing == 0 && d.detector.IsUnresponsive(m.Address, in.Now) {
+		if existing == 0 && (d.detector.IsUnresponsive(m.Address, in.Now) || in.isClosed(m)) {
 			continue
 		}
 		add(m)
--- a/relayer/recall.go
+++ b/relayer/recall.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/framer"
@@ -66,7 +67,8 @@
 	var b noticeBatch
 	d.addRecalls(in, &b)
 	repeat := in.Now-d.noticedAt >= noticeInterval
-	if generation := in.Table.Generation(); repeat || generation != d.noticedGeneration {
+	d.observeReach(in)
+	if generation := in.Table.Generation(); repeat || generation != d.noticedGeneration || len(d.reach.reopened) > 0 {
 		d.noticedGeneration = generation
 		if repeat {
 			d.noticedAt = in.Now
@@ -76,9 +78,10 @@
 	return b.notices
 }
 
-// HasNotices reports whether the table has changed since the last call of Notices.
+// HasNotices reports whether the table has changed, or a failure domain has become open, since the last call of Notices.
 func (d *Decider) HasNotices(in Input) bool {
-	return in.Table.Generation() != d.noticedGeneration
+	d.observeReach(in)
+	return in.Table.Generation() != d.noticedGeneration || len(d.reach.reopened) > 0
 }
 
 // addRecalls adds recalls to the agents that have not answered yet. An agent whose target has started after it has nothing to
@@ -118,6 +121,8 @@
 // addFlowNotices adds notices of the flows that another agent owns, to the owner. It also passes on what this agent knows of the
 // flows of others, since their holders may have restarted.
 func (d *Decider) addFlowNotices(in Input, b *noticeBatch, repeat bool) {
+	reopened := d.takeReopened()
+	isReopened := func(owner cherviltide.Member) bool { return slices.Contains(reopened, owner.FailureDomain) }
 	for key, f := range d.flows {
 		owner, ok := in.Table.Pick(key)
 		if !ok || !f.isOpen() {
@@ -127,13 +132,13 @@
 			f.noticed = netip.AddrPort{}
 			continue
 		}
-		if repeat || f.noticed != owner.Address {
+		if repeat || f.noticed != owner.Address || isReopened(owner) {
 			f.noticed = owner.Address
 			b.add(owner.Address, netip.AddrPort{}, key)
 		}
 	}
 	for key, remote := range d.remoteFlows.byFlow {
-		if owner, ok := in.Table.Pick(key); remote.confirmed && ok && !isSelf(in, owner) && remote.noticed != owner.Address {
+		if owner, ok := in.Table.Pick(key); remote.confirmed && ok && !isSelf(in, owner) && (remote.noticed != owner.Address || isReopened(owner)) {
 			remote.noticed = owner.Address
 			d.remoteFlows.byFlow[key] = remote
 			b.add(owner.Address, remote.agent, key)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/pinger"
 	"cherviltide.example/cherviltide/prober"
 	"cherviltide.example/cherviltide/runner"
 )
@@ -82,6 +83,8 @@
 	WaitTimes *prober.Histogram
 	// waiting has an element after a flow has begun to wait.
 	waiting chan struct{}
+	// Reach decides which failure domains are closed; nil without a failure domain.
+	Reach *pinger.Pinger
 }
 
 // Listen opens the sockets of an agent's data path.
@@ -99,6 +102,7 @@
 		_ = r.data.Close()
 		return nil, fault("relayer.Listen", err)
 	}
+	r.Reach = r.newPinger()
 	return r, nil
 }
 
@@ -111,11 +115,12 @@
 	stop := context.AfterFunc(ctx, closeAll)
 	defer stop()
 	defer closeAll()
-	group := runner.NewGroup(ctx, 5)
+	group := runner.NewGroup(ctx, 6)
 	group.Go("recall", r.recall)
 	group.Go("data", func(ctx context.Context) error { return r.receive(ctx, r.data, r.handlePeerDatagram) })
 	group.Go("outbound", func(ctx context.Context) error { return r.receive(ctx, r.outbound, r.handleTargetPacket) })
 	group.Go("expire", r.expire)
+	group.Go("reach", r.Reach.Run)
 	group.Go("waiting", r.watchWaiting)
 	return group.Wait()
 }
@@ -161,7 +166,7 @@
 		r.rules.Store(rules)
 	}
 	return Input{
-		Now: r.now(), Self: self, Table: table, Rules: rules, Revision: view.Rules.Revision, IdleTimeout: view.Rules.FlowIdle,
+		Now: r.now(), Self: self, Table: table, Rules: rules, Revision: view.Rules.Revision, IdleTimeout: view.Rules.FlowIdle, Closed: r.Reach.Closed(),
 	}, ok
 }
 
@@ -199,6 +204,9 @@
 	datagram := buffer[framer.HeaderSize : framer.HeaderSize+n]
 	view := r.config.View()
 	header, packet, err := framer.New(view.Key).Decode(datagram)
+	if err == nil && r.Reach.Handle(view, header, packet, sender) {
+		return
+	}
 	if err != nil || header.Type != framer.TypeForward {
 		r.Counters.Malformed.Add(1)
 		return
@@ -221,6 +229,7 @@
 	r.mu.Lock()
 	decision := r.decider.FromPeer(in, a)
 	r.mu.Unlock()
+	r.Reach.MarkTraffic()
 	r.sendNotices(in, decision.Notices)
 	r.execute(in, decision, header, a.Packet, datagram, packet)
 	r.sendDueNotices(in, false)
@@ -271,6 +280,9 @@
 		r.Counters.Passed.Add(1)
 		framer.New(r.config.View().Key).Encode(datagram, decision.Header, len(packet))
 		r.send(r.data, datagram, decision.To)
+		if decision.Copy.IsValid() {
+			r.send(r.data, datagram, decision.Copy)
+		}
 	case ActionRefuse:
 		r.Counters.Refused.Add(1)
 		reset := r.config.Codec.AppendReset(nil, key, resetSequence)
--- a/relayer/search.go
+++ b/relayer/search.go
@@ -12,6 +12,11 @@
 	key := a.Header.Flow
 	remote := d.remoteFlows.get(key, in.Now)
 	elsewhere := (remote.state == remoteHeld || remote.state == remoteOffered) && remote.agent != a.Sender
+	if a.Header.Flags == 0 {
+		if decision, ok := d.searchBehindCut(in, a, remote, elsewhere); ok {
+			return decision
+		}
+	}
 	switch {
 	case a.Header.Flags == framer.FlagProbe && elsewhere && a.Header.Position != directPosition:
 		return d.forward(in, a, remote.agent, framer.FlagProbe, directPosition, ReasonProbed)
@@ -70,9 +75,10 @@
 func (d *Decider) probeFrom(in Input, a Arrival, next int) Decision {
 	d.candidates = in.Table.AppendCandidates(d.candidates[:0], a.Header.Flow)
 	d.candidates = d.appendAlternates(d.candidates, len(d.candidates), in, a.Header.Flow)
+	d.candidates = d.appendSubstitutes(d.candidates, in, a.Header.Flow)
 	d.candidates = d.candidates[:min(len(d.candidates), directPosition)]
 	for ; next < len(d.candidates); next++ {
-		if !isSelf(in, d.candidates[next]) && !d.detector.IsUnresponsive(d.candidates[next].Address, in.Now) {
+		if !isSelf(in, d.candidates[next]) && !in.isClosed(d.candidates[next]) && !d.detector.IsUnresponsive(d.candidates[next].Address, in.Now) {
 			return d.probeCandidate(in, a, next)
 		}
 	}
@@ -81,10 +87,19 @@
 	}
 	// No responsive agent holds the flow, and an unresponsive candidate may have recovered.
 	for i, m := range d.candidates {
-		if !isSelf(in, m) && d.detector.IsUnresponsive(m.Address, in.Now) {
+		if !isSelf(in, m) && !in.isClosed(m) && d.detector.IsUnresponsive(m.Address, in.Now) {
 			return d.probeCandidate(in, a, i)
 		}
 	}
+	return d.endSearch(in, a)
+}
+
+// endSearch decides about a packet whose flow no agent in an open failure domain holds.
+func (d *Decider) endSearch(in Input, a Arrival) Decision {
+	d.markSearched(a.Header.Flow)
+	if decision, ok := d.reachClosed(in, a, netip.AddrPort{}, false); ok {
+		return decision
+	}
 	if a.Header.ServiceIndex+1 < a.Header.ServiceCount {
 		header := a.Header
 		header.Flags, header.Position = framer.FlagReturned, 0
