Close failure domains in the model test of relayed flows

Agents and entries of the model close and open domains at any step while all datagrams arrive, so that entries pick other agents and copies of packets take several ways.

--- a/relayer/model_test.go
+++ b/relayer/model_test.go
@@ -27,6 +27,8 @@
 	agents    []*pair
 	inTransit []datagram
 	flows     map[cherviltide.FlowKey]*caller
+	// closed are the failure domains that are closed for the entries.
+	closed []string
 	// lastPort is the caller's port of the newest flow; the first flow has port 2001.
 	lastPort int
 	// trace has the decisions, for failure messages.
@@ -41,6 +43,8 @@
 	table        int
 	slots        int
 	hasRestarted bool
+	// closed are the failure domains that are closed for the agent. All datagrams arrive all the same.
+	closed []string
 	// held has the flows of the target; the value is true once the flow is established.
 	held map[cherviltide.FlowKey]bool
 	// returned counts the packets of flows that the target does not hold.
@@ -80,7 +84,9 @@
 }
 
 func (s *simulation) input(p *pair) Input {
-	return inputAt(s.now, p.self, s.tables[p.table])
+	in := inputAt(s.now, p.self, s.tables[p.table])
+	in.Closed = p.closed
+	return in
 }
 
 // changeTable adds a table with an event about an agent.
@@ -97,6 +103,14 @@
 	owner, ok := s.tables[entry].Pick(a.Header.Flow)
 	require.True(s.t, ok)
 	a.Header.Generation = s.tables[entry].Generation()
+	if agent, _ := s.tables[entry].PickOpen(a.Header.Flow, s.closed); agent.Address != owner.Address && s.random.IntN(2) == 0 {
+		// Some entries have not closed the domains yet.
+		a.Header.Position = framer.PositionOwnerClosed
+		s.enqueue(agent.Address, a)
+		if a.Packet.OpensFlow() {
+			return
+		}
+	}
 	s.enqueue(owner.Address, a)
 }
 
@@ -144,6 +158,9 @@
 	switch decision.Action {
 	case ActionForward:
 		s.enqueue(decision.To, Arrival{Header: decision.Header, Sender: p.self.Address, Packet: packet})
+		if decision.Copy.IsValid() {
+			s.enqueue(decision.Copy, Arrival{Header: decision.Header, Sender: p.self.Address, Packet: packet})
+		}
 	case ActionDeliver:
 		s.targetReceive(p, decision, flow, packet)
 	case ActionRefuse:
@@ -214,7 +231,8 @@
 }
 
 // TestFlowsStayWhereTheyOpened guards against packets of an open flow that reach another target or none, while agents
-// receive table changes at different times, agents restart without their targets, and targets are full.
+// receive table changes at different times, agents restart without their targets, targets are full, and agents and entries close
+// failure domains, rightly or not.
 func TestFlowsStayWhereTheyOpened(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		agents := rapid.IntRange(2, 5).Draw(t, "agents")
@@ -222,7 +240,7 @@
 		for step := range rapid.IntRange(5, 40).Draw(t, "steps") {
 			s.now += cherviltide.Millis(rapid.IntRange(0, 300).Draw(t, "pause"))
 			agent := rapid.IntRange(0, agents-1).Draw(t, "agent")
-			switch rapid.IntRange(0, 6).Draw(t, fmt.Sprint("action ", step)) {
+			switch rapid.IntRange(0, 8).Draw(t, fmt.Sprint("action ", step)) {
 			case 0, 1:
 				s.lastPort++
 				s.flows[key(s.lastPort)] = &caller{}
@@ -247,6 +265,10 @@
 				p.table = rapid.IntRange(p.table, len(s.tables)-1).Draw(t, "table")
 			case 6:
 				s.startAgent(s.agents[agent], true)
+			case 7:
+				s.agents[agent].closed = closedDomains(t)
+			case 8:
+				s.closed = closedDomains(t)
 			}
 			for _, p := range s.agents {
 				s.startWaiting(p)
@@ -258,6 +280,11 @@
 	})
 }
 
+// closedDomains draws a set of closed failure domains.
+func closedDomains(t *rapid.T) []string {
+	return rapid.SampledFrom([][]string{nil, nil, {"a"}, {"b"}, {"c"}, {"a", "b"}, {"b", "c"}}).Draw(t, "closed")
+}
+
 // traceOf returns the decisions about a flow.
 func (s *simulation) traceOf(flow cherviltide.FlowKey) []string {
 	var lines []string
@@ -269,11 +296,12 @@
 	return lines
 }
 
-// checkOpenFlows gives all agents the newest table and checks that every open flow still reaches its target.
+// checkOpenFlows gives all agents the newest table, opens all failure domains and checks that every open flow still reaches its target.
 func (s *simulation) checkOpenFlows() {
 	for _, p := range s.agents {
-		p.table = len(s.tables) - 1
+		p.table, p.closed = len(s.tables)-1, nil
 	}
+	s.closed = nil
 	s.now += tableSettleTime
 	for _, p := range s.agents {
 		s.sendNotices(p, p.decider.Notices(s.input(p)))
