Keep a record of a holder when an older returned probe arrives after its notice

A probe to an agent could be returned just before the agent opened the flow, and arrive after the agent's notice. The record was removed then, and the flow was lost once the agent was no longer an alternate. A notice of the last 100 ms now stays.

--- a/relayer/model_test.go
+++ b/relayer/model_test.go
@@ -57,6 +57,10 @@
 	holder *pair
 	// delivered counts the packets of the open flow that reached its target.
 	delivered int
+	// avoidsOwner is true after an entry has sent a packet to another agent because the owner's failure domain is closed. The
+	// first packet of the open flow may then reach the owner before the notice that another agent has opened the flow, and the
+	// caller sends it again.
+	avoidsOwner bool
 }
 
 type datagram struct {
@@ -105,6 +109,7 @@
 	a.Header.Generation = s.tables[entry].Generation()
 	if agent, _ := s.tables[entry].PickOpen(a.Header.Flow, s.closed); agent.Address != owner.Address && s.random.IntN(2) == 0 {
 		// Some entries have not closed the domains yet.
+		s.flows[a.Header.Flow].avoidsOwner = true
 		a.Header.Position = framer.PositionOwnerClosed
 		s.enqueue(agent.Address, a)
 		if a.Packet.OpensFlow() {
@@ -275,11 +280,23 @@
 				s.sendNotices(p, p.decider.Notices(s.input(p)))
 			}
 			s.deliverAll()
+			s.retransmit()
 		}
 		s.checkOpenFlows()
 	})
 }
 
+// retransmit sends the first packets of open flows again whose owner was avoided, if they have not arrived.
+func (s *simulation) retransmit() {
+	for port := 2001; port <= s.lastPort; port++ {
+		if c := s.flows[key(port)]; c.avoidsOwner && c.holder != nil && c.delivered == 0 {
+			s.now += 200
+			s.sendData(key(port))
+			s.deliverAll()
+		}
+	}
+}
+
 // closedDomains draws a set of closed failure domains.
 func closedDomains(t *rapid.T) []string {
 	return rapid.SampledFrom([][]string{nil, nil, {"a"}, {"b"}, {"c"}, {"a", "b"}, {"b", "c"}}).Draw(t, "closed")
--- a/relayer/recall.go
+++ b/relayer/recall.go
@@ -220,7 +220,7 @@
 	if holder != in.Self.Address {
 		d.queue.Remove(key)
 		if confirmed || !d.remoteFlows.get(key, in.Now).confirmed {
-			d.remoteFlows.set(key, remoteFlow{state: remoteHeld, agent: holder, confirmed: confirmed}, in.Now)
+			d.remoteFlows.set(key, remoteFlow{state: remoteHeld, agent: holder, confirmed: confirmed, noticeAt: in.Now}, in.Now)
 		}
 		return
 	}
--- a/relayer/remoteflow.go
+++ b/relayer/remoteflow.go
@@ -31,8 +31,18 @@
 	// noticed is the owner of the flow's bucket that was told about this record.
 	noticed  netip.AddrPort
 	lastUsed cherviltide.Millis
+	// noticeAt is when the agent's notice arrived, for remoteHeld.
+	noticeAt cherviltide.Millis
 }
 
+// isFresh reports whether the agent's notice has arrived so recently that a probe which the agent has returned may be older.
+func (f remoteFlow) isFresh(now cherviltide.Millis) bool {
+	return f.state == remoteHeld && now-f.noticeAt < freshNotice
+}
+
+// freshNotice is how long after a notice a returned probe may have been answered before the flow was opened.
+const freshNotice cherviltide.Millis = 100
+
 // remoteFlows is a set of records. A record expires when it is not used for the idle timeout of flows.
 type remoteFlows struct {
 	byFlow map[cherviltide.FlowKey]remoteFlow
--- a/relayer/search.go
+++ b/relayer/search.go
@@ -30,7 +30,9 @@
 	case a.Header.Flags == framer.FlagReturned && a.Header.Position == directPosition && elsewhere:
 		return d.forward(in, a, remote.agent, framer.FlagProbe, directPosition, ReasonProbed)
 	case a.Header.Flags == framer.FlagReturned && a.Header.Position == directPosition:
-		d.remoteFlows.remove(key)
+		if !remote.isFresh(in.Now) {
+			d.remoteFlows.remove(key)
+		}
 		return d.probeFrom(in, a, 0)
 	case a.Header.Flags == framer.FlagReturned && a.Header.Generation == in.Table.Generation():
 		return d.probeFrom(in, a, int(a.Header.Position)+1)
