--- a/framer/short.go
+++ b/framer/short.go
@@ -17,7 +17,7 @@
 )
 
 // typeShort marks the short header. Processes that do not know it drop the datagram because of its type.
-const typeShort Type = 3
+const typeShort Type = 5
 
 // ErrNotShort means that a datagram does not have the short header.
 var ErrNotShort = errors.New("datagram does not have the short header")
--- a/relayer/decision.go
+++ b/relayer/decision.go
@@ -49,13 +49,14 @@
 	ReasonRecalling          // The agent has started and waits to learn who holds which flow.
 	ReasonSearchLimit        // The caller's address has caused too many searches.
 	ReasonEvacuated          // The agent's failure domain is evacuated, and no agent elsewhere takes the new flow.
+	ReasonDetour             // The possible holder is in a closed failure domain, so the packet goes through a third one.
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"None", "Held", "Opened", "Unsure", "Offered", "Declined", "NotOwner", "Probed", "NotHeld", "Stage", "NoHolder",
 	"NoRoute", "OldRules", "Unavailable", "Forged", "Target", "Notice", "Gone", "Hops", "Waiting", "Overloaded",
-	"Recalling", "SearchLimit", "Evacuated",
+	"Recalling", "SearchLimit", "Evacuated", "Detour",
 }
 
 // String returns the name of the reason.
@@ -82,6 +83,8 @@
 	Reason Reason
 	// To is set for ActionForward.
 	To netip.AddrPort
+	// Copy also gets a forwarded packet if it is valid.
+	Copy netip.AddrPort
 	// Header is the header of a forwarded packet.
 	Header framer.Header
 	// Token is written into a delivered packet. It identifies the packet if the target returns it.
--- a/relayer/model_test.go
+++ b/relayer/model_test.go
@@ -27,6 +27,8 @@
 	agents    []*pair
 	inTransit []datagram
 	flows     map[cherviltide.FlowKey]*caller
+	// closed are the failure domains that are closed for the entries.
+	closed []string
 	// lastPort is the caller's port of the newest flow; the first flow has port 2001.
 	lastPort int
 	// trace has the decisions, for failure messages.
@@ -41,6 +43,8 @@
 	table        int
 	slots        int
 	hasRestarted bool
+	// closed are the failure domains that are closed for the agent. All datagrams arrive all the same.
+	closed []string
 	// held has the flows of the target; the value is true once the flow is established.
 	held map[cherviltide.FlowKey]bool
 	// returned counts the packets of flows that the target does not hold.
@@ -53,6 +57,10 @@
 	holder *pair
 	// delivered counts the packets of the open flow that reached its target.
 	delivered int
+	// avoidsOwner is true after an entry has sent a packet to another agent because the owner's failure domain is closed. The
+	// first packet of the open flow may then reach the owner before the notice that another agent has opened the flow, and the
+	// caller sends it again.
+	avoidsOwner bool
 }
 
 type datagram struct {
@@ -80,7 +88,9 @@
 }
 
 func (s *simulation) input(p *pair) Input {
-	return inputAt(s.now, p.self, s.tables[p.table])
+	in := inputAt(s.now, p.self, s.tables[p.table])
+	in.Closed = p.closed
+	return in
 }
 
 // changeTable adds a table with an event about an agent.
@@ -97,6 +107,15 @@
 	owner, ok := s.tables[entry].Pick(a.Header.Flow)
 	require.True(s.t, ok)
 	a.Header.Generation = s.tables[entry].Generation()
+	if agent, _ := s.tables[entry].PickOpen(a.Header.Flow, s.closed); agent.Address != owner.Address && s.random.IntN(2) == 0 {
+		// Some entries have not closed the domains yet.
+		s.flows[a.Header.Flow].avoidsOwner = true
+		a.Header.Position = framer.PositionOwnerClosed
+		s.enqueue(agent.Address, a)
+		if a.Packet.OpensFlow() {
+			return
+		}
+	}
 	s.enqueue(owner.Address, a)
 }
 
@@ -144,6 +163,9 @@
 	switch decision.Action {
 	case ActionForward:
 		s.enqueue(decision.To, Arrival{Header: decision.Header, Sender: p.self.Address, Packet: packet})
+		if decision.Copy.IsValid() {
+			s.enqueue(decision.Copy, Arrival{Header: decision.Header, Sender: p.self.Address, Packet: packet})
+		}
 	case ActionDeliver:
 		s.targetReceive(p, decision, flow, packet)
 	case ActionRefuse:
@@ -214,7 +236,8 @@
 }
 
 // TestFlowsStayWhereTheyOpened guards against packets of an open flow that reach another target or none, while agents
-// receive table changes at different times, agents restart without their targets, and targets are full.
+// receive table changes at different times, agents restart without their targets, targets are full, and agents and entries close
+// failure domains, rightly or not.
 func TestFlowsStayWhereTheyOpened(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		agents := rapid.IntRange(2, 5).Draw(t, "agents")
@@ -222,7 +245,7 @@
 		for step := range rapid.IntRange(5, 40).Draw(t, "steps") {
 			s.now += cherviltide.Millis(rapid.IntRange(0, 300).Draw(t, "pause"))
 			agent := rapid.IntRange(0, agents-1).Draw(t, "agent")
-			switch rapid.IntRange(0, 6).Draw(t, fmt.Sprint("action ", step)) {
+			switch rapid.IntRange(0, 8).Draw(t, fmt.Sprint("action ", step)) {
 			case 0, 1:
 				s.lastPort++
 				s.flows[key(s.lastPort)] = &caller{}
@@ -247,17 +270,38 @@
 				p.table = rapid.IntRange(p.table, len(s.tables)-1).Draw(t, "table")
 			case 6:
 				s.startAgent(s.agents[agent], true)
+			case 7:
+				s.agents[agent].closed = closedDomains(t)
+			case 8:
+				s.closed = closedDomains(t)
 			}
 			for _, p := range s.agents {
 				s.startWaiting(p)
 				s.sendNotices(p, p.decider.Notices(s.input(p)))
 			}
 			s.deliverAll()
+			s.retransmit()
 		}
 		s.checkOpenFlows()
 	})
 }
 
+// retransmit sends the first packets of open flows again whose owner was avoided, if they have not arrived.
+func (s *simulation) retransmit() {
+	for port := 2001; port <= s.lastPort; port++ {
+		if c := s.flows[key(port)]; c.avoidsOwner && c.holder != nil && c.delivered == 0 {
+			s.now += 200
+			s.sendData(key(port))
+			s.deliverAll()
+		}
+	}
+}
+
+// closedDomains draws a set of closed failure domains.
+func closedDomains(t *rapid.T) []string {
+	return rapid.SampledFrom([][]string{nil, nil, {"a"}, {"b"}, {"c"}, {"a", "b"}, {"b", "c"}}).Draw(t, "closed")
+}
+
 // traceOf returns the decisions about a flow.
 func (s *simulation) traceOf(flow cherviltide.FlowKey) []string {
 	var lines []string
@@ -269,11 +313,12 @@
 	return lines
 }
 
-// checkOpenFlows gives all agents the newest table and checks that every open flow still reaches its target.
+// checkOpenFlows gives all agents the newest table, opens all failure domains and checks that every open flow still reaches its target.
 func (s *simulation) checkOpenFlows() {
 	for _, p := range s.agents {
-		p.table = len(s.tables) - 1
+		p.table, p.closed = len(s.tables)-1, nil
 	}
+	s.closed = nil
 	s.now += tableSettleTime
 	for _, p := range s.agents {
 		s.sendNotices(p, p.decider.Notices(s.input(p)))
