--- a/bench/soaker/fault.go
+++ b/bench/soaker/fault.go
@@ -37,6 +37,7 @@
 	"reload":          {planned: true, inject: (*soakRun).reload},
 	"drain":           {planned: true, role: relaypath.RoleAgent, inject: (*soakRun).drain},
 	"drainAndRestart": {planned: true, role: relaypath.RoleAgent, inject: (*soakRun).drainAndRestart},
+	"evacuate":        {planned: true, role: relaypath.RoleAgent, inject: (*soakRun).evacuate},
 	"kill":            {inject: (*soakRun).killAndStart},
 	"pause":           {inject: (*soakRun).pause},
 	"stopPaused":      {inject: (*soakRun).stopPaused},
--- a/bench/soaker/record.go
+++ b/bench/soaker/record.go
@@ -28,6 +28,7 @@
 	// ConfigsChecked counts the new flows whose service was compared with the configurations that may have been in force.
 	ConfigsChecked          int
 	Drains, Restarts        int
+	Evacuations             int
 	AskedAtEnd, ServedAtEnd int
 	// Skipped counts the faults that were left out because another one was active on the same process or link.
 	Skipped int
--- a/bench/soaker/soaker.go
+++ b/bench/soaker/soaker.go
@@ -88,7 +88,9 @@
 	operator *operator
 	record   *record
 	// diskLoss is held while a control instance has no copy of the replicated logs.
-	diskLoss     sync.Mutex
+	diskLoss sync.Mutex
+	// zones has the zones that are evacuated.
+	zones        zoneLocks
 	taskExits    chan runner.Exit
 	startedTasks int
 }
@@ -133,6 +135,7 @@
 		// Each goroutine of a run sends one exit, so none blocks.
 		taskExits: make(chan runner.Exit, maxTasks),
 	}
+	r.site.Zones = zonesOf(r.daemons)
 	r.backends = newBackends(r)
 	r.operator = newOperator(r)
 	return r
