Replay uploads beside small requests at targets with two slots

The patterns have 12 targets of 2 slots with 100 uploads/s (34 packets in 100 to 500 ms, 4.2 ms of work) beside 370 small requests/s (33 ms), and the same with a fifth of the callers stopping in the middle.

--- a/bench/replayer/patterns.go
+++ b/bench/replayer/patterns.go
@@ -1,6 +1,34 @@
 package replayer
 
-import "cherviltide.example/cherviltide"
+import (
+	"slices"
+
+	"cherviltide.example/cherviltide"
+)
+
+// TransferPatterns returns the load patterns of transfers: uploads beside small requests at 12 targets with 2 slots, with the
+// mix of the deployment with the most uploads.
+func TransferPatterns() []Pattern {
+	small := Kind{Name: "small", Route: cherviltide.Route{Priority: 2, Goal: 300, Deadline: 2_500, AtMostOnce: true, Class: cherviltide.ClassNormal},
+		PerSecond: 370, ServiceTime: 33, Packets: 1}
+	upload := Kind{Name: "upload", Route: cherviltide.Route{Priority: 2, Goal: 800, Deadline: 6_000, AtMostOnce: true, Class: cherviltide.ClassUpload},
+		PerSecond: 100, ServiceTime: 4.2, Packets: 1, Upload: Upload{Packets: 34, Fastest: 100, Slowest: 500}}
+	download := Kind{Name: "download", Route: cherviltide.Route{Priority: 3, Goal: 500, Deadline: 5_000, Class: cherviltide.ClassBulky},
+		PerSecond: 60, ServiceTime: 10, Packets: 120}
+	stalling := upload
+	stalling.Upload.StallShare = 0.2
+	base := Pattern{Slots: 2, Queue: 8, Speeds: slices.Repeat([]float64{1}, 12), Duration: 12_000}
+	named := func(name string, kinds ...Kind) Pattern {
+		p := base
+		p.Name, p.Kinds = name, kinds
+		return p
+	}
+	return []Pattern{
+		named("uploads", small, upload),
+		named("stalled-uploads", small, stalling),
+		named("downloads", small, download),
+	}
+}
 
 // Patterns returns the load patterns that the decisions about waiting flows answer.
 func Patterns() []Pattern {
--- a/bench/replayer/replayer.go
+++ b/bench/replayer/replayer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/framer"
@@ -39,6 +40,7 @@
 	PerSecond, ServiceTime float64
 	// Packets is the number of packets of an answer. They leave the target one millisecond apart, after the slot is free.
 	Packets int
+	Upload  Upload
 }
 
 // Pattern is a load pattern with its service.
@@ -62,6 +64,8 @@
 	// SlowFactor multiplies the service times of target 0 during Slow.
 	Slow       Interval
 	SlowFactor float64
+	// WholeFlows makes agents count uploads against the slots from their opening on. It is the baseline for uploads.
+	WholeFlows bool
 	// TargetQueues makes agents deliver all opening packets at once, so that flows wait in the targets' queues. It is the
 	// baseline for comparison.
 	TargetQueues bool
@@ -90,6 +94,11 @@
 	LongestWaitMs cherviltide.Millis
 	// LeftWaiting is the number of flows that still waited at the end.
 	LeftWaiting int
+	// Busy is the share of the targets' slots that were taken, and LongestQueue the most requests that waited in one target.
+	Busy         float64
+	LongestQueue int
+	// busyTime is the sum of the times for which slots were taken.
+	busyTime cherviltide.Millis
 }
 
 // Sum returns the results of all kinds whose requests arrived in an interval of whole seconds.
@@ -131,6 +140,10 @@
 	ranAt *target
 	ended bool
 	reset bool
+	// nextSequence is the sequence number of the caller's next payload, missing the number of packets of the request that
+	// have not reached the target.
+	nextSequence uint32
+	missing      int
 }
 
 // event is a call at a point in time; events at the same time keep their order.
@@ -171,6 +184,7 @@
 
 // Run plays a pattern. Runs with the same seed are equal.
 func Run(p Pattern, seed uint64) *Report {
+	p.Kinds = slices.Clone(p.Kinds)
 	r := &replay{
 		pattern: p, random: rand.New(rand.NewPCG(seed, 0)), attempts: map[cherviltide.FlowKey]*attempt{},
 		routes: map[netip.AddrPort]cherviltide.Route{}, report: &Report{PerSecond: map[string][]Result{}},
@@ -194,6 +208,9 @@
 	for _, t := range r.targets {
 		r.report.LeftWaiting += t.decider.Waiting()
 	}
+	if slots := p.Slots * len(p.Speeds); slots > 0 {
+		r.report.Busy = float64(r.report.busyTime) / float64(p.Duration) / float64(slots)
+	}
 	return r.report
 }
 
@@ -207,6 +224,9 @@
 func (r *replay) scheduleKind(index int) {
 	kind := &r.pattern.Kinds[index]
 	kind.Route.Address = virtualAddress(index)
+	if r.pattern.WholeFlows && kind.Route.Class == cherviltide.ClassUpload {
+		kind.Route.Class = cherviltide.ClassNormal
+	}
 	r.routes[kind.Route.Address] = kind.Route
 	r.report.PerSecond[kind.Name] = make([]Result, r.pattern.Duration/1000+1)
 	var next func()
@@ -289,7 +309,7 @@
 	r.report.Attempts++
 	r.lastPort++
 	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.lastPort >> 14), byte(r.lastPort >> 22)}), uint16(1024+r.lastPort&(1<<14-1)))
-	a := &attempt{request: q, key: cherviltide.FlowKey{Caller: caller, Virtual: q.kind.Route.Address}}
+	a := &attempt{request: q, key: cherviltide.FlowKey{Caller: caller, Virtual: q.kind.Route.Address}, nextSequence: firstSequence}
 	r.attempts[a.key] = a
 	r.sendOpening(a, 0)
 	for i, delay := range openingRetransmissions {
--- /dev/null
+++ b/bench/replayer/request.go
@@ -0,0 +1,64 @@
+package replayer
+
+import "cherviltide.example/cherviltide"
+
+// Upload describes how callers send the requests of a kind.
+type Upload struct {
+	// Packets is the number of packets of a request; the last one is not full. 0 means one short packet.
+	Packets int
+	// Fastest and Slowest bound the time from the first to the last packet of a request.
+	Fastest, Slowest cherviltide.Millis
+	// StallShare is the share of the callers that send the first half of their request and nothing more.
+	StallShare float64
+}
+
+// firstSequence is the sequence number of a caller's first payload.
+const firstSequence = 101
+
+// lastPacketPayload is the payload of the last packet of a request, in bytes.
+const lastPacketPayload = 500
+
+// sendRequest sends the packets of an attempt's request at equal intervals.
+func (r *replay) sendRequest(a *attempt) {
+	u := a.request.kind.Upload
+	count := max(u.Packets, 1)
+	took := u.Fastest
+	if u.Slowest > u.Fastest {
+		took += cherviltide.Millis(r.random.Int64N(int64(u.Slowest - u.Fastest)))
+	}
+	sent := count
+	if u.StallShare > 0 && r.random.Float64() < u.StallShare {
+		sent = count / 2
+		r.after(a.request.kind.Route.Deadline, func() { r.giveUp(a) })
+	}
+	sequence := a.nextSequence
+	a.missing = count
+	for i := range sent {
+		length := fullPacketPayload
+		if i == count-1 {
+			length = lastPacketPayload
+		}
+		p := cherviltide.Packet{Flags: cherviltide.PacketAck, Sequence: sequence, Acknowledgement: a.openAt.sequence() + 1, Length: length}
+		sequence += uint32(length)
+		if i == 0 {
+			r.send(a, p)
+			continue
+		}
+		r.after(took*cherviltide.Millis(i)/cherviltide.Millis(count-1), func() {
+			if !a.ended {
+				r.send(a, p)
+			}
+		})
+	}
+	a.nextSequence = sequence
+}
+
+// giveUp ends an attempt whose caller resets its flow at the deadline.
+func (r *replay) giveUp(a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	r.send(a, cherviltide.Packet{Flags: cherviltide.PacketReset, Sequence: a.nextSequence})
+	r.finish(a.request, func(result *Result) { result.Failed++ })
+}
--- a/bench/replayer/target.go
+++ b/bench/replayer/target.go
@@ -84,6 +84,9 @@
 	if !t.flows[a] || p.Length == 0 {
 		return
 	}
+	if a.missing--; a.missing > 0 {
+		return
+	}
 	if a.ranAt != nil && a.ranAt != t {
 		t.replay.report.Doubled++
 	}
@@ -96,6 +99,7 @@
 		t.work(a)
 	case len(t.waiting) < t.replay.pattern.Queue:
 		t.waiting = append(t.waiting, a)
+		t.replay.report.LongestQueue = max(t.replay.report.LongestQueue, len(t.waiting))
 	default:
 		t.reject(a)
 	}
@@ -107,7 +111,7 @@
 		return
 	}
 	a.openAt = t
-	t.replay.send(a, cherviltide.Packet{Flags: cherviltide.PacketAck, Sequence: 101, Acknowledgement: t.sequence() + 1, Length: 500})
+	t.replay.sendRequest(a)
 }
 
 // work runs a request in a slot.
@@ -122,6 +126,7 @@
 	}
 	// Half of the time is the same for all requests, so that the spread is half of the mean.
 	took := cherviltide.Millis(mean/2 + t.replay.random.ExpFloat64()*mean/2 + t.replay.random.Float64())
+	t.replay.report.busyTime += took
 	t.later(took, func() {
 		t.busy--
 		t.respond(a)
--- /dev/null
+++ b/bench/replayer/transfer_test.go
@@ -0,0 +1,51 @@
+package replayer
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// transferPattern returns the pattern of transfers with a name.
+func transferPattern(t *testing.T, name string) Pattern {
+	t.Helper()
+	patterns := TransferPatterns()
+	i := slices.IndexFunc(patterns, func(p Pattern) bool { return p.Name == name })
+	require.NotEqual(t, -1, i, "no pattern %s", name)
+	return patterns[i]
+}
+
+// TestTransfers guards against uploads that take the slots of idle targets while their bytes are under way, so that they and
+// small requests are refused or late. Agents that count whole flows miss the bounds in the same run.
+func TestTransfers(t *testing.T) {
+	for name, test := range map[string]struct {
+		// The lowest shares within the goal, and the highest share of each kind that is refused.
+		small, upload, refused float64
+	}{
+		"uploads": {0.99, 0.99, 0},
+		// A fifth of the callers never complete their request.
+		"stalled-uploads": {0.99, 0.75, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				p := transferPattern(t, name)
+				meets := func(r *Report) bool {
+					small, upload := r.Sum(1, 12, "small"), r.Sum(1, 12, "upload")
+					return small.TimelyShare() >= test.small && upload.TimelyShare() >= test.upload &&
+						float64(small.Refused+upload.Refused) <= test.refused*float64(small.Asked+upload.Asked)
+				}
+				r := Run(p, seed)
+				require.True(t, meets(r), "seed %d: small %+v, upload %+v", seed, r.Sum(1, 12, "small"), r.Sum(1, 12, "upload"))
+				require.Zero(t, r.Doubled, "attempts that ran at two targets, seed %d", seed)
+				require.Zero(t, r.FalseRefusals, "attempts that ran although they were refused, seed %d", seed)
+				require.Zero(t, r.LeftWaiting, "flows that wait for ever, seed %d", seed)
+				p.WholeFlows = true
+				baseline := Run(p, seed)
+				require.False(t, meets(baseline), "the baseline meets the bounds, seed %d", seed)
+				require.Positive(t, baseline.Sum(1, 12, "upload").Refused, "the baseline refuses no upload, seed %d", seed)
+				require.Less(t, baseline.Busy, 0.7, "the baseline's targets are busy, seed %d", seed)
+			}
+		})
+	}
+}
