Replay callers that keep their flows open, and rates that swing

The pattern long-flows has 47 targets of 2 slots, 1,155 requests/s of 26 ms on 700 long flows of 20 requests, 330 new flows/s of 33 ms, and a wave of 55% with a period of 17 s. Callers end a flow whose request has no answer at the deadline.

go test ./bench/replayer passes.

--- a/bench/replayer/patterns.go
+++ b/bench/replayer/patterns.go
@@ -23,7 +23,14 @@
 		p.Name, p.Kinds = name, kinds
 		return p
 	}
+	long := Kind{Name: "long", Route: cherviltide.Route{Priority: 2, Goal: 300, Deadline: 2_000, Class: cherviltide.ClassNormal},
+		PerSecond: 1_155, ServiceTime: 26, Packets: 2, LongFlows: LongFlows{Callers: 700, Requests: 20}}
+	opening := small
+	opening.PerSecond = 330
+	waves := named("long-flows", long, opening)
+	waves.Speeds, waves.Wave, waves.Duration = slices.Repeat([]float64{1}, 47), Wave{0.55, 17_000}, 34_000
 	return []Pattern{
+		waves,
 		named("uploads", small, upload),
 		named("stalled-uploads", small, stalling),
 		named("downloads", small, download),
--- a/bench/replayer/replayer.go
+++ b/bench/replayer/replayer.go
@@ -32,7 +32,7 @@
 
 var openingRetransmissions = []cherviltide.Millis{200, 600}
 
-// Kind is a kind of request; each request opens a flow of its own.
+// Kind is a kind of request.
 type Kind struct {
 	Name  string
 	Route cherviltide.Route
@@ -41,6 +41,8 @@
 	// Packets is the number of packets of an answer. They leave the target one millisecond apart, after the slot is free.
 	Packets int
 	Upload  Upload
+	// LongFlows is set when callers keep their flows open.
+	LongFlows LongFlows
 }
 
 // Pattern is a load pattern with its service.
@@ -58,6 +60,7 @@
 	// Burst is the time in which BurstFactor times the usual requests arrive.
 	Burst       Interval
 	BurstFactor float64
+	Wave        Wave
 	// Lost targets are off from LostFrom on, without notice until the table follows LostNotice later.
 	Lost                 int
 	LostFrom, LostNotice cherviltide.Millis
@@ -128,6 +131,8 @@
 	startedAt cherviltide.Millis
 	attempts  int
 	done      bool
+	// session is the caller that keeps its flow open, or nil.
+	session *session
 }
 
 // attempt is one flow of a request.
@@ -144,6 +149,8 @@
 	// have not reached the target.
 	nextSequence uint32
 	missing      int
+	// session is the caller that keeps the flow open, or nil.
+	session *session
 }
 
 // event is a call at a point in time; events at the same time keep their order.
@@ -229,14 +236,23 @@
 	}
 	r.routes[kind.Route.Address] = kind.Route
 	r.report.PerSecond[kind.Name] = make([]Result, r.pattern.Duration/1000+1)
+	sessions := make([]*session, kind.LongFlows.Callers)
+	for i := range sessions {
+		sessions[i] = &session{replay: r}
+	}
 	var next func()
 	next = func() {
 		if r.now >= r.pattern.Duration {
 			return
 		}
-		r.startAttempt(&request{kind: kind, startedAt: r.now})
+		q := &request{kind: kind, startedAt: r.now}
+		if len(sessions) > 0 {
+			sessions[r.random.IntN(len(sessions))].ask(q)
+		} else {
+			r.startAttempt(q)
+		}
 		r.report.PerSecond[kind.Name][r.now/1000].Asked++
-		rate := kind.PerSecond
+		rate := kind.PerSecond * r.pattern.Wave.factor(r.now)
 		if r.pattern.Burst.contains(r.now) {
 			rate *= r.pattern.BurstFactor
 		}
@@ -309,7 +325,7 @@
 	r.report.Attempts++
 	r.lastPort++
 	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.lastPort >> 14), byte(r.lastPort >> 22)}), uint16(1024+r.lastPort&(1<<14-1)))
-	a := &attempt{request: q, key: cherviltide.FlowKey{Caller: caller, Virtual: q.kind.Route.Address}, nextSequence: firstSequence}
+	a := &attempt{request: q, key: cherviltide.FlowKey{Caller: caller, Virtual: q.kind.Route.Address}, nextSequence: firstSequence, session: q.session}
 	r.attempts[a.key] = a
 	r.sendOpening(a, 0)
 	for i, delay := range openingRetransmissions {
@@ -402,6 +418,12 @@
 	}
 	a.ended = true
 	q := a.request
+	if q.done {
+		if a.session != nil && a.session.flow == a {
+			a.session.flow = nil
+		}
+		return
+	}
 	if q.attempts == maxAttempts || r.now+retryDelay >= q.startedAt+q.kind.Route.Deadline {
 		r.finish(q, func(result *Result) {
 			if reset {
@@ -415,13 +437,21 @@
 	r.after(retryDelay+cherviltide.Millis(r.random.IntN(int(retryDelay))), func() { r.startAttempt(q) })
 }
 
-// finish counts the outcome of a request.
+// finish counts the outcome of a request whose flow has ended.
 func (r *replay) finish(q *request, count func(*Result)) {
+	r.finishOn(nil, q, count)
+}
+
+// finishOn counts the outcome of a request. flow is its flow when that goes on.
+func (r *replay) finishOn(flow *attempt, q *request, count func(*Result)) {
 	if q.done {
 		return
 	}
 	q.done = true
 	count(&r.report.PerSecond[q.kind.Name][q.startedAt/1000])
+	if q.session != nil {
+		q.session.done(flow)
+	}
 }
 
 // answer gives the caller the complete answer.
@@ -429,10 +459,11 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
-	age := r.now - a.request.startedAt
-	r.finish(a.request, func(result *Result) {
-		switch route := a.request.kind.Route; {
+	q := a.request
+	age := r.now - q.startedAt
+	a.ended = a.session == nil
+	r.finishOn(a, q, func(result *Result) {
+		switch route := q.kind.Route; {
 		case age <= route.Goal:
 			result.Timely++
 		case age <= route.Deadline:
--- a/bench/replayer/request.go
+++ b/bench/replayer/request.go
@@ -27,6 +27,13 @@
 		took += cherviltide.Millis(r.random.Int64N(int64(u.Slowest - u.Fastest)))
 	}
 	sent := count
+	if q := a.request; a.session != nil {
+		r.after(q.startedAt+q.kind.Route.Deadline-r.now, func() {
+			if !q.done && a.request == q {
+				r.giveUp(a)
+			}
+		})
+	}
 	if u.StallShare > 0 && r.random.Float64() < u.StallShare {
 		sent = count / 2
 		r.after(a.request.kind.Route.Deadline, func() { r.giveUp(a) })
--- a/bench/replayer/target.go
+++ b/bench/replayer/target.go
@@ -144,8 +144,12 @@
 	for i := range last {
 		t.later(i, func() { t.send(a, cherviltide.Packet{Flags: cherviltide.PacketAck, Length: fullPacketPayload}) })
 	}
+	flags := cherviltide.PacketAck | cherviltide.PacketFinish
+	if a.session != nil {
+		flags = cherviltide.PacketAck
+	}
 	t.later(last, func() {
-		t.send(a, cherviltide.Packet{Flags: cherviltide.PacketAck | cherviltide.PacketFinish, Length: 500})
+		t.send(a, cherviltide.Packet{Flags: flags, Length: 500})
 		t.replay.after(callerDelay, func() { t.replay.answer(a) })
 	})
 }
