--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -223,9 +223,6 @@
 func (d *Decider) decideLaterPacket(in Input, a Arrival) Decision {
 	key := a.Header.Flow
 	// The caller sends such a packet after another target has answered, or when it gives up.
-	if held, ok := d.queue.Get(key); ok && !held.Packet.OpensFlow() && held.Packet.Sequence == a.Packet.Sequence {
-		return Decision{Action: ActionWait, Reason: ReasonWaiting}
-	}
 	d.removeWaiting(key)
 	f := d.flows[key]
 	if f != nil && f.acknowledgesOtherTarget(a.Packet) {
@@ -233,9 +230,6 @@
 		f = nil
 	}
 	if f != nil {
-		if decision, ok := d.holdRequest(in, f, a); ok {
-			return decision
-		}
 		wasOpen := f.isOpen()
 		d.recordCallerPacket(in, f, a.Packet)
 		decision := Decision{Action: ActionDeliver, Reason: ReasonHeld}
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -171,12 +171,6 @@
 // release removes a waiting flow from the queue and decides about it.
 func (d *Decider) release(in Input, f queuer.Flow, decide func(Arrival) Decision) (Arrival, Decision, bool) {
 	a, _ := d.removeWaiting(f.Key)
-	if f := d.flows[a.Header.Flow]; f != nil && !a.Packet.OpensFlow() {
-		decide = func(a Arrival) Decision {
-			d.recordCallerPacket(in, f, a.Packet)
-			return Decision{Action: ActionDeliver, Reason: ReasonHeld}
-		}
-	}
 	decision := d.withLoad(decide(a))
 	decision.Wait = in.Now - a.waitingSince
 	return a, decision, true
