--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -22,6 +22,9 @@
 func (d *Decider) offerPosition(in Input, a Arrival, attempt int) uint8 {
 	wait, _ := d.waitingQueue(in, a).Predict(in.Now, d.waitingFlow(in, a))
 	position := uint8(attempt&attemptMask) | uint8(min(wait/waitStep, maxWaitSteps))<<waitShift
+	if d.hasRoom(in, a) {
+		position = uint8(attempt&attemptMask) | uint8(min(d.broughtSteps(in.Now)/waitStep, maxWaitSteps))<<waitShift
+	}
 	if !d.acceptsNewFlows(in.Now) {
 		position |= cannotServeBit
 	}
@@ -90,7 +93,8 @@
 		return d.forward(in, a, owner.Address, 0, 0, ReasonNotOwner)
 	}
 	acceptsNewFlows := d.acceptsNewFlows(in.Now)
-	if acceptsNewFlows && d.hasRoom(in, a) {
+	heavy := attempt == 0 && a.Header.Flags == 0 && d.brought(in.Now) > broughtLimit
+	if acceptsNewFlows && d.hasRoom(in, a) && !heavy {
 		return d.openFlow(in, a)
 	}
 	d.candidates = d.appendAlternates(d.candidates[:0], 0, in, a.Header.Flow)
@@ -224,7 +228,7 @@
 		return decision
 	}
 	if d.acceptsNewFlows(in.Now) {
-		if d.hasRoom(in, a) {
+		if d.hasRoom(in, a) && (a.Header.Position&cannotServeBit != 0 || offeredWait(a.Header.Position) == 0 || d.broughtSteps(in.Now)+3*waitStep <= offeredWait(a.Header.Position)) {
 			return d.openFlow(in, a)
 		}
 		wait, verdict := d.waitingQueue(in, a).Predict(in.Now, d.waitingFlow(in, a))
