--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -43,9 +43,6 @@
 		}
 		f.requestedAt = 0
 	}
-	if p.Length > 0 && f.working && f.requests > 1 {
-		d.load.brought.add(in.Now, min(in.Now-f.lastRequestAt, cherviltide.Millis(2*d.load.serviceTime.value)))
-	}
 	if p.Length > 0 {
 		d.markAnswered(f)
 		f.answering = true
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -283,7 +283,6 @@
 	}
 	if !f.requestSeen || f.answering {
 		f.lastRequestAt = in.Now
-		f.requests++
 		if d.load.working < d.target.Slots {
 			f.requestedAt = in.Now
 		}
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -26,7 +26,6 @@
 	// is being measured. requestSeen is true once the caller has sent a request.
 	requestedAt cherviltide.Millis
 	requestSeen bool
-	requests    int
 	// nextCallerSequence is the sequence number after the caller's newest payload, so that a retransmission does not count
 	// as another request.
 	nextCallerSequence uint32
--- a/relayer/load.go
+++ b/relayer/load.go
@@ -15,7 +15,6 @@
 	activeBulky, working int
 	// transfers is the number of transfers in progress. They do not count as active.
 	transfers int
-	brought   broughtWork
 	// lastOrdinaryAt is when the last flow that is not bulky was opened; 0 when there was none.
 	lastOrdinaryAt cherviltide.Millis
 	// serviceTime is the smoothed time from a request to the first byte of its answer when no request waits for a slot.
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -22,9 +22,6 @@
 func (d *Decider) offerPosition(in Input, a Arrival, attempt int) uint8 {
 	wait, _ := d.waitingQueue(in, a).Predict(in.Now, d.waitingFlow(in, a))
 	position := uint8(attempt&attemptMask) | uint8(min(wait/waitStep, maxWaitSteps))<<waitShift
-	if d.hasRoom(in, a) {
-		position = uint8(attempt&attemptMask) | uint8(min(d.broughtSteps(in.Now)/waitStep, maxWaitSteps))<<waitShift
-	}
 	if !d.acceptsNewFlows(in.Now) {
 		position |= cannotServeBit
 	}
@@ -93,8 +90,7 @@
 		return d.forward(in, a, owner.Address, 0, 0, ReasonNotOwner)
 	}
 	acceptsNewFlows := d.acceptsNewFlows(in.Now)
-	heavy := attempt == 0 && a.Header.Flags == 0 && d.brought(in.Now) > broughtLimit
-	if acceptsNewFlows && d.hasRoom(in, a) && !heavy {
+	if acceptsNewFlows && d.hasRoom(in, a) {
 		return d.openFlow(in, a)
 	}
 	d.candidates = d.appendAlternates(d.candidates[:0], 0, in, a.Header.Flow)
@@ -228,7 +224,7 @@
 		return decision
 	}
 	if d.acceptsNewFlows(in.Now) {
-		if d.hasRoom(in, a) && (a.Header.Position&cannotServeBit != 0 || offeredWait(a.Header.Position) == 0 || d.broughtSteps(in.Now)+3*waitStep <= offeredWait(a.Header.Position)) {
+		if d.hasRoom(in, a) {
 			return d.openFlow(in, a)
 		}
 		wait, verdict := d.waitingQueue(in, a).Predict(in.Now, d.waitingFlow(in, a))
