Judge the speed of busy targets by their rate of answers

While requests wait for slots at a target, none shows a service time. A target that is 8 times slower is always in this state, and was never found slow.

The service time of such a target follows from its rate of answers with all slots taken; an overloaded target answers as fast as ever. The recent time is a median of 16, and samples enter the usual time once they are no longer recent, so that a fault does not change what is usual. The factor is 4 instead of 5 (speeds within a service differ by 2.4).

--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -43,16 +43,19 @@
 	// maxTick bounds the time that one tick adds to a silence. A process that did not run has not observed the target.
 	maxTick cherviltide.Millis = 300
 	// slowFactor is above the differences in speed between the targets of one service (2.4 measured).
-	slowFactor = 5
+	slowFactor = 4
 	// minSlowdown is the least increase of the service time that is evidence, in milliseconds: smaller ones leave room in goals
 	// of 250 ms.
 	minSlowdown = 100
+	// busyInterval is the time with waiting requests from which a service time is derived.
+	busyInterval cherviltide.Millis = 500
 	// slowSpan is how long a target must be slow. The weights of the peers, from which their service times follow, take up to
 	// this time to show a change that concerns all of them.
 	slowSpan cherviltide.Millis = 20_000
 	// usualShare is the weight of a sample in the usual service time.
 	usualShare = 1.0 / 512
-	// usualCap bounds a sample of the usual time, in multiples of this time, until the fault shows in the recent times.
+	// usualCap bounds a sample of the usual time, in multiples of this time, so that faults in which the target is not slow
+	// throughout do not become usual at once.
 	usualCap = 3
 	// minUsual samples make the usual time known, minRecent the recent one, of which the median counts, so that a few long
 	// requests do not make a target slow. minRenewed is the number for a target in probation.
@@ -71,7 +74,10 @@
 	rowTo   cherviltide.Millis
 	// silentFor is the time without the beginning of an answer while enough requests were in work, up to the last tick.
 	silentFor, tickAt cherviltide.Millis
-	answeredSinceTick bool
+	// busyFor is the time for which requests waited for slots at the target, busyAnswers the number of answers in this time.
+	busyFor                  cherviltide.Millis
+	busyAnswers, tickAnswers int
+	wasBusy                  bool
 	// usual is the mean service time of usualCount samples, in milliseconds. recent has the last recentCount samples.
 	usual       float64
 	usualCount  int
@@ -100,7 +106,8 @@
 
 func (e *evidence) answered(now, took, serviceTime cherviltide.Millis) {
 	e.count(now).answered++
-	e.inRow, e.answeredSinceTick = 0, true
+	e.inRow = 0
+	e.tickAnswers++
 	if period := now / slowestPeriod; period != e.period {
 		e.slowest[1] = 0
 		if period == e.period+1 {
@@ -109,16 +116,24 @@
 		e.slowest[0], e.period = 0, period
 	}
 	e.slowest[0] = max(e.slowest[0], took)
-	if serviceTime <= 0 {
-		return
+	if serviceTime > 0 {
+		e.addRecent(serviceTime)
 	}
-	e.recent[e.recentCount%minRecent] = serviceTime
-	e.recentCount++
-	if e.slowSince != 0 {
-		return // The usual time is that from before the fault.
+}
+
+func (e *evidence) addRecent(serviceTime cherviltide.Millis) {
+	former := &e.recent[e.recentCount%minRecent]
+	if e.recentCount >= minRecent && e.slowSince == 0 {
+		e.addUsual(float64(*former))
 	}
+	*former = serviceTime
+	e.recentCount++
+}
+
+// addUsual adds a service time that is no longer recent to the usual one. While the recent times are slow, the usual one stays
+// as it was before the fault.
+func (e *evidence) addUsual(sample float64) {
 	e.usualCount++
-	sample := float64(serviceTime)
 	if e.usualCount > minUsual {
 		sample = min(sample, usualCap*e.usual)
 	}
@@ -135,22 +150,38 @@
 }
 
 // tick measures for how long the target has been silent or slow. busy is the number of requests in work from which on it counts.
-func (e *evidence) tick(now cherviltide.Millis, working, busy int, peers Peers) {
+func (e *evidence) tick(now cherviltide.Millis, working, slots, busy int, peers Peers) {
 	switch {
 	case e.recentCount < minRecent || !e.isSlow(peers):
 		e.slowSince = 0
 	case e.slowSince == 0:
 		e.slowSince = now
 	}
-	passed := min(now-e.tickAt, maxTick)
-	e.tickAt = now
-	if e.answeredSinceTick || working < busy {
-		e.silentFor, e.answeredSinceTick = 0, false
+	passed, answers := min(now-e.tickAt, maxTick), e.tickAnswers
+	e.tickAt, e.tickAnswers = now, 0
+	e.measureBusy(passed, answers, working, slots)
+	if answers > 0 || working < busy {
+		e.silentFor = 0
 		return
 	}
 	e.silentFor += passed
 }
 
+// measureBusy derives service times from the rate of answers while requests wait for slots, when no single request shows them:
+// an overloaded target answers as fast as ever, a slow one does not.
+func (e *evidence) measureBusy(passed cherviltide.Millis, answers, working, slots int) {
+	isBusy := working > slots
+	if isBusy && e.wasBusy {
+		e.busyFor += passed
+		e.busyAnswers += answers
+	}
+	e.wasBusy = isBusy
+	if e.busyFor >= busyInterval && e.busyAnswers > 0 {
+		e.addRecent(e.busyFor * cherviltide.Millis(slots) / cherviltide.Millis(e.busyAnswers))
+		e.busyFor, e.busyAnswers = 0, 0
+	}
+}
+
 // reason returns the evidence against a target in service.
 func (e *evidence) reason(now cherviltide.Millis) Reason {
 	answered, failed := 0, 0
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -124,7 +124,7 @@
 		return
 	}
 	q.slots, q.peers = slots, peers
-	q.evidence.tick(now, working, q.busyLimit(), peers)
+	q.evidence.tick(now, working, slots, q.busyLimit(), peers)
 	switch q.state {
 	case StateInService:
 		if reason := q.evidence.reason(now); reason != ReasonNone && now >= q.noClaimUntil && q.places() > 0 {
