Take grey targets out of new flows at agents

Agents feed package quarantiner with answers, requests that end without one although a slot was free for them, opening packets that are not answered, and returned ones while slots are free. A target that is out gets no new flow: the agent offers them to others and refuses only when none takes them; waiting flows are handed on. Changes of the state are logged and shown in Relayer.Quarantine.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -34,6 +34,9 @@
 		}
 		f.targetSequence, f.answered = p.Sequence, true
 	}
+	if p.Length > 0 {
+		d.recordAnswer(in, f)
+	}
 	if p.Length > 0 && f.requestedAt != 0 {
 		phase, duration = PhaseService, in.Now-f.requestedAt
 		if f.transfer != nil {
@@ -52,9 +55,11 @@
 	}
 	if p.Has(cherviltide.PacketFinish) {
 		f.targetFinished = true
+		d.recordEnd(in, f)
 		d.markIdle(f)
 	}
 	if p.Has(cherviltide.PacketReset) {
+		d.recordEnd(in, f)
 		d.markIdle(f)
 		f.endedAt = in.Now
 	}
@@ -81,6 +86,9 @@
 	}
 	var decision Decision
 	if p.OpensFlow() {
+		if d.load.active <= d.target.Slots {
+			d.quarantine.Failed(in.Now)
+		}
 		if f != nil {
 			d.removeFlow(key, f)
 		}
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -13,6 +13,7 @@
 	"cherviltide.example/cherviltide/detector"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/quarantiner"
 	"cherviltide.example/cherviltide/queuer"
 )
 
@@ -63,6 +64,9 @@
 	OpeningTimeout         cherviltide.Millis
 	// OldRulesGrace is how long new flows are still opened with old rules after a flow was opened here with newer ones.
 	OldRulesGrace cherviltide.Millis
+	// QuarantineShare is the largest share of a service whose targets may be out of service because they are grey; 0 means that
+	// all stay in service.
+	QuarantineShare float64
 }
 
 // Target is the state that the target reports.
@@ -121,6 +125,9 @@
 	queue    *queuer.Queue[Arrival]
 	uploads  *queuer.Queue[Arrival]
 	detector *detector.Detector
+	// quarantine decides whether the target is grey; peers is what it knows of the service.
+	quarantine *quarantiner.Quarantiner
+	peers      peers
 	// unansweredSince is when the first opening packet was delivered after the target's last packet; 0 when there is none.
 	unansweredSince cherviltide.Millis
 	// targetFullUntil is until when new flows are offered to other agents because the target returned one.
@@ -150,7 +157,7 @@
 func NewDecider(limits Limits, now cherviltide.Millis) *Decider {
 	return &Decider{
 		limits: limits, started: now, target: Target{PredatesAgent: true}, flows: map[cherviltide.FlowKey]*flow{}, remoteFlows: newRemoteFlows(), detector: detector.New(),
-		queue: queuer.New[Arrival](), uploads: queuer.New[Arrival](),
+		queue: queuer.New[Arrival](), uploads: queuer.New[Arrival](), quarantine: quarantiner.New(limits.QuarantineShare),
 	}
 }
 
@@ -160,6 +167,7 @@
 	if replaced {
 		clear(d.flows)
 		d.load = load{}
+		d.quarantine.Restarted()
 	}
 	d.target = t
 	d.unansweredSince = 0
@@ -270,6 +278,7 @@
 		f.callerFinished = true
 	}
 	if p.Has(cherviltide.PacketReset) {
+		d.recordAbandoned(in, f)
 		d.markIdle(f)
 		f.endedAt = in.Now
 	}
@@ -306,13 +315,23 @@
 		d.expireActive(in, f)
 		switch {
 		case f.endedAt != 0 && in.Now-f.endedAt > endedFlowRetention,
-			!f.answered && in.Now-f.openedAt > answerTimeout,
+			d.isUnanswered(in, f),
 			in.Now-f.lastPacketAt > in.idleTimeout(),
 			in.Now-f.openedAt > d.limits.MaxFlowAge+endedFlowRetention:
 			d.removeFlow(key, f)
 		}
 	}
 	d.remoteFlows.expire(in.Now)
+	d.tickQuarantine(in)
+}
+
+// isUnanswered reports whether the target has not answered the opening of a flow in time, and records it.
+func (d *Decider) isUnanswered(in Input, f *flow) bool {
+	if f.answered || in.Now-f.openedAt <= answerTimeout {
+		return false
+	}
+	d.recordEnd(in, f)
+	return true
 }
 
 // OldestGeneration returns the lowest generation at which a kept flow was opened, or the given one when that is lower or no
--- a/relayer/load.go
+++ b/relayer/load.go
@@ -92,7 +92,18 @@
 		return
 	}
 	if (!f.requestSeen && in.Now-f.openedAt > requestTimeout) || (f.answering && in.Now-f.lastPacketAt > fullPacketTimeout) ||
-		(f.requestSeen && f.deadline > 0 && in.Now-f.lastRequestAt > f.deadline) {
+		d.isOverdue(in, f) {
 		d.markIdle(f)
 	}
 }
+
+// isOverdue reports whether the deadline of a flow's request has passed, and records a request without an answer.
+func (d *Decider) isOverdue(in Input, f *flow) bool {
+	if !f.requestSeen || f.deadline <= 0 || in.Now-f.lastRequestAt <= f.deadline {
+		return false
+	}
+	if f.working && f.transfer == nil {
+		d.recordEnd(in, f)
+	}
+	return true
+}
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -44,6 +44,9 @@
 	}
 	if f != nil {
 		// The caller uses the port again, or the target did not answer.
+		if !f.answered && f.callerSequence == a.Packet.Sequence {
+			d.recordEnd(in, f)
+		}
 		d.removeFlow(key, f)
 	}
 	if decision, ok := d.absorbCopy(a); ok {
@@ -100,7 +103,7 @@
 	if acceptsNewFlows {
 		return d.submit(in, a)
 	}
-	if d.target.LastResort && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil {
+	if d.target.LastResort && d.quarantine.Allows() && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil {
 		return d.openFlow(in, a)
 	}
 	d.remoteFlows.remove(a.Header.Flow)
@@ -122,7 +125,7 @@
 
 // acceptsNewFlows reports whether the target takes new flows at all.
 func (d *Decider) acceptsNewFlows(now cherviltide.Millis) bool {
-	return d.target.AcceptsNewFlows && !d.targetUnresponsive(now) && now >= d.targetFullUntil
+	return d.target.AcceptsNewFlows && d.quarantine.Allows() && !d.targetUnresponsive(now) && now >= d.targetFullUntil
 }
 
 // targetUnresponsive reports whether the target leaves packets unanswered.
@@ -157,6 +160,7 @@
 	if !f.bulky {
 		d.load.lastOrdinaryAt = in.Now
 	}
+	d.quarantine.Opened()
 	d.waitingQueue(in, a).Started(in.Now, d.waitingFlow(in, a))
 	decision := d.deliverOpening(in, a)
 	decision.Reason = ReasonOpened
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/picker"
 	"cherviltide.example/cherviltide/prober"
+	"cherviltide.example/cherviltide/quarantiner"
 	"cherviltide.example/cherviltide/runner"
 )
 
@@ -52,7 +53,9 @@
 	// Self returns the agent as it is announced.
 	Self   func() cherviltide.Member
 	Limits Limits
-	Log    *zap.Logger
+	// SetPaused asks control to place no new flows here, or again, because the target is grey. It may be nil.
+	SetPaused func(paused bool)
+	Log       *zap.Logger
 }
 
 // Counters count packets since the start of the process, by the decision about them.
@@ -80,6 +83,11 @@
 	OpeningTimes, ServiceTimes *prober.Histogram
 	// WaitTimes are the times for which new flows waited for a slot before they were opened.
 	WaitTimes *prober.Histogram
+	// quarantine is the last state that was reported, timesOut how often the target was taken out of service. paused is the
+	// last value that SetPaused got.
+	quarantine quarantiner.State
+	timesOut   int
+	paused     bool
 	// waiting has an element after a flow has begun to wait.
 	waiting chan struct{}
 }
@@ -365,6 +373,7 @@
 		r.mu.Lock()
 		r.decider.Expire(in)
 		r.mu.Unlock()
+		r.reportQuarantine()
 		if ok {
 			r.sendDueNotices(in, true)
 		}
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -135,7 +135,7 @@
 	if queue.Len() == 0 {
 		return Arrival{}, Decision{}, false
 	}
-	if !d.target.AcceptsNewFlows || d.targetUnresponsive(in.Now) {
+	if !d.target.AcceptsNewFlows || d.quarantine.IsOut() || d.targetUnresponsive(in.Now) {
 		f, _ := queue.First()
 		return d.release(in, f, func(a Arrival) Decision { return d.placeFlow(in, a, 0) })
 	}
