Replay a tenth of the targets grey

20 targets with 2 slots, 460 requests/s on long flows and 130 new flows/s; two targets reset, hang, are mute or 8 times slower for 30 s while they send heartbeats. Callers repeat only requests that may run twice.

--- a/bench/replayer/patterns.go
+++ b/bench/replayer/patterns.go
@@ -39,6 +39,23 @@
 	}
 }
 
+// GreyPatterns returns the load patterns of grey targets: requests on long flows and new ones at 20 targets with 2 slots, of
+// which a tenth fails without notice, in each mode.
+func GreyPatterns() []Pattern {
+	long := Kind{Name: "long", Route: cherviltide.Route{Priority: 2, Goal: 300, Deadline: 2_000, Class: cherviltide.ClassNormal},
+		PerSecond: 460, ServiceTime: 26, Packets: 2, LongFlows: LongFlows{Callers: 280, Requests: 20}}
+	small := Kind{Name: "small", Route: cherviltide.Route{Priority: 2, Goal: 300, Deadline: 2_500, AtMostOnce: true, Class: cherviltide.ClassNormal},
+		PerSecond: 130, ServiceTime: 33, Packets: 1}
+	base := Pattern{Slots: 2, Queue: 8, Speeds: slices.Repeat([]float64{1}, 20), Kinds: []Kind{long, small}, Duration: 40_000, QuarantineShare: 0.2}
+	var patterns []Pattern
+	for _, mode := range []GreyMode{GreyReset, GreyHang, GreyMute, GreySlow} {
+		p := base
+		p.Name, p.Grey = string(mode), Grey{Mode: mode, Count: 2, During: Interval{5_000, 35_000}}
+		patterns = append(patterns, p)
+	}
+	return patterns
+}
+
 // Patterns returns the load patterns that the decisions about waiting flows answer.
 func Patterns() []Pattern {
 	speeds := []float64{0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 1}
--- a/bench/replayer/replayer.go
+++ b/bench/replayer/replayer.go
@@ -67,6 +67,9 @@
 	// SlowFactor multiplies the service times of target 0 during Slow.
 	Slow       Interval
 	SlowFactor float64
+	// Grey targets fail without notice. QuarantineShare is the share of targets that agents may take out of service.
+	Grey            Grey
+	QuarantineShare float64
 	// WholeFlows makes agents count uploads against the slots from their opening on. It is the baseline for uploads.
 	WholeFlows bool
 	// TargetQueues makes agents deliver all opening packets at once, so that flows wait in the targets' queues. It is the
@@ -97,6 +100,8 @@
 	LongestWaitMs cherviltide.Millis
 	// LeftWaiting is the number of flows that still waited at the end.
 	LeftWaiting int
+	// Paused counts the announcements of agents that take their targets out of service.
+	Paused int
 	// Busy is the share of the targets' slots that were taken, and LongestQueue the most requests that waited in one target.
 	Busy         float64
 	LongestQueue int
@@ -293,6 +298,7 @@
 		}
 		if r.now/tickInterval%expireEvery == 0 {
 			t.decider.Expire(r.input(t))
+			t.tickGrey()
 		}
 		if t.decider.Waiting() > 0 {
 			t.decider.ExpireActive(r.input(t))
--- a/bench/replayer/target.go
+++ b/bench/replayer/target.go
@@ -16,6 +16,8 @@
 	member  cherviltide.Member
 	decider *relayer.Decider
 	running bool
+	// paused is what the agent has announced.
+	paused bool
 	// incarnation grows with each stop, so that events of a former incarnation do nothing.
 	incarnation int
 	startedAt   cherviltide.Millis
@@ -40,7 +42,7 @@
 		slots += t.replay.pattern.Queue
 	}
 	t.decider = relayer.NewDecider(relayer.Limits{
-		MaxFlowAge: 60_000, MaxPayload: fullPacketPayload, OpeningRetransmissions: openingRetransmissions, OpeningTimeout: openingTimeout,
+		MaxFlowAge: 60_000, MaxPayload: fullPacketPayload, OpeningRetransmissions: openingRetransmissions, OpeningTimeout: openingTimeout, QuarantineShare: t.replay.pattern.QuarantineShare,
 	}, t.replay.now)
 	t.decider.SetTarget(relayer.Target{Slots: slots, AcceptsNewFlows: true, LastResort: true}, false)
 	t.flows, t.running, t.startedAt = map[*attempt]bool{}, true, t.replay.now
@@ -75,6 +77,9 @@
 
 // receive handles a packet that the agent has delivered.
 func (t *target) receive(a *attempt, p cherviltide.Packet) {
+	if t.isGrey(GreyMute) && p.OpensFlow() {
+		return
+	}
 	if p.OpensFlow() {
 		t.flows[a] = true
 		t.send(a, cherviltide.Packet{Flags: cherviltide.PacketOpen | cherviltide.PacketAck, Sequence: t.sequence()})
@@ -87,6 +92,9 @@
 	if a.missing--; a.missing > 0 {
 		return
 	}
+	if t.receiveGrey(a) {
+		return
+	}
 	if a.ranAt != nil && a.ranAt != t {
 		t.replay.report.Doubled++
 	}
@@ -124,6 +132,9 @@
 	if t.index == 0 && t.replay.pattern.Slow.contains(t.replay.now) {
 		mean *= t.replay.pattern.SlowFactor
 	}
+	if t.isGrey(GreySlow) {
+		mean *= greySlowness
+	}
 	// Half of the time is the same for all requests, so that the spread is half of the mean.
 	took := cherviltide.Millis(mean/2 + t.replay.random.ExpFloat64()*mean/2 + t.replay.random.Float64())
 	t.replay.report.busyTime += took
