--- a/bench/replayer/replayer.go
+++ b/bench/replayer/replayer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/framer"
@@ -31,7 +32,7 @@
 
 var openingRetransmissions = []cherviltide.Millis{200, 600}
 
-// Kind is a kind of request; each request opens a flow of its own.
+// Kind is a kind of request.
 type Kind struct {
 	Name  string
 	Route cherviltide.Route
@@ -39,6 +40,9 @@
 	PerSecond, ServiceTime float64
 	// Packets is the number of packets of an answer. They leave the target one millisecond apart, after the slot is free.
 	Packets int
+	Upload  Upload
+	// LongFlows is set when callers keep their flows open.
+	LongFlows LongFlows
 }
 
 // Pattern is a load pattern with its service.
@@ -56,12 +60,20 @@
 	// Burst is the time in which BurstFactor times the usual requests arrive.
 	Burst       Interval
 	BurstFactor float64
+	Wave        Wave
 	// Lost targets are off from LostFrom on, without notice until the table follows LostNotice later.
 	Lost                 int
 	LostFrom, LostNotice cherviltide.Millis
 	// SlowFactor multiplies the service times of target 0 during Slow.
 	Slow       Interval
 	SlowFactor float64
+	// Grey targets fail without notice. QuarantineShare is the share of targets that agents may take out of service.
+	Grey            Grey
+	QuarantineShare float64
+	// WholeFlows makes agents count uploads against the slots from their opening on. It is the baseline for uploads.
+	WholeFlows bool
+	// HoldSlots makes targets hold the slot of a request until the last packet of its answer.
+	HoldSlots bool
 	// TargetQueues makes agents deliver all opening packets at once, so that flows wait in the targets' queues. It is the
 	// baseline for comparison.
 	TargetQueues bool
@@ -90,6 +102,13 @@
 	LongestWaitMs cherviltide.Millis
 	// LeftWaiting is the number of flows that still waited at the end.
 	LeftWaiting int
+	// Paused counts the announcements of agents that take their targets out of service.
+	Paused int
+	// Busy is the share of the targets' slots that were taken, and LongestQueue the most requests that waited in one target.
+	Busy         float64
+	LongestQueue int
+	// busyTime is the sum of the times for which slots were taken.
+	busyTime cherviltide.Millis
 }
 
 // Sum returns the results of all kinds whose requests arrived in an interval of whole seconds.
@@ -119,6 +138,8 @@
 	startedAt cherviltide.Millis
 	attempts  int
 	done      bool
+	// session is the caller that keeps its flow open, or nil.
+	session *session
 }
 
 // attempt is one flow of a request.
@@ -131,6 +152,12 @@
 	ranAt *target
 	ended bool
 	reset bool
+	// nextSequence is the sequence number of the caller's next payload, missing the number of packets of the request that
+	// have not reached the target.
+	nextSequence uint32
+	missing      int
+	// session is the caller that keeps the flow open, or nil.
+	session *session
 }
 
 // event is a call at a point in time; events at the same time keep their order.
@@ -171,6 +198,7 @@
 
 // Run plays a pattern. Runs with the same seed are equal.
 func Run(p Pattern, seed uint64) *Report {
+	p.Kinds = slices.Clone(p.Kinds)
 	r := &replay{
 		pattern: p, random: rand.New(rand.NewPCG(seed, 0)), attempts: map[cherviltide.FlowKey]*attempt{},
 		routes: map[netip.AddrPort]cherviltide.Route{}, report: &Report{PerSecond: map[string][]Result{}},
@@ -194,6 +222,9 @@
 	for _, t := range r.targets {
 		r.report.LeftWaiting += t.decider.Waiting()
 	}
+	if slots := p.Slots * len(p.Speeds); slots > 0 {
+		r.report.Busy = float64(r.report.busyTime) / float64(p.Duration) / float64(slots)
+	}
 	return r.report
 }
 
@@ -207,16 +238,28 @@
 func (r *replay) scheduleKind(index int) {
 	kind := &r.pattern.Kinds[index]
 	kind.Route.Address = virtualAddress(index)
+	if r.pattern.WholeFlows && kind.Route.Class == cherviltide.ClassUpload {
+		kind.Route.Class = cherviltide.ClassNormal
+	}
 	r.routes[kind.Route.Address] = kind.Route
 	r.report.PerSecond[kind.Name] = make([]Result, r.pattern.Duration/1000+1)
+	sessions := make([]*session, kind.LongFlows.Callers)
+	for i := range sessions {
+		sessions[i] = &session{replay: r}
+	}
 	var next func()
 	next = func() {
 		if r.now >= r.pattern.Duration {
 			return
 		}
-		r.startAttempt(&request{kind: kind, startedAt: r.now})
+		q := &request{kind: kind, startedAt: r.now}
+		if len(sessions) > 0 {
+			sessions[r.random.IntN(len(sessions))].ask(q)
+		} else {
+			r.startAttempt(q)
+		}
 		r.report.PerSecond[kind.Name][r.now/1000].Asked++
-		rate := kind.PerSecond
+		rate := kind.PerSecond * r.pattern.Wave.factor(r.now)
 		if r.pattern.Burst.contains(r.now) {
 			rate *= r.pattern.BurstFactor
 		}
@@ -257,6 +300,7 @@
 		}
 		if r.now/tickInterval%expireEvery == 0 {
 			t.decider.Expire(r.input(t))
+			t.tickGrey()
 		}
 		if t.decider.Waiting() > 0 {
 			t.decider.ExpireActive(r.input(t))
@@ -289,7 +333,7 @@
 	r.report.Attempts++
 	r.lastPort++
 	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.lastPort >> 14), byte(r.lastPort >> 22)}), uint16(1024+r.lastPort&(1<<14-1)))
-	a := &attempt{request: q, key: cherviltide.FlowKey{Caller: caller, Virtual: q.kind.Route.Address}}
+	a := &attempt{request: q, key: cherviltide.FlowKey{Caller: caller, Virtual: q.kind.Route.Address}, nextSequence: firstSequence, session: q.session}
 	r.attempts[a.key] = a
 	r.sendOpening(a, 0)
 	for i, delay := range openingRetransmissions {
@@ -382,6 +426,12 @@
 	}
 	a.ended = true
 	q := a.request
+	if q.done {
+		if a.session != nil && a.session.flow == a {
+			a.session.flow = nil
+		}
+		return
+	}
 	if q.attempts == maxAttempts || r.now+retryDelay >= q.startedAt+q.kind.Route.Deadline {
 		r.finish(q, func(result *Result) {
 			if reset {
@@ -395,13 +445,21 @@
 	r.after(retryDelay+cherviltide.Millis(r.random.IntN(int(retryDelay))), func() { r.startAttempt(q) })
 }
 
-// finish counts the outcome of a request.
+// finish counts the outcome of a request whose flow has ended.
 func (r *replay) finish(q *request, count func(*Result)) {
+	r.finishOn(nil, q, count)
+}
+
+// finishOn counts the outcome of a request. flow is its flow when that goes on.
+func (r *replay) finishOn(flow *attempt, q *request, count func(*Result)) {
 	if q.done {
 		return
 	}
 	q.done = true
 	count(&r.report.PerSecond[q.kind.Name][q.startedAt/1000])
+	if q.session != nil {
+		q.session.done(flow)
+	}
 }
 
 // answer gives the caller the complete answer.
@@ -409,10 +467,11 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
-	age := r.now - a.request.startedAt
-	r.finish(a.request, func(result *Result) {
-		switch route := a.request.kind.Route; {
+	q := a.request
+	age := r.now - q.startedAt
+	a.ended = a.session == nil
+	r.finishOn(a, q, func(result *Result) {
+		switch route := q.kind.Route; {
 		case age <= route.Goal:
 			result.Timely++
 		case age <= route.Deadline:
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -34,11 +34,15 @@
 		}
 		f.targetSequence, f.answered = p.Sequence, true
 	}
+	if p.Length > 0 {
+		d.recordAnswer(in, f)
+	}
 	if p.Length > 0 && f.requestedAt != 0 {
 		phase, duration = PhaseService, in.Now-f.requestedAt
 		if f.transfer != nil {
 			d.load.uploadTime.add(duration)
 		} else {
+			d.observePromptness(f, duration)
 			d.load.serviceTime.add(duration)
 		}
 		f.requestedAt = 0
@@ -48,13 +52,17 @@
 		f.answering = true
 		if p.Length < d.limits.MaxPayload {
 			d.markIdle(f)
+		} else {
+			d.startSending(f)
 		}
 	}
 	if p.Has(cherviltide.PacketFinish) {
 		f.targetFinished = true
+		d.recordEnd(in, f)
 		d.markIdle(f)
 	}
 	if p.Has(cherviltide.PacketReset) {
+		d.recordEnd(in, f)
 		d.markIdle(f)
 		f.endedAt = in.Now
 	}
@@ -81,6 +89,9 @@
 	}
 	var decision Decision
 	if p.OpensFlow() {
+		if d.load.active <= d.target.Slots {
+			d.quarantine.Failed(in.Now)
+		}
 		if f != nil {
 			d.removeFlow(key, f)
 		}
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -69,13 +69,14 @@
 // hasBulkySlot reports whether bulky flows may take another slot.
 func (d *Decider) hasBulkySlot(now cherviltide.Millis) bool {
 	ordinary := d.load.lastOrdinaryAt != 0 && now-d.load.lastOrdinaryAt < ordinaryHoldTime
-	return !ordinary || d.target.Slots < 2 || d.load.activeBulky < d.target.Slots-1
+	hasSlot := !ordinary || d.target.Slots < 2 || d.load.activeBulky < d.target.Slots-1
+	return hasSlot && d.load.sending < d.transferLimit()
 }
 
 // updateCapacity gives the queue the present capacity of the target.
 func (d *Decider) updateCapacity() {
 	d.queue.SetCapacity(queuer.Capacity{
-		Slots: d.target.Slots, ServiceTime: d.load.serviceTime.value, OpeningTime: d.load.openingTime.value,
+		Slots: d.target.Slots, Backlog: max(d.load.active-d.target.Slots, 0), ServiceTime: d.load.serviceTime.value, OpeningTime: d.load.openingTime.value,
 	})
 	d.uploads.SetCapacity(queuer.Capacity{Slots: d.transferLimit(), ServiceTime: d.load.transferTime.value})
 }
@@ -135,7 +136,7 @@
 	if queue.Len() == 0 {
 		return Arrival{}, Decision{}, false
 	}
-	if !d.target.AcceptsNewFlows || in.isEvacuated() || d.targetUnresponsive(in.Now) {
+	if !d.target.AcceptsNewFlows || in.isEvacuated() || d.quarantine.IsOut() || d.targetUnresponsive(in.Now) {
 		f, _ := queue.First()
 		return d.release(in, f, func(a Arrival) Decision { return d.placeFlow(in, a, 0) })
 	}
