Add the decision about the pace of cold targets

A target that has just started gets all its slots at once today, and nothing bounds the opening packets that reach it. Predictions of the queue can include such a bound.

--- /dev/null
+++ b/pacer/pace.go
@@ -0,0 +1,130 @@
+package pacer
+
+import "cherviltide.example/cherviltide"
+
+const (
+	// slowRatio is the ratio of a round's mean service time to the expected one, or to that with fewer concurrent requests,
+	// from which the target counts as delayed. Means of a few requests vary by up to a quarter.
+	slowRatio = 1.5
+	// steadyRatio is the ratio of a round's mean to that of the round before from which the target is no longer improving.
+	steadyRatio = 0.8
+	// degradedRatio is the ratio of a round's mean to the expected service time from which a warm target gets a pace. It is
+	// above the difference between the slowest and the fastest warm targets, which is 2.4.
+	degradedRatio = 3
+	// warmRound and minRound are the requests of a round while the target is warm, and the fewest while it has a pace.
+	warmRound, minRound = 8, 3
+	// warmTimeWeight is the weight of a round in the mean service time of the warm target.
+	warmTimeWeight = 0.25
+	// maxPatience bounds the rounds without improvement that precede a raise, after several raises that delayed the target.
+	maxPatience = 8
+)
+
+// pace limits the concurrent requests of a target. It compares rounds of requests: within the expected service time the limit
+// doubles. Above it, the limit rises by one when the target no longer improves, since fewer requests would not make it faster,
+// and it is halved when the target is slower than it was with fewer requests. After twice the warm-up time the target has all
+// its slots in any case.
+type pace struct {
+	// duration is the warm-up time of the service, slots are those of the target.
+	duration cherviltide.Millis
+	slots    int
+	active   bool
+	// since is when the pace began.
+	since cherviltide.Millis
+	limit int
+	// round has the requests since the last decision.
+	count int
+	sum   float64
+	// lastMean is the mean of the round before, with the same limit, and baseMean that of the last round with a lower limit; 0
+	// when there is none.
+	lastMean, baseMean float64
+	// steadyRounds counts the rounds without improvement; patience is how many of them precede a raise.
+	steadyRounds, patience int
+	// warmTime is the mean service time of the warm target, peerTime that of its peers; 0 when it is not known.
+	warmTime, peerTime float64
+	// newestMean is the mean of the last round of this pace.
+	newestMean float64
+}
+
+// begin starts with a limit; restart also starts the time limit again.
+func (c *pace) begin(now cherviltide.Millis, limit int, restart bool) {
+	if restart {
+		c.since, c.newestMean, c.patience = now, 0, 1
+	}
+	c.active, c.limit = true, limit
+	c.count, c.sum, c.lastMean, c.baseMean, c.steadyRounds = 0, 0, 0, 0, 0
+}
+
+// end ends the pace. A target that stayed slow counts as warm with its present service time.
+func (c *pace) end() {
+	c.active = false
+	c.count, c.sum = 0, 0
+	if c.newestMean > slowRatio*c.expected() {
+		c.warmTime = c.newestMean
+	}
+}
+
+// expected returns the mean service time that a warm target would have; 0 when it is not known. The target's own time counts
+// when it is the longer one: a warm target that is slower than its peers need not reach their times.
+func (c *pace) expected() float64 { return max(c.warmTime, c.peerTime) }
+
+// present returns the limit, which rises with time after the warm-up so that every target gets all slots in the end.
+func (c *pace) present(now cherviltide.Millis) int {
+	limit := c.limit
+	if over := now - c.since - c.duration; over > 0 {
+		limit = max(limit, 1+int(cherviltide.Millis(c.slots-1)*over/c.duration))
+	}
+	return max(min(limit, c.slots), 1)
+}
+
+// observe records a service time. It returns true when a warm target has become so slow that it needs a pace.
+func (c *pace) observe(now cherviltide.Millis, serviceTime float64) bool {
+	c.count++
+	c.sum += serviceTime
+	size := warmRound
+	if c.active {
+		size = max(2*c.present(now), minRound)
+	}
+	if c.count < size {
+		return false
+	}
+	mean := c.sum / float64(c.count)
+	c.count, c.sum = 0, 0
+	if c.active {
+		c.newestMean = mean
+		c.adapt(mean)
+		return false
+	}
+	if e := c.expected(); e > 0 && mean > degradedRatio*e {
+		return true
+	}
+	if c.warmTime == 0 {
+		c.warmTime = mean
+	}
+	c.warmTime += (mean - c.warmTime) * warmTimeWeight
+	return false
+}
+
+// adapt changes the limit after a round.
+func (c *pace) adapt(mean float64) {
+	switch e := c.expected(); {
+	case e > 0 && mean <= slowRatio*e:
+		c.raise(mean, c.limit)
+		return
+	case c.baseMean > 0 && mean > slowRatio*c.baseMean && c.limit > 1:
+		c.limit /= 2
+		c.lastMean, c.baseMean, c.steadyRounds = 0, 0, 0
+		c.patience = min(2*c.patience, maxPatience)
+		return
+	case c.lastMean > 0 && mean >= steadyRatio*c.lastMean:
+		if c.steadyRounds++; c.steadyRounds >= c.patience {
+			c.raise(mean, 1)
+			return
+		}
+	}
+	c.lastMean = mean
+}
+
+func (c *pace) raise(mean float64, by int) {
+	c.limit += by
+	c.baseMean, c.lastMean, c.steadyRounds = mean, 0, 0
+}
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -70,6 +70,12 @@
 	MaxWaiting = 1024
 )
 
+// Bound limits the starts of flows beyond the capacity of the target.
+type Bound interface {
+	// WaitBehind returns the time until a flow may start when a number of others start first.
+	WaitBehind(now cherviltide.Millis, ahead int) cherviltide.Millis
+}
+
 // entry is a waiting flow with its payload.
 type entry[T any] struct {
 	flow    Flow
@@ -83,7 +89,9 @@
 // type of the payload that is kept for each flow.
 type Queue[T any] struct {
 	capacity Capacity
-	byKey    map[cherviltide.FlowKey]*entry[T]
+	// bound may be nil.
+	bound Bound
+	byKey map[cherviltide.FlowKey]*entry[T]
 	// timely is sorted by priority, then by startBy. late is sorted by GiveUpAt.
 	timely, late []*entry[T]
 	load         timelyLoad
@@ -97,6 +105,9 @@
 // SetCapacity sets the capacity that predictions use.
 func (q *Queue[T]) SetCapacity(c Capacity) { q.capacity = c }
 
+// SetBound sets a bound that predictions include.
+func (q *Queue[T]) SetBound(b Bound) { q.bound = b }
+
 // Len returns the number of waiting flows.
 func (q *Queue[T]) Len() int { return len(q.byKey) }
 
@@ -106,7 +117,7 @@
 		return f.GiveUpAt - now, VerdictRefused
 	}
 	ahead := q.timelyIndex(f.Priority, q.startBy(f))
-	wait = cherviltide.Millis(float64(ahead+1) * q.capacity.perFlow())
+	wait = max(cherviltide.Millis(float64(ahead+1)*q.capacity.perFlow()), q.boundWait(now, ahead))
 	if now+wait <= q.startBy(f) {
 		return wait, VerdictTimely
 	}
@@ -261,5 +272,14 @@
 func (q *Queue[T]) waitBehind(now cherviltide.Millis, late int) cherviltide.Millis {
 	perFlow := q.capacity.perFlow()
 	share := max(1-q.load.perSecond(now)*perFlow/1000, minLateShare)
-	return cherviltide.Millis(float64(len(q.timely))*perFlow + float64(late+1)*perFlow/share)
+	wait := cherviltide.Millis(float64(len(q.timely))*perFlow + float64(late+1)*perFlow/share)
+	return max(wait, q.boundWait(now, len(q.timely)+late))
+}
+
+// boundWait returns the time until the bound allows a flow behind a number of others.
+func (q *Queue[T]) boundWait(now cherviltide.Millis, ahead int) cherviltide.Millis {
+	if q.bound == nil {
+		return 0
+	}
+	return q.bound.WaitBehind(now, ahead)
 }
