--- a/parser/check.go
+++ b/parser/check.go
@@ -69,6 +69,11 @@
 	if _, ok := s.findSetting("Address"); !ok && !s.invalid {
 		c.addProblem(s, endColumn(name, nil), "service %s has no Address", name.text)
 	}
+	if _, ok := s.findSetting("WarmUpRate"); ok && !s.invalid {
+		if _, ok := s.findSetting("WarmUp"); !ok {
+			c.addProblem(s, s.valueColumn("WarmUpRate"), "service %s has a WarmUpRate that never takes effect; expected WarmUp too", name.text)
+		}
+	}
 	for _, a := range settingValue[[]netip.AddrPort](s, "Address", nil) {
 		if other, ok := c.serviceByAddress[a]; ok {
 			c.addProblem(s, s.valueColumn("Address"), "address %s belongs to service %s already", a, other)
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -76,10 +76,20 @@
 		Addresses:   settingValue[[]netip.AddrPort](s, "Address", nil),
 		Buckets:     settingValue(s, "Buckets", DefaultBuckets),
 		Connections: settingValue(s, "Connections", DefaultConnections),
+		WarmUp:      newWarmUp(s),
 		Source:      newSource(s),
 	}
 }
 
+func newWarmUp(s statement) cherviltide.WarmUp {
+	_, hasRate := s.findSetting("WarmUpRate")
+	return cherviltide.WarmUp{
+		Duration: settingValue[cherviltide.Millis](s, "WarmUp", 0),
+		Rate:     settingValue(s, "WarmUpRate", 0.0),
+		HasRate:  hasRate,
+	}
+}
+
 func newKind(s statement) cherviltide.Kind {
 	return cherviltide.Kind{
 		Service:    s.names[0].text,
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -25,7 +25,7 @@
 		want []string
 	}{
 		"misspelt keyword":     {"Servise desk # Rita", []string{`1:1: found "Servise", expected Service, Kind or Customer; did you mean Service?`}},
-		"misspelt setting":     {"  Service desk Adress 1.1.1.1:1 # Rita", []string{`1:16: found "Adress", expected Address, Buckets or Connections; did you mean Address?`}},
+		"misspelt setting":     {"  Service desk Adress 1.1.1.1:1 # Rita", []string{`1:16: found "Adress", expected Address, Buckets, Connections, WarmUp or WarmUpRate; did you mean Address?`}},
 		"misspelt value":       {validService + "Kind desk fetch Class Urgnt # Rita", []string{`2:23: found "Urgnt", expected Urgent, Normal, Bulky or Patient; did you mean Urgent?`}},
 		"no requester":         {"Service desk Address 1.1.1.1:1", []string{"1:31: found no comment"}},
 		"empty requester":      {"Service desk Address 1.1.1.1:1 # --", []string{"found no comment"}},
@@ -40,6 +40,10 @@
 		"port 0":               {"Service desk Address 1.1.1.1:0 # R", []string{"1:22: "}},
 		"buckets too many":     {"Service desk Address 1.1.1.1:1 Buckets 65536 # R", []string{`1:40: found "65536", expected a whole number from 1 to 65535`}},
 		"buckets 0":            {"Service desk Address 1.1.1.1:1 Buckets 0 # R", []string{"1:40: "}},
+		"warm-up without unit": {validService + "Service s Address 1.1.1.1:1 WarmUp 9 # R", []string{`2:36: found "9", expected a time from 1ms`}},
+		"warm-up rate below 0": {validService + "Service s Address 1.1.1.1:1 WarmUp 9s WarmUpRate -1 # R", []string{`2:50: found "-1", expected a number of requests per second`}},
+		"warm-up rate NaN":     {validService + "Service s Address 1.1.1.1:1 WarmUp 9s WarmUpRate NaN # R", []string{"2:50: "}},
+		"rate without warm-up": {validService + "Service s Address 1.1.1.1:1 WarmUpRate 9 # R", []string{"2:40: service s has a WarmUpRate that never takes effect"}},
 		"deadline unit":        {validService + "Kind desk k Deadline 2000 # R", []string{`2:22: found "2000", expected a time from 1ms to 24h with a unit`}},
 		"deadline 0":           {validService + "Kind desk k Deadline 0s # R", []string{"2:22: "}},
 		"deadline too long":    {validService + "Kind desk k Deadline 25h # R", []string{"2:22: "}},
@@ -83,6 +87,18 @@
 	require.Equal(t, DefaultDeadline, rules.Kinds[1].Deadline)
 }
 
+// TestWarmUp guards against warm-up settings that are lost, and against a rate of 0 that counts as not configured.
+func TestWarmUp(t *testing.T) {
+	rules, err := Parse("Service a Address 1.1.1.1:1 WarmUp 1500ms WarmUpRate 0 # R\nService b Address 1.1.1.1:2 WarmUp 2m # R\n" + validService)
+	require.NoError(t, err)
+	require.Equal(t, cherviltide.WarmUp{Duration: 1_500, HasRate: true}, rules.Services[0].WarmUp)
+	require.Equal(t, cherviltide.WarmUp{Duration: 120_000}, rules.Services[1].WarmUp)
+	require.Zero(t, rules.Services[2].WarmUp)
+	text, err := Format("Service a  WarmUpRate 2.50 WarmUp 90s Address 1.1.1.1:1 # R")
+	require.NoError(t, err)
+	require.Equal(t, "Service a Address 1.1.1.1:1 WarmUp 90s WarmUpRate 2.5 # R\n", text)
+}
+
 // TestServiceIDCollision guards against two services that share an ID on the wire. It searches for two names that collide.
 func TestServiceIDCollision(t *testing.T) {
 	seen := map[cherviltide.ServiceID]string{}
@@ -118,7 +134,7 @@
 	n := rapid.IntRange(0, 4).Draw(t, "services")
 	for i := range n {
 		service := fmt.Sprintf("s-%d", i)
-		rule("Service "+service, fmt.Sprintf("Address 192.0.2.%d:443,[2001:db8::%d]:443", i, i), "Buckets 64", "Connections 7")
+		rule("Service "+service, fmt.Sprintf("Address 192.0.2.%d:443,[2001:db8::%d]:443", i, i), "Buckets 64", "Connections 7", "WarmUp 90s")
 		for k := range rapid.IntRange(0, 3).Draw(t, "kinds") {
 			deadline := rapid.Int64Range(1, int64(MaxDeadline)).Draw(t, "deadline")
 			objective := rapid.Float64Range(0.001, 99.999).Draw(t, "objective")
--- a/parser/statement.go
+++ b/parser/statement.go
@@ -46,7 +46,7 @@
 }
 
 var syntaxes = map[string]syntax{
-	"Service":  {names: []string{"NAME"}, settings: []string{"Address", "Buckets", "Connections"}},
+	"Service":  {names: []string{"NAME"}, settings: []string{"Address", "Buckets", "Connections", "WarmUp", "WarmUpRate"}},
 	"Kind":     {names: []string{"SERVICE", "NAME"}, settings: []string{"Method", "Path", "Class", "Priority", "Deadline", "AtMostOnce", "Objective"}},
 	"Customer": {names: []string{"NAME"}, settings: []string{"Certificate", "Services"}},
 }
--- a/parser/value.go
+++ b/parser/value.go
@@ -22,6 +22,8 @@
 	// MinDeadline and MaxDeadline bound the deadline of a kind.
 	MinDeadline cherviltide.Millis = 1
 	MaxDeadline cherviltide.Millis = 24 * 60 * 60 * 1000
+	// MaxWarmUpRate is the highest rate of a cold target that a rule may set, in requests per second.
+	MaxWarmUpRate = 1_000_000
 )
 
 // valueError describes an invalid value of a setting.
@@ -38,6 +40,8 @@
 	"Address":     parseAddresses,
 	"Buckets":     integerUpTo(MaxBuckets),
 	"Connections": integerUpTo(MaxConnections),
+	"WarmUp":      parseDeadline,
+	"WarmUpRate":  parseWarmUpRate,
 	"Method":      oneOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"),
 	"Path":        parsePath,
 	"Class": oneOf(string(cherviltide.ClassUrgent), string(cherviltide.ClassNormal), string(cherviltide.ClassBulky),
@@ -110,6 +114,15 @@
 	return f, nil
 }
 
+// parseWarmUpRate accepts 0: such a target gets no new flows while it is cold, beyond what the agents' settings add.
+func parseWarmUpRate(text string) (any, *valueError) {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(f >= 0 && f <= MaxWarmUpRate) {
+		return nil, &valueError{found: text, expected: fmt.Sprintf("a number of requests per second from 0 to %d", MaxWarmUpRate)}
+	}
+	return f, nil
+}
+
 func parseAddresses(text string) (any, *valueError) {
 	var addresses []netip.AddrPort
 	offset := 0
--- a/rules.go
+++ b/rules.go
@@ -34,9 +34,20 @@
 	Buckets int
 	// Connections is the maximum number of flows that one agent holds.
 	Connections int
+	WarmUp      WarmUp
 	Source      Source
 }
 
+// WarmUp describes how the targets of a service behave after a start, while their caches are empty: they are cold. The zero
+// value means that the service has no warm-up settings.
+type WarmUp struct {
+	// Duration is how long a target is cold after its start; 0 when it is not configured.
+	Duration Millis
+	// Rate is the number of requests per second that a cold target bears, if HasRate is true. It may be 0.
+	Rate    float64
+	HasRate bool
+}
+
 // Kind is a kind of traffic of a service.
 type Kind struct {
 	Name    string
