Pace the new flows of cold targets at their agents

An agent delivers new flows to a target that has just started as to a warm one. It now asks the pacer before it delivers an opening packet, also a copy: what the hard bound does not allow is offered, waits or is refused as the queue decides, and a copy is dropped, since its flow has been opened. The pace limits the slots that new flows and the queue's predictions see. Heartbeats give the remaining warm-up and the age of the target to the data path; the age follows the monotonic clock, so that a step of the wall clock does not make a target cold.

Without any one of the five checks of the bound TestColdTargetIsBounded fails.

--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -12,6 +12,7 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/detector"
 	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/pacer"
 	"cherviltide.example/cherviltide/picker"
 	"cherviltide.example/cherviltide/queuer"
 )
@@ -63,6 +64,8 @@
 	OpeningTimeout         cherviltide.Millis
 	// OldRulesGrace is how long new flows are still opened with old rules after a flow was opened here with newer ones.
 	OldRulesGrace cherviltide.Millis
+	// ColdBound bounds the opening packets that a cold target gets.
+	ColdBound pacer.Bound
 }
 
 // Target is the state that the target reports.
@@ -74,6 +77,11 @@
 	AcceptsNewFlows, LastResort bool
 	// PredatesAgent is true when the target started before this agent and may hold flows that the agent does not know.
 	PredatesAgent bool
+	// ReportedAt is the time of the report on the clock of the data path; the following fields are those of that time.
+	ReportedAt cherviltide.Millis
+	// WarmUpLeft is the remaining warm-up. Age is the time since the start of the target, only valid if HasAge is true.
+	WarmUpLeft, Age cherviltide.Millis
+	HasAge          bool
 }
 
 // Rules gives access to the routes of new flows in the rules of a process.
@@ -117,6 +125,7 @@
 	remoteFlows remoteFlows
 	tokens      tokens
 	load        load
+	pacing      pacing
 	// queue has the new flows that wait for a slot of the target.
 	queue    *queuer.Queue[Arrival]
 	detector *detector.Detector
@@ -147,10 +156,12 @@
 
 // NewDecider returns the decider of an agent that starts now.
 func NewDecider(limits Limits, now cherviltide.Millis) *Decider {
-	return &Decider{
+	d := &Decider{
 		limits: limits, started: now, target: Target{PredatesAgent: true}, flows: map[cherviltide.FlowKey]*flow{}, remoteFlows: newRemoteFlows(), detector: detector.New(),
-		queue: queuer.New[Arrival](),
+		queue: queuer.New[Arrival](), pacing: pacing{pacer: pacer.New(limits.ColdBound, now)},
 	}
+	d.queue.SetBound(d.pacing.pacer)
+	return d
 }
 
 // SetTarget sets the state that the target reports. If the target was replaced, all flows are dropped, because the new
@@ -162,6 +173,7 @@
 	}
 	d.target = t
 	d.unansweredSince = 0
+	d.pacing.setTarget(t, replaced)
 }
 
 // Active returns the number of active flows.
@@ -179,6 +191,7 @@
 	if g := in.Table.Generation(); g != d.tableGeneration {
 		d.tableGeneration, d.tableChangedAt = g, in.Now
 	}
+	d.observePace(in)
 }
 
 // FromPeer decides about a caller's packet that an entry or another agent forwarded.
@@ -335,6 +348,9 @@
 		}
 	}
 	d.remoteFlows.expire(in.Now)
+	if d.targetUnresponsive(in.Now) {
+		d.pacing.pacer.Unanswered(in.Now)
+	}
 }
 
 // ExpireActive removes the flows from the active ones that no longer load the target.
@@ -350,8 +366,11 @@
 	if !f.active {
 		return
 	}
-	if (!f.requestSeen && in.Now-f.openedAt > requestTimeout) || (f.answering && in.Now-f.lastPacketAt > fullPacketTimeout) ||
-		(f.requestSeen && f.deadline > 0 && in.Now-f.lastRequestAt > f.deadline) {
+	unanswered := f.requestSeen && f.deadline > 0 && in.Now-f.lastRequestAt > f.deadline
+	if unanswered && f.working {
+		d.pacing.pacer.Unanswered(in.Now)
+	}
+	if (!f.requestSeen && in.Now-f.openedAt > requestTimeout) || (f.answering && in.Now-f.lastPacketAt > fullPacketTimeout) || unanswered {
 		d.markIdle(f)
 	}
 }
--- a/relayer/decision.go
+++ b/relayer/decision.go
@@ -48,13 +48,14 @@
 	ReasonOverloaded         // No target can serve the new flow before its caller gives up.
 	ReasonRecalling          // The agent has started and waits to learn who holds which flow.
 	ReasonSearchLimit        // The caller's address has caused too many searches.
+	ReasonPaced              // The hard bound of a cold target holds back a retransmission of an opening packet.
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"None", "Held", "Opened", "Unsure", "Offered", "Declined", "NotOwner", "Probed", "NotHeld", "Stage", "NoHolder",
 	"NoRoute", "OldRules", "Unavailable", "Forged", "Target", "Notice", "Gone", "Hops", "Waiting", "Overloaded",
-	"Recalling", "SearchLimit",
+	"Recalling", "SearchLimit", "Paced",
 }
 
 // String returns the name of the reason.
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -20,9 +20,9 @@
 
 // offerPosition encodes the position of an offer.
 func (d *Decider) offerPosition(in Input, a Arrival, attempt int) uint8 {
-	wait, _ := d.queue.Predict(in.Now, d.waitingFlow(in, a))
+	wait, verdict := d.queue.Predict(in.Now, d.waitingFlow(in, a))
 	position := uint8(attempt&attemptMask) | uint8(min(wait/waitStep, maxWaitSteps))<<waitShift
-	if !d.acceptsNewFlows(in.Now) {
+	if !d.acceptsNewFlows(in.Now) || verdict == queuer.VerdictRefused && d.pacing.pacer.Wait(in.Now) > 0 {
 		position |= cannotServeBit
 	}
 	return position
@@ -40,6 +40,9 @@
 	f := d.flows[key]
 	if f != nil && !f.inferred && f.callerSequence == a.Packet.Sequence && (f.answered || !d.targetUnresponsive(in.Now)) {
 		f.lastPacketAt = in.Now
+		if !d.boundAllows(in.Now) {
+			return Decision{Reason: ReasonPaced}
+		}
 		return d.deliverOpening(in, a)
 	}
 	if f != nil {
@@ -91,7 +94,7 @@
 	}
 	acceptsNewFlows := d.acceptsNewFlows(in.Now)
 	bulky := d.isBulky(in, a)
-	if acceptsNewFlows && d.queue.Len() == 0 && d.hasFreeSlot(in.Now, bulky, 0) {
+	if acceptsNewFlows && d.queue.Len() == 0 && d.hasFreeSlot(in.Now, bulky, 0) && d.boundAllows(in.Now) {
 		return d.openFlow(in, a)
 	}
 	d.candidates = d.appendAlternates(d.candidates[:0], 0, in, a.Header.Flow)
@@ -101,7 +104,7 @@
 	if acceptsNewFlows {
 		return d.submit(in, a)
 	}
-	if d.target.LastResort && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil {
+	if d.target.LastResort && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil && d.boundAllows(in.Now) {
 		return d.openFlow(in, a)
 	}
 	d.remoteFlows.remove(a.Header.Flow)
@@ -167,6 +170,7 @@
 	if d.unansweredSince == 0 {
 		d.unansweredSince = in.Now
 	}
+	d.pacing.pacer.Record(in.Now)
 	return Decision{Action: ActionDeliver, Reason: ReasonHeld, Token: d.tokens.issue(a)}
 }
 
@@ -221,7 +225,7 @@
 		return decision
 	}
 	if d.acceptsNewFlows(in.Now) {
-		if d.queue.Len() == 0 && d.hasFreeSlot(in.Now, d.isBulky(in, a), 0) {
+		if d.queue.Len() == 0 && d.hasFreeSlot(in.Now, d.isBulky(in, a), 0) && d.boundAllows(in.Now) {
 			return d.openFlow(in, a)
 		}
 		wait, verdict := d.queue.Predict(in.Now, d.waitingFlow(in, a))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -364,7 +364,9 @@
 		in, ok := r.input(r.config.View())
 		r.mu.Lock()
 		r.decider.Expire(in)
+		changes := r.decider.pacing.pacer.TakeChanges()
 		r.mu.Unlock()
+		r.logPace(changes)
 		if ok {
 			r.sendDueNotices(in, true)
 		}
@@ -375,6 +377,7 @@
 func (r *Relayer) SetTarget(t Target, replaced bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	t.ReportedAt = r.now()
 	r.decider.SetTarget(t, replaced)
 }
 
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -45,19 +45,19 @@
 	if bulky && !d.hasBulkySlot(now) {
 		return false
 	}
-	return d.load.active < d.target.Slots+overlap
+	return d.load.active < d.slots()+overlap
 }
 
 // hasBulkySlot reports whether bulky flows may take another slot.
 func (d *Decider) hasBulkySlot(now cherviltide.Millis) bool {
 	ordinary := d.load.lastOrdinaryAt != 0 && now-d.load.lastOrdinaryAt < ordinaryHoldTime
-	return !ordinary || d.target.Slots < 2 || d.load.activeBulky < d.target.Slots-1
+	return !ordinary || d.slots() < 2 || d.load.activeBulky < d.slots()-1
 }
 
 // updateCapacity gives the queue the present capacity of the target.
 func (d *Decider) updateCapacity() {
 	d.queue.SetCapacity(queuer.Capacity{
-		Slots: d.target.Slots, ServiceTime: d.load.serviceTime.value, OpeningTime: d.load.openingTime.value,
+		Slots: d.slots(), ServiceTime: d.expectedServiceTime(), OpeningTime: d.load.openingTime.value,
 	})
 }
 
@@ -101,6 +101,7 @@
 	if d.queue.Len() == 0 {
 		return Arrival{}, Decision{}, false
 	}
+	d.observePace(in)
 	d.updateCapacity()
 	if !d.target.AcceptsNewFlows || d.targetUnresponsive(in.Now) {
 		f, _ := d.queue.First()
@@ -112,7 +113,7 @@
 			return Decision{Action: ActionRefuse, Reason: ReasonOverloaded}
 		})
 	}
-	if !d.acceptsNewFlows(in.Now) || !d.hasFreeSlot(in.Now, false, d.queue.Overlap()) {
+	if !d.acceptsNewFlows(in.Now) || !d.hasFreeSlot(in.Now, false, d.queue.Overlap()) || !d.pacing.pacer.Allow(in.Now) {
 		return Arrival{}, Decision{}, false
 	}
 	f, ok := d.queue.Next(in.Now, !d.hasBulkySlot(in.Now))
