Compare a paced target with its times at the lowest limit

Each raise of the limit was compared with the round before, so that a target on which concurrent requests share a resource crept up to all its slots, a little slower each time. The rounds at the lowest limit are the reference now, and the limit falls by a quarter.

--- a/pacer/pace.go
+++ b/pacer/pace.go
@@ -3,7 +3,7 @@
 import "cherviltide.example/cherviltide"
 
 const (
-	// slowRatio is the ratio of a round's mean service time to the expected one, or to that with fewer concurrent requests,
+	// slowRatio is the ratio of a round's mean service time to the expected one, or to that with the fewest concurrent requests,
 	// from which the target counts as delayed. Means of a few requests vary by up to a quarter.
 	slowRatio = 1.5
 	// steadyRatio is the ratio of a round's mean to that of the round before from which the target is no longer improving.
@@ -15,14 +15,16 @@
 	warmRound, minRound = 8, 3
 	// warmTimeWeight is the weight of a round in the mean service time of the warm target.
 	warmTimeWeight = 0.25
+	// baseWeight is the weight of a round in the mean with the lowest limit; it follows a target that gets warmer.
+	baseWeight = 0.5
 	// maxPatience bounds the rounds without improvement that precede a raise, after several raises that delayed the target.
 	maxPatience = 8
 )
 
 // pace limits the concurrent requests of a target. It compares rounds of requests: within the expected service time the limit
 // doubles. Above it, the limit rises by one when the target no longer improves, since fewer requests would not make it faster,
-// and it is halved when the target is slower than it was with fewer requests. After twice the warm-up time the target has all
-// its slots in any case.
+// and falls by a quarter when the target is slower than it was with the fewest requests. After twice the warm-up time the target
+// has all its slots in any case.
 type pace struct {
 	// duration is the warm-up time of the service, slots are those of the target.
 	duration cherviltide.Millis
@@ -34,9 +36,11 @@
 	// round has the requests since the last decision.
 	count int
 	sum   float64
-	// lastMean is the mean of the round before, with the same limit, and baseMean that of the last round with a lower limit; 0
-	// when there is none.
-	lastMean, baseMean float64
+	// lastMean is the mean of the round before, with the same limit; 0 when there is none.
+	lastMean float64
+	// baseMean is the smoothed mean of the rounds with baseLimit, the lowest limit of this pace; 0 before the first.
+	baseMean  float64
+	baseLimit int
 	// steadyRounds counts the rounds without improvement; patience is how many of them precede a raise.
 	steadyRounds, patience int
 	// warmTime is the mean service time of the warm target, peerTime that of its peers; 0 when it is not known.
@@ -50,8 +54,11 @@
 	if restart {
 		c.since, c.newestMean, c.patience = now, 0, 1
 	}
+	if restart || limit < c.baseLimit {
+		c.baseLimit, c.baseMean = limit, 0
+	}
 	c.active, c.limit = true, limit
-	c.count, c.sum, c.lastMean, c.baseMean, c.steadyRounds = 0, 0, 0, 0, 0
+	c.count, c.sum, c.lastMean, c.steadyRounds = 0, 0, 0, 0
 }
 
 // end ends the pace. A target that stayed slow counts as warm with its present service time.
@@ -106,25 +113,31 @@
 
 // adapt changes the limit after a round.
 func (c *pace) adapt(mean float64) {
+	switch {
+	case c.limit <= c.baseLimit && c.baseMean == 0:
+		c.baseMean = mean
+	case c.limit <= c.baseLimit:
+		c.baseMean += (mean - c.baseMean) * baseWeight
+	}
 	switch e := c.expected(); {
 	case e > 0 && mean <= slowRatio*e:
-		c.raise(mean, c.limit)
+		c.raise(c.limit)
 		return
-	case c.baseMean > 0 && mean > slowRatio*c.baseMean && c.limit > 1:
-		c.limit /= 2
-		c.lastMean, c.baseMean, c.steadyRounds = 0, 0, 0
+	case c.limit > c.baseLimit && mean > slowRatio*c.baseMean:
+		c.limit -= max(c.limit/4, 1)
+		c.lastMean, c.steadyRounds = 0, 0
 		c.patience = min(2*c.patience, maxPatience)
 		return
 	case c.lastMean > 0 && mean >= steadyRatio*c.lastMean:
 		if c.steadyRounds++; c.steadyRounds >= c.patience {
-			c.raise(mean, 1)
+			c.raise(1)
 			return
 		}
 	}
 	c.lastMean = mean
 }
 
-func (c *pace) raise(mean float64, by int) {
+func (c *pace) raise(by int) {
 	c.limit += by
-	c.baseMean, c.lastMean, c.steadyRounds = mean, 0, 0
+	c.lastMean, c.steadyRounds = 0, 0
 }
