Replay cold targets with and without the pace

Six patterns: one restart, a failure domain that comes back at once, a warm target that is 2.4 times slower, one that is slow only while it is cold, a warm-up that heartbeats hide, and one that they claim for ever. The baselines, no ramp and a linear ramp that believes the heartbeats, run beside the adaptive pace and live in the bench code.

--- a/bench/measurer/line.go
+++ b/bench/measurer/line.go
@@ -13,6 +13,9 @@
 	Imbalance   *float64 `json:",omitempty"` // Maximum load of a target over the mean load, each relative to its speed.
 	ExtraHops   *float64 `json:",omitempty"` // Per datagram.
 
+	TimelyShare *float64 `json:",omitempty"` // Of the requests that arrived while targets were cold.
+	FullShareMs *int64   `json:",omitempty"` // From the start of cold targets until they serve 90% of what they served before.
+
 	Kind         string   `json:",omitempty"`
 	Load         *float64 `json:",omitempty"` // Offered load relative to capacity.
 	Timely       *int     `json:",omitempty"`
--- a/bench/replayer/replayer.go
+++ b/bench/replayer/replayer.go
@@ -65,6 +65,7 @@
 	// TargetQueues makes agents deliver all opening packets at once, so that flows wait in the targets' queues. It is the
 	// baseline for comparison.
 	TargetQueues bool
+	WarmUp       WarmUp
 }
 
 // Interval is a time interval.
@@ -90,6 +91,10 @@
 	LongestWaitMs cherviltide.Millis
 	// LeftWaiting is the number of flows that still waited at the end.
 	LeftWaiting int
+	// Served has the requests that the restarted targets of a pattern with a warm-up have finished, by servedInterval, and
+	// ColdDeliveries the most opening packets that a cold target got in a second.
+	Served         []int
+	ColdDeliveries int
 }
 
 // Sum returns the results of all kinds whose requests arrived in an interval of whole seconds.
@@ -175,7 +180,7 @@
 		pattern: p, random: rand.New(rand.NewPCG(seed, 0)), attempts: map[cherviltide.FlowKey]*attempt{},
 		routes: map[netip.AddrPort]cherviltide.Route{}, report: &Report{PerSecond: map[string][]Result{}},
 	}
-	r.table = picker.New(cherviltide.Service{Name: serviceName, ID: cherviltide.ServiceIDOf(serviceName), Buckets: 512})
+	r.table = picker.New(cherviltide.Service{Name: serviceName, ID: cherviltide.ServiceIDOf(serviceName), Buckets: 512, WarmUp: p.WarmUp.rules()})
 	for i, speed := range p.Speeds {
 		r.targets = append(r.targets, newTarget(r, i, speed))
 		r.addEvent(cherviltide.EventJoined, i)
@@ -184,6 +189,7 @@
 		r.scheduleKind(i)
 	}
 	r.scheduleFaults()
+	r.scheduleWarmUp()
 	r.after(0, r.tick)
 	end := p.Duration + 5_000
 	for len(r.events) > 0 && r.events[0].at <= end {
@@ -255,6 +261,7 @@
 		if !t.running {
 			continue
 		}
+		t.ramp()
 		if r.now/tickInterval%expireEvery == 0 {
 			t.decider.Expire(r.input(t))
 		}
--- a/bench/replayer/target.go
+++ b/bench/replayer/target.go
@@ -22,14 +22,29 @@
 	flows       map[*attempt]bool
 	busy        int
 	waiting     []*attempt
+	// off is true while the target is off, also when its agent runs. filledAt is when the shared resource of a cold target is
+	// free. delivered has the opening packets of the last second while the target is cold.
+	off       bool
+	filledAt  float64
+	delivered []cherviltide.Millis
+	// reportedLeft is the remaining warm-up of the last heartbeat, at reportedAt.
+	reportedLeft, reportedAt cherviltide.Millis
 }
 
 // newTarget returns a target that has been running for long.
 func newTarget(r *replay, index int, speed float64) *target {
 	t := &target{replay: r, index: index, speed: speed, member: memberOf(index)}
 	t.member.Weight = uint32(speed * cherviltide.NominalWeight)
+	if r.pattern.WarmUp.Time > 0 {
+		// As the agents' measured rates make it.
+		perSecond := float64(r.pattern.Slots) * 1000 * speed / r.pattern.Kinds[0].ServiceTime
+		t.member.Weight = uint32(perSecond * cherviltide.NominalWeight / cherviltide.NominalRate)
+	}
 	t.start()
-	t.startedAt = -coldTime
+	t.startedAt = -max(coldTime, r.pattern.WarmUp.Time)
+	if r.pattern.WarmUp.Time > 0 {
+		t.reportOnce(false)
+	}
 	return t
 }
 
@@ -41,8 +56,11 @@
 	}
 	t.decider = relayer.NewDecider(relayer.Limits{
 		MaxFlowAge: 60_000, MaxPayload: fullPacketPayload, OpeningRetransmissions: openingRetransmissions, OpeningTimeout: openingTimeout,
+		ColdBound: t.replay.pattern.WarmUp.Bound,
 	}, t.replay.now)
-	t.decider.SetTarget(relayer.Target{Slots: slots, AcceptsNewFlows: true, LastResort: true}, false)
+	if t.replay.pattern.WarmUp.Time == 0 {
+		t.decider.SetTarget(relayer.Target{Slots: slots, AcceptsNewFlows: true, LastResort: true}, false)
+	}
 	t.flows, t.running, t.startedAt = map[*attempt]bool{}, true, t.replay.now
 	t.busy, t.waiting = 0, nil
 }
@@ -75,7 +93,11 @@
 
 // receive handles a packet that the agent has delivered.
 func (t *target) receive(a *attempt, p cherviltide.Packet) {
+	if t.off {
+		return
+	}
 	if p.OpensFlow() {
+		t.recordDelivery()
 		t.flows[a] = true
 		t.send(a, cherviltide.Packet{Flags: cherviltide.PacketOpen | cherviltide.PacketAck, Sequence: t.sequence()})
 		t.replay.after(callerDelay, func() { t.acknowledge(a) })
@@ -114,16 +136,21 @@
 func (t *target) work(a *attempt) {
 	t.busy++
 	mean := a.request.kind.ServiceTime / t.speed
-	if t.replay.now-t.startedAt < coldTime {
+	if t.replay.pattern.WarmUp.Time == 0 && t.replay.now-t.startedAt < coldTime {
 		mean *= coldFactor
 	}
 	if t.index == 0 && t.replay.pattern.Slow.contains(t.replay.now) {
 		mean *= t.replay.pattern.SlowFactor
 	}
 	// Half of the time is the same for all requests, so that the spread is half of the mean.
-	took := cherviltide.Millis(mean/2 + t.replay.random.ExpFloat64()*mean/2 + t.replay.random.Float64())
+	service := mean/2 + t.replay.random.ExpFloat64()*mean/2
+	if t.replay.pattern.WarmUp.Time > 0 {
+		service = t.warmUpTime(service)
+	}
+	took := cherviltide.Millis(service + t.replay.random.Float64())
 	t.later(took, func() {
 		t.busy--
+		t.recordServed()
 		t.respond(a)
 		if len(t.waiting) > 0 {
 			next := t.waiting[0]
