Raise the pace of steady targets faster, and replay an agent's restart

A warm but slower target whose agent restarts with it is compared with the times of its peers only, and needed two rounds of requests for each further slot. A round that is as fast as the last one, with one slot less, is enough now, and the limit rises by half.

--- a/bench/replayer/warmup.go
+++ b/bench/replayer/warmup.go
@@ -51,11 +51,11 @@
 // from returns when the targets of the pattern become cold.
 func (w WarmUp) from() cherviltide.Millis { return max(w.Off.To, w.Flushed) }
 
-// WarmUpPatterns returns the patterns with cold targets, for a ramp. The targets have six slots, a request takes 60 ms of a
+// WarmUpPatterns returns the patterns with cold targets, for a ramp. The targets have six slots, a request takes 50 ms of a
 // warm target, and the offered load is two thirds of the warm capacity. The first targets restart while the others are warm.
 func WarmUpPatterns(ramp Ramp) []Pattern {
 	view := Kind{Name: "view", Route: cherviltide.Route{Priority: 2, Goal: 300, Deadline: 2_500, Class: cherviltide.ClassNormal},
-		PerSecond: 530, ServiceTime: 60, Packets: 2}
+		PerSecond: 640, ServiceTime: 50, Packets: 2}
 	base := WarmUp{Time: 4_000, Factor: 1.5, Fill: 80, Rate: 20, Bound: pacer.Bound{Enabled: true, Excess: 1.5, Margin: 5}, Ramp: ramp,
 		Restarted: 1, Off: Interval{4_000, 5_000}}
 	named := func(name string, change func(*Pattern)) Pattern {
@@ -63,14 +63,17 @@
 		change(&p)
 		return p
 	}
+	// Target 0 is warm at once, and slower than its peers.
+	slower := func(p *Pattern) {
+		p.Speeds[0], p.WarmUp.Fill, p.WarmUp.Factor = 1/2.4, 0, 1
+		p.Kinds[0].PerSecond = 560
+	}
 	return []Pattern{
 		named("one-restart", func(*Pattern) {}),
-		named("domain-restart", func(p *Pattern) { p.WarmUp.Restarted, p.WarmUp.Agents, p.Kinds[0].PerSecond = 3, true, 400 }),
-		named("slower-target", func(p *Pattern) {
-			p.Speeds[0], p.WarmUp.Fill, p.WarmUp.Factor = 1/2.4, 0, 1
-			p.Kinds[0].PerSecond = 470
-		}),
-		named("slow-while-cold", func(p *Pattern) { p.WarmUp.Fill, p.WarmUp.Factor = 0, 4 }),
+		named("domain-restart", func(p *Pattern) { p.WarmUp.Restarted, p.WarmUp.Agents, p.Kinds[0].PerSecond = 3, true, 480 }),
+		named("slower-target", slower),
+		named("slower-target-and-agent", func(p *Pattern) { slower(p); p.WarmUp.Agents = true }),
+		named("slow-while-cold", func(p *Pattern) { p.WarmUp.Fill, p.WarmUp.Factor = 0, 6 }),
 		named("hidden-warm-up", func(p *Pattern) { p.WarmUp.Off, p.WarmUp.Restarted, p.WarmUp.Flushed = Interval{}, 1, 5_000 }),
 		named("claimed-warm-up", func(p *Pattern) { p.WarmUp.ClaimsWarmUp = true }),
 	}
--- a/pacer/pace.go
+++ b/pacer/pace.go
@@ -130,7 +130,8 @@
 		return
 	case c.lastMean > 0 && mean >= steadyRatio*c.lastMean:
 		if c.steadyRounds++; c.steadyRounds >= c.patience {
-			c.raise(1)
+			c.lastMean = mean
+			c.raise(max(c.limit/2, 1))
 			return
 		}
 	}
@@ -139,5 +140,5 @@
 
 func (c *pace) raise(by int) {
 	c.limit += by
-	c.lastMean, c.steadyRounds = 0, 0
+	c.steadyRounds = 0
 }
