Keep warm targets on slow machines and with uploads at their full pace

Three causes would have given warm targets a pace: a pause of 120 ms, which processes with a small share of a core often have, one request that takes very long among fast ones, and uploads, whose service times include the transfer over their caller's link. The target must be silent for 500 ms, three quarters of a round must be delayed, and uploads tell no service time.

--- a/pacer/pace.go
+++ b/pacer/pace.go
@@ -11,6 +11,8 @@
 	// degradedRatio is the ratio of a round's mean to the expected service time from which a warm target gets a pace. It is
 	// above the difference between the slowest and the fastest warm targets, which is 2.4.
 	degradedRatio = 3
+	// degradedShare is the share of the requests of such a round that are delayed: one request alone may take very long.
+	degradedShare = 0.75
 	// warmRound and minRound are the requests of a round while the target is warm, and the fewest while it has a pace.
 	warmRound, minRound = 8, 3
 	// warmTimeWeight is the weight of a round in the mean service time of the warm target.
@@ -22,7 +24,7 @@
 )
 
 // pace limits the concurrent requests of a target. It compares rounds of requests: within the expected service time the limit
-// doubles. Above it, the limit rises by one when the target no longer improves, since fewer requests would not make it faster,
+// doubles. Above it, the limit rises by half when the target no longer improves, since fewer requests would not make it faster,
 // and falls by a quarter when the target is slower than it was with the fewest requests. After twice the warm-up time the target
 // has all its slots in any case.
 type pace struct {
@@ -33,10 +35,11 @@
 	// since is when the pace began.
 	since cherviltide.Millis
 	limit int
-	// round has the requests since the last decision.
-	count int
-	sum   float64
-	// lastMean is the mean of the round before, with the same limit; 0 when there is none.
+	// count and sum are the number of requests and their service times since the last round, delayed the number of those above
+	// slowRatio times the expected time.
+	count, delayed int
+	sum            float64
+	// lastMean is the mean of the round before; 0 when there is none to compare with.
 	lastMean float64
 	// baseMean is the smoothed mean of the rounds with baseLimit, the lowest limit of this pace; 0 before the first.
 	baseMean  float64
@@ -58,13 +61,14 @@
 		c.baseLimit, c.baseMean = limit, 0
 	}
 	c.active, c.limit = true, limit
-	c.count, c.sum, c.lastMean, c.steadyRounds = 0, 0, 0, 0
+	c.lastMean, c.steadyRounds = 0, 0
+	c.endRound()
 }
 
 // end ends the pace. A target that stayed slow counts as warm with its present service time.
 func (c *pace) end() {
 	c.active = false
-	c.count, c.sum = 0, 0
+	c.endRound()
 	if c.newestMean > slowRatio*c.expected() {
 		c.warmTime = c.newestMean
 	}
@@ -87,6 +91,9 @@
 func (c *pace) observe(now cherviltide.Millis, serviceTime float64) bool {
 	c.count++
 	c.sum += serviceTime
+	if serviceTime > slowRatio*c.expected() {
+		c.delayed++
+	}
 	size := warmRound
 	if c.active {
 		size = max(2*c.present(now), minRound)
@@ -94,23 +101,30 @@
 	if c.count < size {
 		return false
 	}
-	mean := c.sum / float64(c.count)
-	c.count, c.sum = 0, 0
+	mean, delayed := c.sum/float64(c.count), float64(c.delayed)/float64(c.count)
+	c.endRound()
 	if c.active {
 		c.newestMean = mean
 		c.adapt(mean)
 		return false
 	}
-	if e := c.expected(); e > 0 && mean > degradedRatio*e {
+	if e := c.expected(); e > 0 && mean > degradedRatio*e && delayed >= degradedShare {
 		return true
 	}
 	if c.warmTime == 0 {
 		c.warmTime = mean
 	}
+	if e := c.expected(); e > 0 {
+		// One request that took very long must not hide a delay later.
+		mean = min(mean, slowRatio*e)
+	}
 	c.warmTime += (mean - c.warmTime) * warmTimeWeight
 	return false
 }
 
+// endRound begins another round.
+func (c *pace) endRound() { c.count, c.delayed, c.sum = 0, 0, 0 }
+
 // adapt changes the limit after a round.
 func (c *pace) adapt(mean float64) {
 	switch {
--- a/pacer/pace_test.go
+++ b/pacer/pace_test.go
@@ -119,6 +119,11 @@
 				p.Observe(1, cherviltide.Millis(20+100*(i/(3*warmRound))))
 			}
 		}, 2},
+		"one request that took very long": {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) {
+			for i := range 4 * warmRound {
+				p.Observe(1, cherviltide.Millis(20+10_000*(i/(4*warmRound-1))))
+			}
+		}, 4},
 		"evacuation withdrawn": {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) { p.Restart(1) }, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -61,7 +61,7 @@
 	p.window.setLimit(p.bound.limit(warmUp))
 	p.pace.duration = warmUp.Duration
 	if warmUp.Duration == 0 {
-		p.pace.active = false
+		p.pace.active, p.coldSeen = false, false
 	}
 	p.update(now)
 }
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -37,7 +37,7 @@
 	if p.Length > 0 && f.requestedAt != 0 {
 		phase, duration = PhaseService, in.Now-f.requestedAt
 		d.load.serviceTime.add(duration)
-		d.pacing.pacer.Observe(in.Now, duration)
+		d.observeServiceTime(in.Now, f, duration)
 		f.requestedAt = 0
 	}
 	if p.Length > 0 {
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -348,9 +348,10 @@
 		}
 	}
 	d.remoteFlows.expire(in.Now)
-	if d.targetUnresponsive(in.Now) {
+	if d.unansweredSince != 0 && in.Now-d.unansweredSince > silentAfter {
 		d.pacing.pacer.Unanswered(in.Now)
 	}
+	d.observePace(in)
 }
 
 // ExpireActive removes the flows from the active ones that no longer load the target.
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -37,6 +37,8 @@
 	working bool
 	// bulky is true for a flow of a route with long transfers.
 	bulky bool
+	// upload is true for a flow of a route with long requests.
+	upload bool
 	// active is true while the flow counts as load of the target.
 	active bool
 	// noticed is the owner that was told that this agent holds the flow; it is invalid while this agent is the owner.
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -13,6 +13,7 @@
 	ReasonNotOwner: "PacketPassed", ReasonProbed: "PacketPassed", ReasonNotHeld: "PacketPassed", ReasonStage: "PacketPassed",
 	ReasonUnsure: "TargetAsked", ReasonNoHolder: "PacketDropped", ReasonNoRoute: "PacketDropped",
 	ReasonOldRules: "PacketDropped", ReasonWaiting: "FlowWaits", ReasonOverloaded: "FlowRefused", ReasonForged: "PacketDropped", ReasonGone: "PacketDropped", ReasonHops: "PacketDropped",
+	ReasonPaced: "PacketDropped",
 }
 
 // log writes a log line about a decision whose reason has an event.
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -150,7 +150,7 @@
 	route := in.Rules.Route(a.Header.Flow.Virtual)
 	f := &flow{
 		callerSequence: a.Packet.Sequence, openingGeneration: openingGeneration, openedAt: in.Now, lastPacketAt: in.Now,
-		deadline: route.Deadline, bulky: route.Class == cherviltide.ClassBulky,
+		deadline: route.Deadline, bulky: route.Class == cherviltide.ClassBulky, upload: route.Class == cherviltide.ClassUpload,
 	}
 	d.flows[a.Header.Flow] = f
 	d.markActive(f)
--- a/relayer/pacing.go
+++ b/relayer/pacing.go
@@ -10,6 +10,10 @@
 	"cherviltide.example/cherviltide/picker"
 )
 
+// silentAfter is how long the target may leave all packets unanswered before it gets new flows at a pace again. It is longer than
+// the pauses of a process on a slow machine, which count as unresponsive after unresponsiveAfter.
+const silentAfter cherviltide.Millis = 500
+
 // pacing connects the decider with the pacer of its target.
 type pacing struct {
 	pacer *pacer.Pacer
@@ -70,6 +74,13 @@
 	return float64(d.target.Slots) * 1000 / perSecond
 }
 
+// observeServiceTime gives the pacer a service time. That of an upload tells the speed of its caller's link, not of the target.
+func (d *Decider) observeServiceTime(now cherviltide.Millis, f *flow, serviceTime cherviltide.Millis) {
+	if !f.upload {
+		d.pacing.pacer.Observe(now, serviceTime)
+	}
+}
+
 // slots returns the number of requests that the target may have at once.
 func (d *Decider) slots() int { return min(d.target.Slots, d.pacing.limit) }
 
