--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -45,6 +45,7 @@
 			d.observePromptness(f, duration)
 			d.load.serviceTime.add(duration)
 		}
+		d.observeServiceTime(in.Now, f, duration)
 		f.requestedAt = 0
 	}
 	if p.Length > 0 {
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -12,6 +12,7 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/detector"
 	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/pacer"
 	"cherviltide.example/cherviltide/picker"
 	"cherviltide.example/cherviltide/quarantiner"
 	"cherviltide.example/cherviltide/queuer"
@@ -67,6 +68,8 @@
 	// QuarantineShare is the largest share of a service whose targets may be out of service because they are grey; 0 means that
 	// all stay in service.
 	QuarantineShare float64
+	// ColdBound bounds the opening packets that a cold target gets.
+	ColdBound pacer.Bound
 }
 
 // Target is the state that the target reports.
@@ -78,6 +81,11 @@
 	AcceptsNewFlows, LastResort bool
 	// PredatesAgent is true when the target started before this agent and may hold flows that the agent does not know.
 	PredatesAgent bool
+	// ReportedAt is the time of the report on the clock of the data path; the following fields are those of that time.
+	ReportedAt cherviltide.Millis
+	// WarmUpLeft is the remaining warm-up. Age is the time since the start of the target, only valid if HasAge is true.
+	WarmUpLeft, Age cherviltide.Millis
+	HasAge          bool
 }
 
 // Rules gives access to the routes of new flows in the rules of a process.
@@ -123,6 +131,7 @@
 	remoteFlows remoteFlows
 	tokens      tokens
 	load        load
+	pacing      pacing
 	// queue has the new flows that wait for a slot of the target, uploads those that wait for a place among the transfers.
 	queue    *queuer.Queue[Arrival]
 	uploads  *queuer.Queue[Arrival]
@@ -158,10 +167,14 @@
 
 // NewDecider returns the decider of an agent that starts now.
 func NewDecider(limits Limits, now cherviltide.Millis) *Decider {
-	return &Decider{
+	d := &Decider{
 		limits: limits, started: now, target: Target{PredatesAgent: true}, flows: map[cherviltide.FlowKey]*flow{}, remoteFlows: newRemoteFlows(), detector: detector.New(),
 		queue: queuer.New[Arrival](), uploads: queuer.New[Arrival](), quarantine: quarantiner.New(limits.QuarantineShare),
+		pacing: pacing{pacer: pacer.New(limits.ColdBound, now)},
 	}
+	d.queue.SetBound(d.pacing.pacer)
+	d.uploads.SetBound(d.pacing.pacer)
+	return d
 }
 
 // SetTarget sets the state that the target reports. If the target was replaced, all flows are dropped, because the new
@@ -174,6 +187,7 @@
 	}
 	d.target = t
 	d.unansweredSince = 0
+	d.pacing.setTarget(t, replaced)
 }
 
 // Active returns the number of active flows.
@@ -198,6 +212,7 @@
 	if g := in.Table.Generation(); g != d.tableGeneration {
 		d.tableGeneration, d.tableChangedAt = g, in.Now
 	}
+	d.observePace(in)
 }
 
 // FromPeer decides about a caller's packet that an entry or another agent forwarded.
@@ -328,6 +343,10 @@
 		}
 	}
 	d.remoteFlows.expire(in.Now)
+	if d.unansweredSince != 0 && in.Now-d.unansweredSince > silentAfter {
+		d.pacing.pacer.Unanswered(in.Now)
+	}
+	d.observePace(in)
 	d.tickQuarantine(in)
 }
 
--- a/relayer/decision.go
+++ b/relayer/decision.go
@@ -50,13 +50,14 @@
 	ReasonSearchLimit        // The caller's address has caused too many searches.
 	ReasonEvacuated          // The agent's failure domain is evacuated, and no agent elsewhere takes the new flow.
 	ReasonDetour             // The possible holder is in a closed failure domain, so the packet goes through a third one.
+	ReasonPaced              // The hard bound of a cold target holds back a retransmission of an opening packet.
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"None", "Held", "Opened", "Unsure", "Offered", "Declined", "NotOwner", "Probed", "NotHeld", "Stage", "NoHolder",
 	"NoRoute", "OldRules", "Unavailable", "Forged", "Target", "Notice", "Gone", "Hops", "Waiting", "Overloaded",
-	"Recalling", "SearchLimit", "Evacuated", "Detour",
+	"Recalling", "SearchLimit", "Evacuated", "Detour", "Paced",
 }
 
 // String returns the name of the reason.
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -40,6 +40,8 @@
 	// sending is true for a bulky flow from the first full packet of an answer to its end. besideSending is true for a request
 	// that began while the requests in work and the downloads that move exceeded the slots.
 	sending, besideSending bool
+	// upload is true for a flow of a route with long requests.
+	upload bool
 	// transfer is the state of the newest request of a flow of a route with uploads; nil for other flows.
 	transfer *transfer
 	// active is true while the flow counts against the slots of the target.
--- a/relayer/load.go
+++ b/relayer/load.go
@@ -111,6 +111,7 @@
 		return false
 	}
 	if f.working && f.transfer == nil {
+		d.pacing.pacer.Unanswered(in.Now)
 		d.recordEnd(in, f)
 	}
 	return true
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -20,9 +20,9 @@
 
 // offerPosition encodes the position of an offer.
 func (d *Decider) offerPosition(in Input, a Arrival, attempt int) uint8 {
-	wait, _ := d.waitingQueue(in, a).Predict(in.Now, d.waitingFlow(in, a))
+	wait, verdict := d.waitingQueue(in, a).Predict(in.Now, d.waitingFlow(in, a))
 	position := uint8(attempt&attemptMask) | uint8(min(wait/waitStep, maxWaitSteps))<<waitShift
-	if !d.acceptsNewFlows(in) {
+	if !d.acceptsNewFlows(in) || verdict == queuer.VerdictRefused && d.pacing.pacer.Wait(in.Now) > 0 {
 		position |= cannotServeBit
 	}
 	return position
@@ -40,6 +40,9 @@
 	f := d.flows[key]
 	if f != nil && !f.inferred && f.callerSequence == a.Packet.Sequence && (f.answered || !d.targetUnresponsive(in.Now)) {
 		f.lastPacketAt = in.Now
+		if !d.boundAllows(in.Now) {
+			return Decision{Reason: ReasonPaced}
+		}
 		return d.deliverOpening(in, a)
 	}
 	if f != nil {
@@ -95,7 +98,7 @@
 		return d.forward(in, a, owner.Address, 0, 0, ReasonNotOwner)
 	}
 	acceptsNewFlows := d.acceptsNewFlows(in)
-	if acceptsNewFlows && d.hasRoom(in, a) {
+	if acceptsNewFlows && d.hasRoom(in, a) && d.boundAllows(in.Now) {
 		return d.openFlow(in, a)
 	}
 	d.candidates = d.appendAlternates(d.candidates[:0], 0, in, a.Header.Flow)
@@ -105,7 +108,7 @@
 	if acceptsNewFlows {
 		return d.submit(in, a)
 	}
-	if d.target.LastResort && !in.isEvacuated() && d.quarantine.Allows() && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil {
+	if d.target.LastResort && !in.isEvacuated() && d.quarantine.Allows() && !d.targetUnresponsive(in.Now) && in.Now >= d.targetFullUntil && d.boundAllows(in.Now) {
 		return d.openFlow(in, a)
 	}
 	d.remoteFlows.remove(a.Header.Flow)
@@ -151,7 +154,7 @@
 	route := in.Rules.Route(a.Header.Flow.Virtual)
 	f := &flow{
 		callerSequence: a.Packet.Sequence, openingGeneration: openingGeneration, openedAt: in.Now, lastPacketAt: in.Now,
-		deadline: route.Deadline, bulky: route.Class == cherviltide.ClassBulky,
+		deadline: route.Deadline, bulky: route.Class == cherviltide.ClassBulky, upload: route.Class == cherviltide.ClassUpload,
 	}
 	d.flows[a.Header.Flow] = f
 	if route.Class == cherviltide.ClassUpload {
@@ -180,6 +183,7 @@
 	if d.unansweredSince == 0 {
 		d.unansweredSince = in.Now
 	}
+	d.pacing.pacer.Record(in.Now)
 	return Decision{Action: ActionDeliver, Reason: ReasonHeld, Token: d.tokens.issue(a)}
 }
 
@@ -234,7 +238,7 @@
 		return decision
 	}
 	if d.acceptsNewFlows(in) {
-		if d.hasRoom(in, a) {
+		if d.hasRoom(in, a) && d.boundAllows(in.Now) {
 			return d.openFlow(in, a)
 		}
 		wait, verdict := d.waitingQueue(in, a).Predict(in.Now, d.waitingFlow(in, a))
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -63,20 +63,20 @@
 	if bulky && !d.hasBulkySlot(now) {
 		return false
 	}
-	return d.load.active < d.target.Slots+overlap
+	return d.load.active < d.slots()+overlap
 }
 
 // hasBulkySlot reports whether bulky flows may take another slot.
 func (d *Decider) hasBulkySlot(now cherviltide.Millis) bool {
 	ordinary := d.load.lastOrdinaryAt != 0 && now-d.load.lastOrdinaryAt < ordinaryHoldTime
-	hasSlot := !ordinary || d.target.Slots < 2 || d.load.activeBulky < d.target.Slots-1
+	hasSlot := !ordinary || d.slots() < 2 || d.load.activeBulky < d.slots()-1
 	return hasSlot && d.load.sending < d.transferLimit()
 }
 
 // updateCapacity gives the queue the present capacity of the target.
 func (d *Decider) updateCapacity() {
 	d.queue.SetCapacity(queuer.Capacity{
-		Slots: d.target.Slots, Backlog: max(d.load.active-d.target.Slots, 0), ServiceTime: d.load.serviceTime.value, OpeningTime: d.load.openingTime.value,
+		Slots: d.slots(), Backlog: max(d.load.active-d.slots(), 0), ServiceTime: d.expectedServiceTime(), OpeningTime: d.load.openingTime.value,
 	})
 	d.uploads.SetCapacity(queuer.Capacity{Slots: d.transferLimit(), ServiceTime: d.load.transferTime.value})
 }
@@ -124,6 +124,7 @@
 	if d.Waiting() == 0 {
 		return Arrival{}, Decision{}, false
 	}
+	d.observePace(in)
 	d.updateCapacity()
 	if a, decision, ok := d.nextWaiting(in, d.queue); ok {
 		return a, decision, true
@@ -146,7 +147,7 @@
 			return Decision{Action: ActionRefuse, Reason: ReasonOverloaded}
 		})
 	}
-	if !d.acceptsNewFlows(in) || !d.hasRoomForWaiting(in.Now, queue) {
+	if !d.acceptsNewFlows(in) || !d.hasRoomForWaiting(in.Now, queue) || !d.pacing.pacer.Allow(in.Now) {
 		return Arrival{}, Decision{}, false
 	}
 	f, ok := queue.Next(in.Now, !d.hasBulkySlot(in.Now))
