Let packets leave an entry in the order of the link's exit

Packets of a scheduled link went to the kernel in the order of their arrival. They now leave at once while the link is idle, and in the order of shaper.Exit, at the rate of the link, while it is busy.

--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -32,15 +32,16 @@
 	Admitted, Refused, Waited, Absorbed atomic.Uint64
 }
 
-// link schedules the link of an entry: it connects a Shaper to the clock, to the packets of the entry and to its sockets. It is
-// safe for concurrent use.
+// link schedules the link of an entry: it connects a Shaper and an Exit to the clock, to the packets of the entry and to its
+// sockets. It is safe for concurrent use.
 type link struct {
 	relay   *Relay
 	started time.Time
-	// waiting has a value when opening packets may wait or a place has become free.
+	// waiting has a value when packets may wait or a place has become free.
 	waiting chan struct{}
 	mu      sync.Mutex
 	shaper  *shaper.Shaper
+	exit    *shaper.Exit
 }
 
 // newLink returns the schedule of the link in the configuration of a relay, or nil when its rate is not known.
@@ -50,7 +51,7 @@
 		return nil
 	}
 	config.ForwardHeader = framer.HeaderSize
-	return &link{relay: r, started: time.Now(), waiting: make(chan struct{}, 1), shaper: shaper.New(config)}
+	return &link{relay: r, started: time.Now(), waiting: make(chan struct{}, 1), shaper: shaper.New(config), exit: shaper.NewExit(config)}
 }
 
 func (l *link) now() cherviltide.Millis {
@@ -63,17 +64,18 @@
 	if !ok {
 		return true
 	}
-	now := l.now()
+	now, size := l.now(), len(datagram)-framer.HeaderSize
 	if route.Route.Class == cherviltide.ClassUpload && p.OpensFlow() {
-		return l.open(now, shaper.Opening{
+		return l.open(now, size, shaper.Opening{
 			Flow: key, Priority: route.Route.Priority, Goal: route.Route.Goal, Retransmission: p.Retransmission, Datagram: datagram,
 		})
 	}
 	l.mu.Lock()
+	l.exit.Arrive(now, size)
 	if route.Route.Class == cherviltide.ClassUpload {
 		l.shaper.Packet(now, key, p)
 	} else {
-		l.shaper.CountOther(now, len(datagram)-framer.HeaderSize)
+		l.shaper.CountOther(now, size)
 	}
 	ready := l.shaper.Ready(now)
 	l.mu.Unlock()
@@ -84,8 +86,9 @@
 }
 
 // open decides about the opening packet of an upload and reports whether it is forwarded now.
-func (l *link) open(now cherviltide.Millis, o shaper.Opening) bool {
+func (l *link) open(now cherviltide.Millis, size int, o shaper.Opening) bool {
 	l.mu.Lock()
+	l.exit.Arrive(now, size)
 	verdict := l.shaper.Open(now, o)
 	l.mu.Unlock()
 	counters := &l.relay.LinkCounters
@@ -112,7 +115,29 @@
 	}
 }
 
-// run releases waiting opening packets until the sockets are closed. Its timer runs only while some wait.
+// depart reports whether a datagram leaves at once. If not, it waits for the link or is dropped.
+func (l *link) depart(route *follower.RouteTables, flow cherviltide.FlowKey, datagram []byte, to netip.AddrPort) bool {
+	now := l.now()
+	l.mu.Lock()
+	passed := l.exit.Pass(now, len(datagram))
+	l.mu.Unlock()
+	if passed {
+		return true
+	}
+	packet, err := l.relay.config.Codec.Decode(datagram[framer.HeaderSize:])
+	if err != nil {
+		l.relay.Counters.countDrop(ReasonMalformed)
+		return false
+	}
+	upload := route.Route.Class == cherviltide.ClassUpload
+	l.mu.Lock()
+	l.exit.Add(now, shaper.Outgoing{Packet: packet, Flow: flow, Upload: upload, Datagram: datagram, To: to})
+	l.mu.Unlock()
+	l.wake()
+	return false
+}
+
+// run releases waiting packets until the sockets are closed. Its timer runs only while some wait.
 func (l *link) run(ctx context.Context) error {
 	out, err := newSender(l.relay.internal)
 	if err != nil {
@@ -130,41 +155,78 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		if l.release(out) {
-			timer.Reset(releaseInterval)
+		l.release(out)
+		for l.sendNext(out) {
+		}
+		l.flush(out)
+		if wait, ok := l.nextRelease(); ok {
+			timer.Reset(wait)
 		}
 	}
 }
 
-// release forwards or refuses the opening packets that wait no longer, and reports whether others still wait.
-func (l *link) release(out *sender) bool {
+// nextRelease returns the time until a waiting packet may be released, and false when none waits.
+func (l *link) nextRelease() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wait, waits := l.exit.Wait(l.now())
+	switch {
+	case waits:
+		return min(max(wait.Duration(), time.Millisecond), releaseInterval), true
+	case l.shaper.Waiting() > 0:
+		return releaseInterval, true
+	}
+	return 0, false
+}
+
+// release forwards or refuses the opening packets that wait no longer for a place.
+func (l *link) release(out *sender) {
 	view := l.relay.config.View()
 	for {
 		l.mu.Lock()
 		d, ok := l.shaper.Next(l.now())
-		left := l.shaper.Waiting()
 		l.mu.Unlock()
-		if ok && d.Refused {
+		if !ok {
+			return
+		}
+		if d.Refused {
 			l.refuse(d.Opening, d.Wait)
 			continue
 		}
-		if ok {
-			l.relay.LinkCounters.Admitted.Add(1)
-			l.relay.LinkWaits.Record(d.Wait)
-			l.relay.send(view, d.Datagram, l.relay.header(view, d.Flow), true, out)
-		}
-		if !ok || out.queued == batchSize {
-			if err := out.flush(); err != nil {
-				l.relay.config.Log.Warn("SendFailed", zap.Error(err))
-			}
-			l.relay.Counters.countBatch(&l.relay.Counters.Forwarded, out)
-		}
-		if !ok {
-			return left > 0
+		l.relay.LinkCounters.Admitted.Add(1)
+		l.relay.LinkWaits.Record(d.Wait)
+		l.relay.send(view, d.Datagram, l.relay.header(view, d.Flow), true, out)
+		if out.queued == batchSize {
+			l.flush(out)
 		}
 	}
 }
 
+// sendNext queues the next packet that leaves now, and returns false when there is none.
+func (l *link) sendNext(out *sender) bool {
+	l.mu.Lock()
+	p, ok := l.exit.Next(l.now())
+	l.mu.Unlock()
+	if !ok {
+		return false
+	}
+	out.enqueue(p.Datagram, p.To, netip.Addr{})
+	if out.queued == batchSize {
+		l.flush(out)
+	}
+	return true
+}
+
+func (l *link) flush(out *sender) {
+	if out.queued == 0 {
+		return
+	}
+	if err := out.flush(); err != nil {
+		l.relay.config.Log.Warn("SendFailed", zap.Error(err))
+	}
+	l.relay.Counters.countBatch(&l.relay.Counters.Forwarded, out)
+}
+
 // refuse sends a reset to the caller of a flow that is not admitted.
 func (l *link) refuse(o shaper.Opening, waited cherviltide.Millis) {
 	l.relay.LinkCounters.Refused.Add(1)
@@ -203,3 +265,17 @@
 	}
 	return r.link.transfers()
 }
+
+// LinkQueue returns the bytes that wait at the exit to the link, and the packets that were dropped there by reason.
+func (r *Relay) LinkQueue() (bytes int, dropped map[string]shaper.Drops) {
+	dropped = map[string]shaper.Drops{}
+	if r.link == nil {
+		return 0, dropped
+	}
+	r.link.mu.Lock()
+	defer r.link.mu.Unlock()
+	for _, reason := range shaper.DropReasons() {
+		dropped[reason.String()] = r.link.exit.Dropped(reason)
+	}
+	return r.link.exit.Bytes(), dropped
+}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -198,7 +198,9 @@
 	header.RouteRevision = route.RouteRevision
 	header.Service, header.Generation = table.Service().ID, table.Generation()
 	framer.New(view.Key).Encode(datagram, header, len(datagram)-framer.HeaderSize)
-	out.enqueue(datagram, agent.Address, netip.Addr{})
+	if r.link == nil || r.link.depart(route, header.Flow, datagram, agent.Address) {
+		out.enqueue(datagram, agent.Address, netip.Addr{})
+	}
 }
 
 // relayHop is the agent that a packet is sent to next.
--- a/shaper/exit.go
+++ b/shaper/exit.go
@@ -65,9 +65,12 @@
 	// perMilli is the rate of the link, in bytes a millisecond.
 	perMilli float64
 	// backlog is the number of bytes that have left the entry and that the link has not carried yet, at the time updatedAt. It is
-	// negative when the link was idle although packets waited.
+	// negative when the link was idle although packets waited, and at least -idleCredit when none did.
 	backlog   float64
 	updatedAt cherviltide.Millis
+	// idleCredit is the size of a packet that has arrived over a link that both directions share. Its time on the link was before
+	// its arrival.
+	idleCredit float64
 	// urgent has the packets that go first, bulk those with data of uploads.
 	urgent, bulk exitQueue
 	// urgentBytes counts the bytes of urgent packets that have left since bulk data began to wait or last left.
@@ -77,7 +80,12 @@
 
 // NewExit returns the exit of an idle link.
 func NewExit(config Config) *Exit {
-	return &Exit{config: config, perMilli: float64(config.Rate) / 1000, urgent: newExitQueue(), bulk: newExitQueue()}
+	e := &Exit{config: config, perMilli: float64(config.Rate) / 1000, urgent: newExitQueue(), bulk: newExitQueue()}
+	if !config.Separate {
+		e.idleCredit = float64(config.MaxPayload + config.PacketHeader + datagramHeader)
+		e.backlog = -e.idleCredit
+	}
+	return e
 }
 
 // Dropped returns the packets that were dropped for a reason.
@@ -109,9 +117,9 @@
 	if now <= e.updatedAt {
 		return
 	}
-	least := 0.0
+	least := -e.idleCredit
 	if e.Bytes() > 0 {
-		least = -e.perMilli * float64(maxCredit)
+		least = min(least, -e.perMilli*float64(maxCredit))
 	}
 	e.backlog = max(e.backlog-e.perMilli*float64(now-e.updatedAt), min(e.backlog, least))
 	e.updatedAt = now
