--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -37,6 +37,9 @@
 type link struct {
 	relay   *Relay
 	started time.Time
+	// receivedAt is the time at which the last packets were received, and of the decisions about them. The clock is read once
+	// for a batch.
+	receivedAt atomic.Int64
 	// waiting has a value when packets may wait or a place has become free.
 	waiting chan struct{}
 	mu      sync.Mutex
@@ -58,13 +61,20 @@
 	return cherviltide.MillisOf(time.Since(l.started))
 }
 
+// receive returns the time and keeps it for the decisions about the packets that were received.
+func (l *link) receive() cherviltide.Millis {
+	now := l.now()
+	l.receivedAt.Store(int64(now))
+	return now
+}
+
 // accept records a caller's packet and reports whether it is forwarded now. datagram is the packet with its headroom.
 func (l *link) accept(view *follower.View, key cherviltide.FlowKey, p cherviltide.Packet, datagram []byte) bool {
 	route, ok := view.Routes[key.Virtual]
 	if !ok {
 		return true
 	}
-	now, size := l.now(), len(datagram)-framer.HeaderSize
+	now, size := cherviltide.Millis(l.receivedAt.Load()), len(datagram)-framer.HeaderSize
 	if route.Route.Class == cherviltide.ClassUpload && p.OpensFlow() {
 		return l.open(now, size, shaper.Opening{
 			Flow: key, Priority: route.Route.Priority, Goal: route.Route.Goal, Retransmission: p.Retransmission, Datagram: datagram,
@@ -117,7 +127,7 @@
 
 // depart reports whether a datagram leaves at once. If not, it waits for the link or is dropped.
 func (l *link) depart(route *follower.RouteTables, flow cherviltide.FlowKey, datagram []byte, to netip.AddrPort) bool {
-	now := l.now()
+	now := cherviltide.Millis(l.receivedAt.Load())
 	l.mu.Lock()
 	passed := l.exit.Pass(now, len(datagram))
 	l.mu.Unlock()
@@ -184,7 +194,7 @@
 	view := l.relay.config.View()
 	for {
 		l.mu.Lock()
-		d, ok := l.shaper.Next(l.now())
+		d, ok := l.shaper.Next(l.receive())
 		l.mu.Unlock()
 		if !ok {
 			return
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -124,6 +124,9 @@
 			}
 			continue
 		}
+		if r.link != nil {
+			r.link.receive()
+		}
 		for i := range n {
 			handle(view, in, i, out)
 		}
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -87,6 +87,9 @@
 	n, err := in.read()
 	require.NoError(x.t, err)
 	require.Equal(x.t, 1, n)
+	if x.relay.link != nil {
+		x.relay.link.receive()
+	}
 	handle(x.view, in, 0, out)
 	require.NoError(x.t, out.flush())
 }
