Count packets in flight instead of whole windows of uploads

In the replay of thin links, two whole windows took nearly all of the 200 ms until callers retransmit: a tenth of the data was sent twice, packets that had passed the entry and waited at its exit were not counted, and data was dropped for its age although its caller's copies had been dropped because of it. The shaper now commits a window, or the rest of a request of the mean length, for each transfer, leaves 30 ms for the round trip, and counts what waits at the exit. A copy renews the age of the packet that waits.

--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -87,7 +87,7 @@
 	} else {
 		l.shaper.CountOther(now, size)
 	}
-	ready := l.shaper.Ready(now)
+	ready := l.ready(now)
 	l.mu.Unlock()
 	if ready {
 		l.wake()
@@ -95,10 +95,20 @@
 	return true
 }
 
+// ready reports whether a waiting opening packet may be forwarded. The lock must be held.
+func (l *link) ready(now cherviltide.Millis) bool {
+	if l.shaper.Waiting() == 0 {
+		return false
+	}
+	l.shaper.SetBacklog(l.exit.Backlog(now))
+	return l.shaper.Ready(now)
+}
+
 // open decides about the opening packet of an upload and reports whether it is forwarded now.
 func (l *link) open(now cherviltide.Millis, size int, o shaper.Opening) bool {
 	l.mu.Lock()
 	l.exit.Arrive(now, size)
+	l.shaper.SetBacklog(l.exit.Backlog(now))
 	verdict := l.shaper.Open(now, o)
 	l.mu.Unlock()
 	counters := &l.relay.LinkCounters
@@ -194,7 +204,9 @@
 	view := l.relay.config.View()
 	for {
 		l.mu.Lock()
-		d, ok := l.shaper.Next(l.receive())
+		now := l.receive()
+		l.shaper.SetBacklog(l.exit.Backlog(now))
+		d, ok := l.shaper.Next(now)
 		l.mu.Unlock()
 		if !ok {
 			return
--- a/shaper/exit.go
+++ b/shaper/exit.go
@@ -14,12 +14,12 @@
 	// packets make up for. They then leave in a burst, which keeps the link busy until the process runs again.
 	maxCredit cherviltide.Millis = 20
 	// maxQueueTime is the time that the link needs for a full queue. Callers retransmit after as long.
-	maxQueueTime = drainTimeout
+	maxQueueTime = firstRetransmission
 	// maxQueueBytes bounds the memory of the queue of a fast link, in bytes.
 	maxQueueBytes = 1 << 20
-	// maxPacketAge is the time after which a packet other than an opening packet is dropped: its caller has sent it again, and
-	// the flow has got less than its share for long.
-	maxPacketAge cherviltide.Millis = 400
+	// maxPacketAge is the time without a copy after which a packet other than an opening packet is dropped: its caller has given
+	// up.
+	maxPacketAge cherviltide.Millis = 1_600
 	// urgentShare is the multiple of the bytes of upload data that urgent packets may send while upload data waits.
 	urgentShare = 7
 )
@@ -94,6 +94,12 @@
 // Bytes returns the size of the packets that wait.
 func (e *Exit) Bytes() int { return e.urgent.bytes + e.bulk.bytes }
 
+// Backlog returns the size of the packets that wait, and of those that have left and are still on the link.
+func (e *Exit) Backlog(now cherviltide.Millis) int {
+	e.update(now)
+	return e.Bytes() + max(int(e.backlog), 0)
+}
+
 // Arrive counts a packet that has arrived over a link that both directions share.
 func (e *Exit) Arrive(now cherviltide.Millis, size int) {
 	if !e.config.Separate {
@@ -131,7 +137,7 @@
 	if p.Upload && e.keepsOrder(p) {
 		queue = &e.bulk
 	}
-	if !p.Packet.OpensFlow() && p.Packet.Length > 0 && queue.has(p) {
+	if !p.Packet.OpensFlow() && p.Packet.Length > 0 && queue.renew(now, p) {
 		e.drop(DropCopy, p)
 		return
 	}
--- a/shaper/exitqueue.go
+++ b/shaper/exitqueue.go
@@ -46,12 +46,19 @@
 	q.bytes += len(p.Datagram)
 }
 
-// has reports whether a packet with the same flow, sequence number and length waits.
-func (q *exitQueue) has(p Outgoing) bool {
+// renew reports whether a packet with the same flow, sequence number and length waits, whose caller has just sent it again.
+func (q *exitQueue) renew(now cherviltide.Millis, p Outgoing) bool {
 	f := q.byFlow[p.Flow]
-	return f != nil && slices.ContainsFunc(f.packets, func(w waitingPacket) bool {
+	if f == nil {
+		return false
+	}
+	i := slices.IndexFunc(f.packets, func(w waitingPacket) bool {
 		return w.Packet.Sequence == p.Packet.Sequence && w.Packet.Length == p.Packet.Length
 	})
+	if i >= 0 {
+		f.packets[i].since = now
+	}
+	return i >= 0
 }
 
 // take removes the packet whose turn it is. The queue must not be empty.
--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -35,8 +35,10 @@
 	windowPackets = 16
 	// datagramHeader is the size of the IPv4 and UDP headers, in bytes.
 	datagramHeader = 28
-	// drainTimeout is the time until callers first retransmit a packet.
-	drainTimeout cherviltide.Millis = 200
+	// firstRetransmission is the time until callers first retransmit a packet, and roundTripMargin the part of it that is left for
+	// the way of the packet and of its acknowledgement beside the link. Windows that need all of the time are sent twice.
+	firstRetransmission cherviltide.Millis = 200
+	roundTripMargin     cherviltide.Millis = 30
 	// silenceTimeout is the time without a packet of the request after which a transfer has ended. A caller that waits for an
 	// acknowledgement has retransmitted by then.
 	silenceTimeout cherviltide.Millis = 500
@@ -92,8 +94,9 @@
 
 // Shaper decides about the transfers of one link. It reads no clock and is not safe for concurrent use.
 type Shaper struct {
-	config     Config
-	windowCost float64
+	config Config
+	// packetCost is the number of bytes of the link that a full packet takes.
+	packetCost float64
 	transfers  map[cherviltide.FlowKey]*transfer
 	// lists has the transfers by state, each in the order of their last change. Its first two have a place.
 	lists [stateCount]transferList
@@ -105,7 +108,13 @@
 	// holdTime is the mean time for which a transfer has a place, openingTime that from its admission to its first data, in
 	// milliseconds.
 	holdTime, openingTime float64
-	other                 byteRate
+	// requestPackets is the mean number of packets of a request; 0 when no request has ended.
+	requestPackets float64
+	// committed is the number of packets that the transfers with a place may have in flight.
+	committed float64
+	// backlog is the number of bytes that wait for the link, as SetBacklog has told.
+	backlog float64
+	other   byteRate
 }
 
 // New returns a shaper for a link without transfers.
@@ -113,9 +122,9 @@
 	s := &Shaper{config: config, transfers: map[cherviltide.FlowKey]*transfer{}, queue: queuer.New[*waitingOpening]()}
 	// Transfers without a place are remembered as long as copies of their opening packet may come.
 	s.timeouts = [stateCount]cherviltide.Millis{openingTimeout, silenceTimeout, config.OpeningTimeout, config.OpeningTimeout}
-	s.windowCost = float64(windowPackets * s.cost(config.MaxPayload+config.PacketHeader))
-	// Until a transfer has ended, the link is assumed to be shared by as many as are admitted.
-	s.holdTime = float64(s.Places(0)) * s.windowCost * 1000 / float64(config.Rate)
+	s.packetCost = float64(s.cost(config.MaxPayload + config.PacketHeader))
+	// Until a transfer has ended, each is assumed to send two windows and to share the link with as many as are admitted.
+	s.holdTime = 2 * float64(s.slots(0)) * windowPackets * s.packetCost * 1000 / float64(config.Rate)
 	return s
 }
 
@@ -128,13 +137,27 @@
 	return out + size + datagramHeader
 }
 
-// Places returns how many transfers may be in progress: those whose windows drain before callers retransmit, beside the other
-// traffic of the link. There is always one.
-func (s *Shaper) Places(now cherviltide.Millis) int {
+// budget returns how many packets may be in flight: those that the link carries, beside its other traffic, before callers
+// retransmit.
+func (s *Shaper) budget(now cherviltide.Millis) float64 {
 	rate := float64(s.config.Rate) - s.other.perSecond(now)
-	return max(int(rate*float64(drainTimeout)/1000/s.windowCost), 1)
+	return rate * float64(firstRetransmission-roundTripMargin) / 1000 / s.packetCost
 }
 
+// slots returns the number of whole windows that the budget is nearest to, at least 1, as the capacity for predictions.
+func (s *Shaper) slots(now cherviltide.Millis) int {
+	return max(int(s.budget(now)/windowPackets+0.5), 1)
+}
+
+// hasPlace reports whether another transfer may be admitted: with its window, the packets in flight and those that wait for the
+// link are within the budget. One transfer always may.
+func (s *Shaper) hasPlace(now cherviltide.Millis) bool {
+	return s.InProgress(now) == 0 || s.committed+windowPackets <= s.budget(now)-s.backlog/s.packetCost
+}
+
+// SetBacklog sets the number of bytes that have arrived and that the link has not carried on yet.
+func (s *Shaper) SetBacklog(bytes int) { s.backlog = float64(bytes) }
+
 // InProgress returns the number of transfers that have a place.
 func (s *Shaper) InProgress(now cherviltide.Millis) int {
 	s.expire(now)
@@ -146,7 +169,7 @@
 
 // Ready reports whether Next would admit a waiting opening packet.
 func (s *Shaper) Ready(now cherviltide.Millis) bool {
-	return s.queue.Len() > 0 && s.InProgress(now) < s.Places(now)
+	return s.queue.Len() > 0 && s.hasPlace(now)
 }
 
 // CountOther counts a caller's packet that belongs to no upload.
@@ -168,7 +191,7 @@
 		s.replace(w, o)
 		return VerdictAbsorbed
 	}
-	if s.queue.Len() == 0 && s.InProgress(now) < s.Places(now) {
+	if s.queue.Len() == 0 && s.hasPlace(now) {
 		s.admit(now, o.Flow)
 		return VerdictForward
 	}
@@ -212,7 +235,7 @@
 	}
 	s.expire(now)
 	s.updateCapacity(now)
-	if s.InProgress(now) < s.Places(now) {
+	if s.hasPlace(now) {
 		if f, ok := s.queue.Next(now, false); ok {
 			refused := now+cherviltide.Millis(s.openingTime) > f.GiveUpAt
 			if !refused {
@@ -236,7 +259,7 @@
 
 // updateCapacity tells the queue the present drain rate of the link.
 func (s *Shaper) updateCapacity(now cherviltide.Millis) {
-	s.queue.SetCapacity(queuer.Capacity{Slots: s.Places(now), ServiceTime: s.holdTime, OpeningTime: s.openingTime})
+	s.queue.SetCapacity(queuer.Capacity{Slots: s.slots(now), ServiceTime: s.holdTime, OpeningTime: s.openingTime})
 }
 
 // Packet records a caller's packet that does not open a flow. Such a packet is always forwarded.
@@ -283,12 +306,17 @@
 	case stateOpening:
 		s.openingTime += smoothing * (float64(now-t.placedAt) - s.openingTime)
 	case stateLapsed, stateComplete:
-		t.placedAt = now
+		t.placedAt, t.packets = now, 0
 	}
+	t.packets++
 	if p.Length >= s.config.MaxPayload {
 		s.move(now, t, stateActive)
 		return
 	}
+	if s.requestPackets == 0 {
+		s.requestPackets = float64(t.packets)
+	}
+	s.requestPackets += smoothing * (float64(t.packets) - s.requestPackets)
 	s.release(now, t)
 	t.end = end
 	s.move(now, t, stateComplete)
--- a/shaper/transfer.go
+++ b/shaper/transfer.go
@@ -22,6 +22,10 @@
 	changedAt cherviltide.Millis
 	// placedAt is when the transfer got its place.
 	placedAt cherviltide.Millis
+	// packets is the number of packets of the request so far.
+	packets int
+	// committed is the share of the transfer in Shaper.committed.
+	committed float64
 	// end is the sequence number after the request, in stateComplete.
 	end            uint32
 	previous, next *transfer
@@ -76,18 +80,34 @@
 	t := &transfer{flow: flow, state: state, changedAt: now, placedAt: now}
 	s.transfers[flow] = t
 	s.lists[state].append(t)
+	s.commit(t)
 	return t
 }
 
+// commit counts the packets that a transfer may have in flight: a window, or the rest of a request of the mean length.
+func (s *Shaper) commit(t *transfer) {
+	packets := 0.0
+	if t.hasPlace() {
+		packets = windowPackets
+		if rest := s.requestPackets - float64(t.packets); s.requestPackets > 0 && rest >= 0 {
+			packets = min(packets, rest)
+		}
+	}
+	s.committed += packets - t.committed
+	t.committed = packets
+}
+
 // move puts a transfer into a state.
 func (s *Shaper) move(now cherviltide.Millis, t *transfer, state state) {
 	s.lists[t.state].remove(t)
 	t.state, t.changedAt = state, now
 	s.lists[state].append(t)
+	s.commit(t)
 }
 
 func (s *Shaper) forget(t *transfer) {
 	s.lists[t.state].remove(t)
+	s.committed -= t.committed
 	delete(s.transfers, t.flow)
 }
 
