Replay uploads and small requests over thin links

Nothing measured what entries make of a thin link. The replay has links with a rate and a finite queue, callers with windows, acknowledgements, retransmissions and retries, and entries with the shaper or, as the baseline, in the order of arrival.

--- /dev/null
+++ b/bench/measurer/hardloadlinks.go
@@ -0,0 +1,44 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+
+	"cherviltide.example/cherviltide/bench/replayer"
+)
+
+// linkLoads are the loads on thin links, relative to what they carry.
+var linkLoads = []float64{0.5, 0.8, 1.0, 1.3}
+
+// runHardLoadLinks plays uploads and small requests over thin links with scheduled links, and with forwarding in the order of
+// arrival as the baseline.
+func runHardLoadLinks(_ context.Context, seed uint64, emit func(Line)) error {
+	for _, separate := range []bool{false, true} {
+		for _, load := range linkLoads {
+			for _, variant := range []string{"", "ArrivalOrder"} {
+				p := replayer.ThinLinks(load, separate)
+				p.ArrivalOrder = variant != ""
+				emitLinks(p, variant, replayer.RunLinks(p, seed), emit)
+			}
+		}
+	}
+	return nil
+}
+
+func emitLinks(p replayer.LinkPattern, variant string, report *replayer.LinkReport, emit func(Line)) {
+	directions := "directions share the link"
+	if p.Separate {
+		directions = "a rate for each direction"
+	}
+	for _, kind := range slices.Sorted(maps.Keys(report.Kinds)) {
+		sum := report.Kinds[kind]
+		emit(Line{
+			Variant: variant, Kind: kind, Load: Ptr(p.Load), Flows: Ptr(sum.Asked), Timely: Ptr(sum.Timely), Late: Ptr(sum.Late),
+			Refused: Ptr(sum.Refused), Lost: Ptr(sum.Failed), BytesPerSecond: Ptr(float64(int(report.Goodput))),
+			Note: fmt.Sprintf("%s; goodput %.2f of the offered payload of all kinds; %d of %d data packets were copies; %d lost; longest wait %d ms; %d resets",
+				directions, report.Goodput/report.Offered, report.Copies, report.DataPackets, report.Lost, report.LongestWaitMs, report.Refusals),
+		})
+	}
+}
--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -28,6 +28,7 @@
 	{"journal-replay", journalReplay},
 	{"admission", runAdmission},
 	{"overload", runOverload},
+	{"hard-load-links", runHardLoadLinks},
 	{"at-most-once", runClaims},
 	{"placement-add", placementAdd},
 	{"placement-drain", placementDrain},
--- /dev/null
+++ b/bench/replayer/links_test.go
@@ -0,0 +1,46 @@
+package replayer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestThinLinks guards against links that deliver less the more uploads there are, against uploads that miss their goal although
+// the link could carry them, and against small requests behind uploads. Entries that forward in the order of arrival miss the
+// bounds from a load of 1.0 on.
+func TestThinLinks(t *testing.T) {
+	for load, bounds := range map[float64]struct {
+		// The lowest goodput relative to what the links carry, and the lowest shares within the goal.
+		goodput, upload, post float64
+		baselineFails         bool
+	}{
+		0.5: {0.48, 0.95, 0.99, false},
+		0.8: {0.76, 0.75, 0.99, false},
+		1.0: {0.90, 0.50, 0.99, true},
+		1.3: {0.90, 0.25, 0.99, true},
+	} {
+		for name, separate := range map[string]bool{"shared": false, "separate": true} {
+			t.Run(fmt.Sprintf("%s, %.1f", name, load), func(t *testing.T) {
+				for seed := range uint64(2) {
+					p := ThinLinks(load, separate)
+					p.Duration = 10_000
+					r := RunLinks(p, seed)
+					require.GreaterOrEqual(t, r.Goodput/r.Offered*load, bounds.goodput, "goodput, seed %d", seed)
+					require.GreaterOrEqual(t, r.Kinds["upload"].TimelyShare(), bounds.upload, "uploads, seed %d", seed)
+					require.GreaterOrEqual(t, r.Kinds["post"].TimelyShare(), bounds.post, "small requests, seed %d", seed)
+					require.Less(t, r.LongestWaitMs, openingTimeout, "seed %d", seed)
+					if !bounds.baselineFails {
+						continue
+					}
+					p.ArrivalOrder = true
+					baseline := RunLinks(p, seed)
+					require.Less(t, baseline.Goodput/baseline.Offered*load, bounds.goodput, "goodput of the baseline, seed %d", seed)
+					require.Less(t, baseline.Kinds["upload"].TimelyShare(), bounds.upload, "uploads of the baseline, seed %d", seed)
+					require.Less(t, baseline.Kinds["post"].TimelyShare(), bounds.post, "small requests of the baseline, seed %d", seed)
+				}
+			})
+		}
+	}
+}
