Measure whether the directions of a link share its rate

The platform tells one rate. Unless the configuration tells the directions, the shaper takes them for separate and compares new data with the rate while openings wait: a shared link stays below half of it. The exit is part of the shaper now, so that both have the same directions.

--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -32,8 +32,8 @@
 	Admitted, Refused, Waited, Absorbed atomic.Uint64
 }
 
-// link schedules the link of an entry: it connects a Shaper and an Exit to the clock, to the packets of the entry and to its
-// sockets. It is safe for concurrent use.
+// link schedules the link of an entry: it connects a Shaper to the clock, to the packets of the entry and to its sockets.
+// It is safe for concurrent use.
 type link struct {
 	relay   *Relay
 	started time.Time
@@ -44,7 +44,8 @@
 	waiting chan struct{}
 	mu      sync.Mutex
 	shaper  *shaper.Shaper
-	exit    *shaper.Exit
+	// separate is the value of Shaper.Separate that was logged last.
+	separate bool
 }
 
 // newLink returns the schedule of the link in the configuration of a relay, or nil when its rate is not known.
@@ -54,7 +55,9 @@
 		return nil
 	}
 	config.ForwardHeader = framer.HeaderSize
-	return &link{relay: r, started: time.Now(), waiting: make(chan struct{}, 1), shaper: shaper.New(config), exit: shaper.NewExit(config)}
+	l := &link{relay: r, started: time.Now(), waiting: make(chan struct{}, 1), shaper: shaper.New(config)}
+	l.separate = l.shaper.Separate()
+	return l
 }
 
 func (l *link) now() cherviltide.Millis {
@@ -74,20 +77,19 @@
 	if !ok {
 		return true
 	}
-	now, size := cherviltide.Millis(l.receivedAt.Load()), len(datagram)-framer.HeaderSize
+	now := cherviltide.Millis(l.receivedAt.Load())
 	if route.Route.Class == cherviltide.ClassUpload && p.OpensFlow() {
-		return l.open(now, size, shaper.Opening{
+		return l.open(now, shaper.Opening{
 			Flow: key, Priority: route.Route.Priority, Goal: route.Route.Goal, Retransmission: p.Retransmission, Datagram: datagram,
 		})
 	}
 	l.mu.Lock()
-	l.exit.Arrive(now, size)
 	if route.Route.Class == cherviltide.ClassUpload {
 		l.shaper.Packet(now, key, p)
 	} else {
-		l.shaper.CountOther(now, size)
+		l.shaper.CountOther(now, len(datagram)-framer.HeaderSize)
 	}
-	ready := l.ready(now)
+	ready := l.shaper.Ready(now)
 	l.mu.Unlock()
 	if ready {
 		l.wake()
@@ -95,20 +97,9 @@
 	return true
 }
 
-// ready reports whether a waiting opening packet may be forwarded. The lock must be held.
-func (l *link) ready(now cherviltide.Millis) bool {
-	if l.shaper.Waiting() == 0 {
-		return false
-	}
-	l.shaper.SetBacklog(l.exit.Backlog(now))
-	return l.shaper.Ready(now)
-}
-
 // open decides about the opening packet of an upload and reports whether it is forwarded now.
-func (l *link) open(now cherviltide.Millis, size int, o shaper.Opening) bool {
+func (l *link) open(now cherviltide.Millis, o shaper.Opening) bool {
 	l.mu.Lock()
-	l.exit.Arrive(now, size)
-	l.shaper.SetBacklog(l.exit.Backlog(now))
 	verdict := l.shaper.Open(now, o)
 	l.mu.Unlock()
 	counters := &l.relay.LinkCounters
@@ -139,7 +130,7 @@
 func (l *link) depart(route *follower.RouteTables, flow cherviltide.FlowKey, datagram []byte, to netip.AddrPort) bool {
 	now := cherviltide.Millis(l.receivedAt.Load())
 	l.mu.Lock()
-	passed := l.exit.Pass(now, len(datagram))
+	passed := l.shaper.Exit.Pass(now, len(datagram))
 	l.mu.Unlock()
 	if passed {
 		return true
@@ -151,7 +142,7 @@
 	}
 	upload := route.Route.Class == cherviltide.ClassUpload
 	l.mu.Lock()
-	l.exit.Add(now, shaper.Outgoing{Packet: packet, Flow: flow, Upload: upload, Datagram: datagram, To: to})
+	l.shaper.Exit.Add(now, shaper.Outgoing{Packet: packet, Flow: flow, Upload: upload, Datagram: datagram, To: to})
 	l.mu.Unlock()
 	l.wake()
 	return false
@@ -179,6 +170,7 @@
 		for l.sendNext(out) {
 		}
 		l.flush(out)
+		l.logDirections()
 		if wait, ok := l.nextRelease(); ok {
 			timer.Reset(wait)
 		}
@@ -189,7 +181,7 @@
 func (l *link) nextRelease() (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	wait, waits := l.exit.Wait(l.now())
+	wait, waits := l.shaper.Exit.Wait(l.now())
 	switch {
 	case waits:
 		return min(max(wait.Duration(), time.Millisecond), releaseInterval), true
@@ -204,9 +196,7 @@
 	view := l.relay.config.View()
 	for {
 		l.mu.Lock()
-		now := l.receive()
-		l.shaper.SetBacklog(l.exit.Backlog(now))
-		d, ok := l.shaper.Next(now)
+		d, ok := l.shaper.Next(l.receive())
 		l.mu.Unlock()
 		if !ok {
 			return
@@ -227,7 +217,7 @@
 // sendNext queues the next packet that leaves now, and returns false when there is none.
 func (l *link) sendNext(out *sender) bool {
 	l.mu.Lock()
-	p, ok := l.exit.Next(l.now())
+	p, ok := l.shaper.Exit.Next(l.now())
 	l.mu.Unlock()
 	if !ok {
 		return false
@@ -272,6 +262,19 @@
 		zap.Int("Waiting", waiting), zap.Int64("WaitMs", int64(waited)))
 }
 
+// logDirections writes a line when the directions of the link are taken for others than before. That happens only while opening
+// packets wait.
+func (l *link) logDirections() {
+	l.mu.Lock()
+	separate := l.shaper.Separate()
+	changed := separate != l.separate
+	l.separate = separate
+	l.mu.Unlock()
+	if changed {
+		l.relay.config.Log.Info("LinkDirections", zap.Bool("Separate", separate))
+	}
+}
+
 // transfers returns the numbers of transfers in progress and of waiting opening packets.
 func (l *link) transfers() (inProgress, waiting int) {
 	l.mu.Lock()
@@ -297,7 +300,17 @@
 	r.link.mu.Lock()
 	defer r.link.mu.Unlock()
 	for _, reason := range shaper.DropReasons() {
-		dropped[reason.String()] = r.link.exit.Dropped(reason)
+		dropped[reason.String()] = r.link.shaper.Exit.Dropped(reason)
+	}
+	return r.link.shaper.Exit.Bytes(), dropped
+}
+
+// LinkSeparate reports whether the link is taken for one that carries its rate in each direction.
+func (r *Relay) LinkSeparate() bool {
+	if r.link == nil {
+		return false
 	}
-	return r.link.exit.Bytes(), dropped
+	r.link.mu.Lock()
+	defer r.link.mu.Unlock()
+	return r.link.shaper.Separate()
 }
--- a/shaper/exit.go
+++ b/shaper/exit.go
@@ -62,6 +62,8 @@
 // busy. It reads no clock and is not safe for concurrent use.
 type Exit struct {
 	config Config
+	// separate is true when packets that arrive do not take the rate of the link.
+	separate bool
 	// perMilli is the rate of the link, in bytes a millisecond.
 	perMilli float64
 	// backlog is the number of bytes that have left the entry and that the link has not carried yet, at the time updatedAt. It is
@@ -81,13 +83,19 @@
 // NewExit returns the exit of an idle link.
 func NewExit(config Config) *Exit {
 	e := &Exit{config: config, perMilli: float64(config.Rate) / 1000, urgent: newExitQueue(), bulk: newExitQueue()}
-	if !config.Separate {
-		e.idleCredit = float64(config.MaxPayload + config.PacketHeader + datagramHeader)
-		e.backlog = -e.idleCredit
-	}
+	e.setSeparate(config.Directions != DirectionsShared)
+	e.backlog = -e.idleCredit
 	return e
 }
 
+// setSeparate sets whether the link carries its rate in each direction.
+func (e *Exit) setSeparate(separate bool) {
+	e.separate, e.idleCredit = separate, 0
+	if !separate {
+		e.idleCredit = float64(e.config.MaxPayload + e.config.PacketHeader + datagramHeader)
+	}
+}
+
 // Dropped returns the packets that were dropped for a reason.
 func (e *Exit) Dropped(reason DropReason) Drops { return e.drops[reason] }
 
@@ -102,7 +110,7 @@
 
 // Arrive counts a packet that has arrived over a link that both directions share.
 func (e *Exit) Arrive(now cherviltide.Millis, size int) {
-	if !e.config.Separate {
+	if !e.separate {
 		e.update(now)
 		e.backlog += float64(size + datagramHeader)
 	}
--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -17,9 +17,8 @@
 type Config struct {
 	// Rate is the rate of the link, in bytes a second. It is above 0.
 	Rate int64
-	// Separate is true when the link carries Rate in each direction at the same time. Otherwise packets that arrive and
-	// packets that leave share it.
-	Separate bool
+	// Directions tells whether packets that arrive and packets that leave share Rate.
+	Directions Directions
 	// PacketHeader and ForwardHeader are the sizes of a packet's header and of the header that the entry adds, in bytes.
 	PacketHeader, ForwardHeader int
 	// MaxPayload is the payload of a full packet, in bytes. A shorter one ends a request.
@@ -94,7 +93,10 @@
 
 // Shaper decides about the transfers of one link. It reads no clock and is not safe for concurrent use.
 type Shaper struct {
+	// Exit decides in which order packets leave over the link.
+	Exit   *Exit
 	config Config
+	meter  directionMeter
 	// packetCost is the number of bytes of the link that a full packet takes.
 	packetCost float64
 	transfers  map[cherviltide.FlowKey]*transfer
@@ -112,31 +114,48 @@
 	requestPackets float64
 	// committed is the number of packets that the transfers with a place may have in flight.
 	committed float64
-	// backlog is the number of bytes that wait for the link, as SetBacklog has told.
-	backlog float64
-	other   byteRate
+	other     byteRate
 }
 
 // New returns a shaper for a link without transfers.
 func New(config Config) *Shaper {
-	s := &Shaper{config: config, transfers: map[cherviltide.FlowKey]*transfer{}, queue: queuer.New[*waitingOpening]()}
+	s := &Shaper{
+		Exit: NewExit(config), config: config, meter: newDirectionMeter(config.Directions),
+		transfers: map[cherviltide.FlowKey]*transfer{}, queue: queuer.New[*waitingOpening](),
+	}
 	// Transfers without a place are remembered as long as copies of their opening packet may come.
 	s.timeouts = [stateCount]cherviltide.Millis{openingTimeout, silenceTimeout, config.OpeningTimeout, config.OpeningTimeout}
-	s.packetCost = float64(s.cost(config.MaxPayload + config.PacketHeader))
+	s.setCost()
 	// Until a transfer has ended, each is assumed to send two windows and to share the link with as many as are admitted.
 	s.holdTime = 2 * float64(s.slots(0)) * windowPackets * s.packetCost * 1000 / float64(config.Rate)
 	return s
 }
 
+// setCost computes packetCost for the present directions of the link.
+func (s *Shaper) setCost() {
+	s.packetCost = float64(s.cost(s.config.MaxPayload + s.config.PacketHeader))
+	s.Exit.setSeparate(s.meter.separate)
+}
+
 // cost returns the bytes of the link that a caller's packet of a given size takes.
 func (s *Shaper) cost(size int) int {
 	out := size + datagramHeader + s.config.ForwardHeader
-	if s.config.Separate {
+	if s.meter.separate {
 		return out
 	}
 	return out + size + datagramHeader
 }
 
+// Separate reports whether the link is taken for one that carries its rate in each direction.
+func (s *Shaper) Separate() bool { return s.meter.separate }
+
+// measure evaluates the directions of the link.
+func (s *Shaper) measure(now cherviltide.Millis) {
+	if s.meter.update(now, s.queue.Len() > 0, s.config.Rate) {
+		s.setCost()
+	}
+}
+
 // budget returns how many packets may be in flight: those that the link carries, beside its other traffic, before callers
 // retransmit.
 func (s *Shaper) budget(now cherviltide.Millis) float64 {
@@ -152,12 +171,9 @@
 // hasPlace reports whether another transfer may be admitted: with its window, the packets in flight and those that wait for the
 // link are within the budget. One transfer always may.
 func (s *Shaper) hasPlace(now cherviltide.Millis) bool {
-	return s.InProgress(now) == 0 || s.committed+windowPackets <= s.budget(now)-s.backlog/s.packetCost
+	return s.InProgress(now) == 0 || s.committed+windowPackets <= s.budget(now)-float64(s.Exit.Backlog(now))/s.packetCost
 }
 
-// SetBacklog sets the number of bytes that have arrived and that the link has not carried on yet.
-func (s *Shaper) SetBacklog(bytes int) { s.backlog = float64(bytes) }
-
 // InProgress returns the number of transfers that have a place.
 func (s *Shaper) InProgress(now cherviltide.Millis) int {
 	s.expire(now)
@@ -174,11 +190,19 @@
 
 // CountOther counts a caller's packet that belongs to no upload.
 func (s *Shaper) CountOther(now cherviltide.Millis, size int) {
+	s.Exit.Arrive(now, size)
 	s.other.add(now, s.cost(size))
 }
 
 // Open decides about an opening packet.
 func (s *Shaper) Open(now cherviltide.Millis, o Opening) Verdict {
+	s.Exit.Arrive(now, len(o.Datagram)-s.config.ForwardHeader)
+	verdict := s.decide(now, o)
+	s.measure(now)
+	return verdict
+}
+
+func (s *Shaper) decide(now cherviltide.Millis, o Opening) Verdict {
 	s.expire(now)
 	if t := s.transfers[o.Flow]; t != nil {
 		if t.state != stateComplete {
@@ -234,6 +258,7 @@
 		return Departure{}, false
 	}
 	s.expire(now)
+	s.measure(now)
 	s.updateCapacity(now)
 	if s.hasPlace(now) {
 		if f, ok := s.queue.Next(now, false); ok {
@@ -264,7 +289,9 @@
 
 // Packet records a caller's packet that does not open a flow. Such a packet is always forwarded.
 func (s *Shaper) Packet(now cherviltide.Millis, flow cherviltide.FlowKey, p cherviltide.Packet) {
+	s.Exit.Arrive(now, p.Length+s.config.PacketHeader)
 	s.expire(now)
+	s.measure(now)
 	t := s.transfers[flow]
 	switch {
 	case p.Flags&(cherviltide.PacketFinish|cherviltide.PacketReset) != 0:
@@ -299,6 +326,11 @@
 		}
 	}
 	end := p.Sequence + uint32(p.Length)
+	isCopy := t.packets > 0 && int32(end-t.newest) <= 0
+	if !isCopy {
+		t.newest = end
+	}
+	s.meter.count(p.Length+s.config.PacketHeader+datagramHeader, isCopy)
 	if t.state == stateComplete && int32(end-t.end) <= 0 {
 		return
 	}
--- a/shaper/transfer.go
+++ b/shaper/transfer.go
@@ -26,8 +26,8 @@
 	packets int
 	// committed is the share of the transfer in Shaper.committed.
 	committed float64
-	// end is the sequence number after the request, in stateComplete.
-	end            uint32
+	// newest is the highest sequence number after a packet, end that after the request, in stateComplete.
+	newest, end    uint32
 	previous, next *transfer
 }
 
