--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -255,7 +255,7 @@
 	}
 	for prefix, kind := range map[string]reflect.Type{
 		"Forwarder": reflect.TypeFor[forwarder.Counters](), "Holder": reflect.TypeFor[holder.Counters](),
-		"Relayer": reflect.TypeFor[relayer.Counters](),
+		"Relayer": reflect.TypeFor[relayer.Counters](), "Link": reflect.TypeFor[forwarder.LinkCounters](),
 	} {
 		for _, f := range reflect.VisibleFields(kind) {
 			if f.IsExported() {
--- a/shaper/directions.go
+++ b/shaper/directions.go
@@ -22,10 +22,6 @@
 	// shortEvaluationTime is enough when more than maxCopyShare of the packets were copies, as on a shared link that gets more than
 	// it carries within the callers' retransmission time.
 	shortEvaluationTime cherviltide.Millis = 500
-	maxCopyShare                           = 0.1
-	// separateShare is the share of the rate that new data must reach on a saturated link with separate directions. It reaches
-	// about 0.9 there. On a shared link it stays below 0.48, because each packet leaves again with a longer header.
-	separateShare = 0.6
 	// firstTrialDelay is the time until a link that turned out to be shared is taken for separate again, as after a stall of
 	// the targets that looked like a shared link. It doubles with each trial up to maxTrialDelay.
 	firstTrialDelay cherviltide.Millis = 60_000
@@ -34,6 +30,14 @@
 	maxUpdateInterval cherviltide.Millis = 50
 )
 
+const (
+	// separateShare is the share of the rate that new data must reach on a saturated link with separate directions. It reaches
+	// about 0.9 there. On a shared link it stays below 0.48, because each packet leaves again with a longer header.
+	separateShare = 0.6
+	// maxCopyShare is the share of copies among the packets with data that a link within its budget does not reach.
+	maxCopyShare = 0.1
+)
+
 // directionMeter finds out whether the directions of a link are separate.
 type directionMeter struct {
 	separate bool
--- a/shaper/shaper_test.go
+++ b/shaper/shaper_test.go
@@ -148,6 +148,19 @@
 	}
 }
 
+// TestTransfersAfterRestart guards against an entry that restarts, does not know the uploads in progress and admits others beside
+// them, or holds back their packets.
+func TestTransfersAfterRestart(t *testing.T) {
+	s := New(halfLink)
+	s.Packet(0, flow(1), data(5_000, fullPayload))
+	require.Equal(t, 1, s.InProgress(0))
+	require.Equal(t, VerdictWait, s.Open(1, opening(2, 0)))
+	s.Packet(2, flow(1), data(6_200, 10))
+	d, ok := s.Next(2)
+	require.True(t, ok)
+	require.Equal(t, flow(2), d.Flow)
+}
+
 // TestWaitingOrder guards against urgent uploads behind others, against copies that are forwarded twice, and against the loss
 // of the newest copy, from which the agent learns the age of the flow.
 func TestWaitingOrder(t *testing.T) {
