Find out shared directions of a link after 250 ms of waiting openings

On a shared link, entries that don't know it sent data twice for 0.5 s of waiting openings before they evaluated the copies.

--- a/shaper/directions.go
+++ b/shaper/directions.go
@@ -21,7 +21,7 @@
 	evaluationTime cherviltide.Millis = 2_000
 	// shortEvaluationTime is enough when more than maxCopyShare of the packets were copies, as on a shared link that gets more than
 	// it carries within the callers' retransmission time.
-	shortEvaluationTime cherviltide.Millis = 500
+	shortEvaluationTime cherviltide.Millis = 250
 	// firstTrialDelay is the time until a link that turned out to be shared is taken for separate again, as after a stall of
 	// the targets that looked like a shared link. It doubles with each trial up to maxTrialDelay.
 	firstTrialDelay cherviltide.Millis = 60_000
