Test an entry's link with real processes

The tests of the link used a codec and callers of their own. The new one starts the platform's daemons with a thin link and a route of kind ingest: callers wait or are refused, come back, and all uploads are answered.

go test ./platform -run ThinLink -count 5 passes (14 s).

--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -65,6 +65,7 @@
 	{"opening packet retransmitted, unresponsive or full target", "opening a relayed flow", "I1, I4", "relayer", "TestOpeningPacketCopies", "", "", passes},
 	{"outage, burst, lost, slow or overloaded targets, bulky transfers", "opening a relayed flow", "I1, I4", "bench/replayer", "TestWorstLoads", "0, 1", "the targets' own queues, in the same test", passes},
 	{"more uploads than thin links carry", "uploads beside small requests", "I1, I4", "bench/replayer", "TestThinLinks", "0, 1", "order of arrival, in the same test", passes},
+	{"more opening packets than a thin link admits, callers retry", "uploads", "I4", "platform", "TestThinLinkOfEntry", "", "", passes},
 	{"directions of a link not known", "uploads", "I1", "bench/replayer", "TestMeasuredDirections", "1", "order of arrival, in the same test", passes},
 	{"entry restarts", "uploads in progress", "I1", "shaper", "TestTransfersAfterRestart", "", "", passes},
 	{"copies, ends and packets of uploads in any order", "opening packet waits at the entry", "I4", "shaper", "TestRandomTraffic", "rapid", "", passes},
--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -56,6 +56,8 @@
 	Dir, Binary string
 	// BehindProxies is true when proxies listen on the addresses of the control instances.
 	BehindProxies bool
+	// NicMbps is the rate of the links of the machines, in Mbit/s; 0 means that the settings do not tell it.
+	NicMbps float64
 }
 
 // Daemon is a process of the system on a machine.
@@ -105,6 +107,9 @@
 			"Admin": s.Address(n, adminPort).String(), "outbound": s.Address(n, outboundPort).String(),
 		},
 	}
+	if s.NicMbps > 0 {
+		settings["Limits"] = map[string]float64{"NicMbps": s.NicMbps}
+	}
 	switch d.Role {
 	case RoleControl:
 		settings["DataDir"] = s.DataDir(d)
