--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -29,6 +29,7 @@
 	{"admission", runAdmission},
 	{"overload", runOverload},
 	{"warm-up", runWarmUp},
+	{"hard-load-links", runHardLoadLinks},
 	{"at-most-once", runClaims},
 	{"placement-add", placementAdd},
 	{"placement-drain", placementDrain},
--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -58,6 +58,8 @@
 	BehindProxies bool
 	// Zones has the zones of machines that are not in the zone "z".
 	Zones map[int]string
+	// NicMbps is the rate of the links of the machines, in Mbit/s; 0 means that the settings do not tell it.
+	NicMbps float64
 }
 
 // Daemon is a process of the system on a machine.
@@ -120,6 +122,9 @@
 		zones[zone] = "r"
 	}
 	settings["Zones"] = zones
+	if s.NicMbps > 0 {
+		settings["Limits"] = map[string]float64{"NicMbps": s.NicMbps}
+	}
 	switch d.Role {
 	case RoleControl:
 		settings["DataDir"] = s.DataDir(d)
--- a/bench/replayer/request.go
+++ b/bench/replayer/request.go
@@ -13,7 +13,7 @@
 }
 
 // firstSequence is the sequence number of a caller's first payload.
-const firstSequence = 101
+const firstSequence = openingSequence + 1
 
 // lastPacketPayload is the payload of the last packet of a request, in bytes.
 const lastPacketPayload = 500
--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -32,15 +32,20 @@
 	Admitted, Refused, Waited, Absorbed atomic.Uint64
 }
 
-// link schedules the link of an entry: it connects a Shaper to the clock, to the packets of the entry and to its sockets. It is
-// safe for concurrent use.
+// link schedules the link of an entry: it connects a Shaper to the clock, to the packets of the entry and to its sockets.
+// It is safe for concurrent use.
 type link struct {
 	relay   *Relay
 	started time.Time
-	// waiting has a value when opening packets may wait or a place has become free.
+	// receivedAt is the time at which the last packets were received, and of the decisions about them. The clock is read once
+	// for a batch.
+	receivedAt atomic.Int64
+	// waiting has a value when packets may wait or a place has become free.
 	waiting chan struct{}
 	mu      sync.Mutex
 	shaper  *shaper.Shaper
+	// separate is the value of Shaper.Separate that was logged last.
+	separate bool
 }
 
 // newLink returns the schedule of the link in the configuration of a relay, or nil when its rate is not known.
@@ -53,20 +58,29 @@
 	if r.config.ShortHeaders {
 		config.ForwardHeader = framer.ShortHeaderSize
 	}
-	return &link{relay: r, started: time.Now(), waiting: make(chan struct{}, 1), shaper: shaper.New(config)}
+	l := &link{relay: r, started: time.Now(), waiting: make(chan struct{}, 1), shaper: shaper.New(config)}
+	l.separate = l.shaper.Separate()
+	return l
 }
 
 func (l *link) now() cherviltide.Millis {
 	return cherviltide.MillisOf(time.Since(l.started))
 }
 
+// receive returns the time and keeps it for the decisions about the packets that were received.
+func (l *link) receive() cherviltide.Millis {
+	now := l.now()
+	l.receivedAt.Store(int64(now))
+	return now
+}
+
 // accept records a caller's packet and reports whether it is forwarded now. datagram is the packet with its headroom.
 func (l *link) accept(view *follower.View, key cherviltide.FlowKey, p cherviltide.Packet, datagram []byte) bool {
 	route, ok := view.Routes[key.Virtual]
 	if !ok {
 		return true
 	}
-	now := l.now()
+	now := cherviltide.Millis(l.receivedAt.Load())
 	if route.Route.Class == cherviltide.ClassUpload && p.OpensFlow() {
 		return l.open(now, shaper.Opening{
 			Flow: key, Priority: route.Route.Priority, Goal: route.Route.Goal, Retransmission: p.Retransmission, Datagram: datagram,
@@ -115,7 +129,29 @@
 	}
 }
 
-// run releases waiting opening packets until the sockets are closed. Its timer runs only while some wait.
+// depart reports whether a datagram with a packet leaves at once. If not, it waits for the link or is dropped.
+func (l *link) depart(route *follower.RouteTables, flow cherviltide.FlowKey, datagram, packet []byte, to netip.AddrPort) bool {
+	now := cherviltide.Millis(l.receivedAt.Load())
+	l.mu.Lock()
+	passed := l.shaper.Exit.Pass(now, len(datagram))
+	l.mu.Unlock()
+	if passed {
+		return true
+	}
+	p, err := l.relay.config.Codec.Decode(packet)
+	if err != nil {
+		l.relay.Counters.countDrop(ReasonMalformed)
+		return false
+	}
+	upload := route.Route.Class == cherviltide.ClassUpload
+	l.mu.Lock()
+	l.shaper.Exit.Add(now, shaper.Outgoing{Packet: p, Flow: flow, Upload: upload, Datagram: datagram, To: to})
+	l.mu.Unlock()
+	l.wake()
+	return false
+}
+
+// run releases waiting packets until the sockets are closed. Its timer runs only while some wait.
 func (l *link) run(ctx context.Context) error {
 	out, err := newSender(l.relay.internal)
 	if err != nil {
@@ -133,41 +169,79 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		if l.release(out) {
-			timer.Reset(releaseInterval)
+		l.release(out)
+		for l.sendNext(out) {
+		}
+		l.flush(out)
+		l.logDirections()
+		if wait, ok := l.nextRelease(); ok {
+			timer.Reset(wait)
 		}
 	}
 }
 
-// release forwards or refuses the opening packets that wait no longer, and reports whether others still wait.
-func (l *link) release(out *sender) bool {
+// nextRelease returns the time until a waiting packet may be released, and false when none waits.
+func (l *link) nextRelease() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wait, waits := l.shaper.Exit.Wait(l.now())
+	switch {
+	case waits:
+		return min(max(wait.Duration(), time.Millisecond), releaseInterval), true
+	case l.shaper.Waiting() > 0:
+		return releaseInterval, true
+	}
+	return 0, false
+}
+
+// release forwards or refuses the opening packets that wait no longer for a place.
+func (l *link) release(out *sender) {
 	view := l.relay.config.View()
 	for {
 		l.mu.Lock()
-		d, ok := l.shaper.Next(l.now())
-		left := l.shaper.Waiting()
+		d, ok := l.shaper.Next(l.receive())
 		l.mu.Unlock()
-		if ok && d.Refused {
+		if !ok {
+			return
+		}
+		if d.Refused {
 			l.refuse(d.Opening, d.Wait)
 			continue
 		}
-		if ok {
-			l.relay.LinkCounters.Admitted.Add(1)
-			l.relay.LinkWaits.Record(d.Wait)
-			l.relay.send(view, d.Datagram, l.relay.header(view, d.Flow), true, out)
-		}
-		if !ok || out.queued == batchSize {
-			if err := out.flush(); err != nil {
-				l.relay.config.Log.Warn("SendFailed", zap.Error(err))
-			}
-			l.relay.Counters.countBatch(&l.relay.Counters.Forwarded, out)
-		}
-		if !ok {
-			return left > 0
+		l.relay.LinkCounters.Admitted.Add(1)
+		l.relay.LinkWaits.Record(d.Wait)
+		l.relay.send(view, d.Datagram, l.relay.header(view, d.Flow), true, out)
+		if out.queued == batchSize {
+			l.flush(out)
 		}
 	}
 }
 
+// sendNext queues the next packet that leaves now, and returns false when there is none.
+func (l *link) sendNext(out *sender) bool {
+	l.mu.Lock()
+	p, ok := l.shaper.Exit.Next(l.now())
+	l.mu.Unlock()
+	if !ok {
+		return false
+	}
+	out.enqueue(p.Datagram, p.To, netip.Addr{})
+	if out.queued == batchSize {
+		l.flush(out)
+	}
+	return true
+}
+
+func (l *link) flush(out *sender) {
+	if out.queued == 0 {
+		return
+	}
+	if err := out.flush(); err != nil {
+		l.relay.config.Log.Warn("SendFailed", zap.Error(err))
+	}
+	l.relay.Counters.countBatch(&l.relay.Counters.Forwarded, out)
+}
+
 // refuse sends a reset to the caller of a flow that is not admitted.
 func (l *link) refuse(o shaper.Opening, waited cherviltide.Millis) {
 	l.relay.LinkCounters.Refused.Add(1)
@@ -191,6 +265,19 @@
 		zap.Int("Waiting", waiting), zap.Int64("WaitMs", int64(waited)))
 }
 
+// logDirections writes a line when the directions of the link are taken for others than before. That happens only while opening
+// packets wait.
+func (l *link) logDirections() {
+	l.mu.Lock()
+	separate := l.shaper.Separate()
+	changed := separate != l.separate
+	l.separate = separate
+	l.mu.Unlock()
+	if changed {
+		l.relay.config.Log.Info("LinkDirections", zap.Bool("Separate", separate))
+	}
+}
+
 // transfers returns the numbers of transfers in progress and of waiting opening packets.
 func (l *link) transfers() (inProgress, waiting int) {
 	l.mu.Lock()
@@ -206,3 +293,27 @@
 	}
 	return r.link.transfers()
 }
+
+// LinkQueue returns the bytes that wait at the exit to the link, and the packets that were dropped there by reason.
+func (r *Relay) LinkQueue() (bytes int, dropped map[string]shaper.Drops) {
+	dropped = map[string]shaper.Drops{}
+	if r.link == nil {
+		return 0, dropped
+	}
+	r.link.mu.Lock()
+	defer r.link.mu.Unlock()
+	for _, reason := range shaper.DropReasons() {
+		dropped[reason.String()] = r.link.shaper.Exit.Dropped(reason)
+	}
+	return r.link.shaper.Exit.Bytes(), dropped
+}
+
+// LinkSeparate reports whether the link is taken for one that carries its rate in each direction.
+func (r *Relay) LinkSeparate() bool {
+	if r.link == nil {
+		return false
+	}
+	r.link.mu.Lock()
+	defer r.link.mu.Unlock()
+	return r.link.shaper.Separate()
+}
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -37,17 +37,21 @@
 	return next
 }
 
-// sendTo encodes the header and queues the datagram. A later packet of a flow whose owner is in a closed domain goes to the
-// owner too: it may hold the flow and be cut off in the other direction only, and the datagram may arrive.
-func (r *Relay) sendTo(view *follower.View, datagram []byte, header framer.Header, next relayHop, opensFlow bool, out *sender) {
+// sendTo encodes the header and queues the datagram, which may wait for the link. A later packet of a flow whose owner is in a
+// closed domain goes to the owner too: it may hold the flow and be cut off in the other direction only, and the datagram may
+// arrive.
+func (r *Relay) sendTo(view *follower.View, route *follower.RouteTables, datagram []byte, header framer.Header, next relayHop, opensFlow bool, out *sender) {
 	if next.closedOwner.IsValid() {
 		header.Position = framer.PositionOwnerClosed
 	}
+	packet := datagram[framer.HeaderSize:]
 	datagram = r.encode(view, datagram, header, opensFlow)
 	if next.closedOwner.IsValid() && !opensFlow {
 		r.enqueue(out, datagram, next.closedOwner)
 	}
-	r.enqueue(out, datagram, next.agent.Address)
+	if r.link == nil || r.link.depart(route, header.Flow, datagram, packet, next.agent.Address) {
+		r.enqueue(out, datagram, next.agent.Address)
+	}
 }
 
 // enqueue queues a datagram. It sends the queued ones first when there is no room.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -134,6 +134,9 @@
 			}
 			continue
 		}
+		if r.link != nil {
+			r.link.receive()
+		}
 		for i := range n {
 			handle(view, in, i, out)
 		}
@@ -210,7 +213,7 @@
 	header.ServiceIndex, header.ServiceCount = next.serviceIndex, next.serviceCount
 	header.RouteRevision = route.RouteRevision
 	header.Service, header.Generation = table.Service().ID, table.Generation()
-	r.sendTo(view, datagram, header, next, opensFlow, out)
+	r.sendTo(view, route, datagram, header, next, opensFlow, out)
 }
 
 // encode writes a header into the headroom of a datagram and returns the part to send. An opening packet has the full header,
--- a/shaper/exit.go
+++ b/shaper/exit.go
@@ -14,12 +14,12 @@
 	// packets make up for. They then leave in a burst, which keeps the link busy until the process runs again.
 	maxCredit cherviltide.Millis = 20
 	// maxQueueTime is the time that the link needs for a full queue. Callers retransmit after as long.
-	maxQueueTime = drainTimeout
+	maxQueueTime = firstRetransmission
 	// maxQueueBytes bounds the memory of the queue of a fast link, in bytes.
 	maxQueueBytes = 1 << 20
-	// maxPacketAge is the time after which a packet other than an opening packet is dropped: its caller has sent it again, and
-	// the flow has got less than its share for long.
-	maxPacketAge cherviltide.Millis = 400
+	// maxPacketAge is the time without a copy after which a packet other than an opening packet is dropped: its caller has given
+	// up.
+	maxPacketAge cherviltide.Millis = 1_600
 	// urgentShare is the multiple of the bytes of upload data that urgent packets may send while upload data waits.
 	urgentShare = 7
 )
@@ -62,12 +62,17 @@
 // busy. It reads no clock and is not safe for concurrent use.
 type Exit struct {
 	config Config
+	// separate is true when packets that arrive do not take the rate of the link.
+	separate bool
 	// perMilli is the rate of the link, in bytes a millisecond.
 	perMilli float64
 	// backlog is the number of bytes that have left the entry and that the link has not carried yet, at the time updatedAt. It is
-	// negative when the link was idle although packets waited.
+	// negative when the link was idle although packets waited, and at least -idleCredit when none did.
 	backlog   float64
 	updatedAt cherviltide.Millis
+	// idleCredit is the size of a packet that has arrived over a link that both directions share. Its time on the link was before
+	// its arrival.
+	idleCredit float64
 	// urgent has the packets that go first, bulk those with data of uploads.
 	urgent, bulk exitQueue
 	// urgentBytes counts the bytes of urgent packets that have left since bulk data began to wait or last left.
@@ -77,7 +82,18 @@
 
 // NewExit returns the exit of an idle link.
 func NewExit(config Config) *Exit {
-	return &Exit{config: config, perMilli: float64(config.Rate) / 1000, urgent: newExitQueue(), bulk: newExitQueue()}
+	e := &Exit{config: config, perMilli: float64(config.Rate) / 1000, urgent: newExitQueue(), bulk: newExitQueue()}
+	e.setSeparate(config.Directions != DirectionsShared)
+	e.backlog = -e.idleCredit
+	return e
+}
+
+// setSeparate sets whether the link carries its rate in each direction.
+func (e *Exit) setSeparate(separate bool) {
+	e.separate, e.idleCredit = separate, 0
+	if !separate {
+		e.idleCredit = float64(e.config.MaxPayload + e.config.PacketHeader + datagramHeader)
+	}
 }
 
 // Dropped returns the packets that were dropped for a reason.
@@ -86,9 +102,15 @@
 // Bytes returns the size of the packets that wait.
 func (e *Exit) Bytes() int { return e.urgent.bytes + e.bulk.bytes }
 
+// Backlog returns the size of the packets that wait, and of those that have left and are still on the link.
+func (e *Exit) Backlog(now cherviltide.Millis) int {
+	e.update(now)
+	return e.Bytes() + max(int(e.backlog), 0)
+}
+
 // Arrive counts a packet that has arrived over a link that both directions share.
 func (e *Exit) Arrive(now cherviltide.Millis, size int) {
-	if !e.config.Separate {
+	if !e.separate {
 		e.update(now)
 		e.backlog += float64(size + datagramHeader)
 	}
@@ -109,9 +131,9 @@
 	if now <= e.updatedAt {
 		return
 	}
-	least := 0.0
+	least := -e.idleCredit
 	if e.Bytes() > 0 {
-		least = -e.perMilli * float64(maxCredit)
+		least = min(least, -e.perMilli*float64(maxCredit))
 	}
 	e.backlog = max(e.backlog-e.perMilli*float64(now-e.updatedAt), min(e.backlog, least))
 	e.updatedAt = now
@@ -123,7 +145,7 @@
 	if p.Upload && e.keepsOrder(p) {
 		queue = &e.bulk
 	}
-	if !p.Packet.OpensFlow() && p.Packet.Length > 0 && queue.has(p) {
+	if !p.Packet.OpensFlow() && p.Packet.Length > 0 && queue.renew(now, p) {
 		e.drop(DropCopy, p)
 		return
 	}
