--- /dev/null
+++ b/forwarder/reach_test.go
@@ -0,0 +1,126 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/follower"
+	"cherviltide.example/cherviltide/framer"
+)
+
+// domainAgent is a socket that answers probes unless it is cut off, and passes on forwarded datagrams.
+type domainAgent struct {
+	conn      *net.UDPConn
+	cut       atomic.Bool
+	forwarded chan framer.Header
+}
+
+func newDomainAgent(t *testing.T, key [16]byte) *domainAgent {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	a := &domainAgent{conn: conn, forwarded: make(chan framer.Header, 64)}
+	done := make(chan struct{})
+	t.Cleanup(func() { _ = conn.Close(); <-done })
+	go func() {
+		defer close(done)
+		buffer := make([]byte, 2048)
+		for {
+			n, sender, err := conn.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				return
+			}
+			h, _, err := framer.New(key).Decode(buffer[:n])
+			switch {
+			case err != nil || a.cut.Load():
+			case h.Type == framer.TypeReachProbe:
+				h.Type = framer.TypeReachEcho
+				framer.New(key).Encode(buffer[:framer.HeaderSize], h, 0)
+				_, _ = conn.WriteToUDPAddrPort(buffer[:framer.HeaderSize], sender)
+			case len(a.forwarded) < cap(a.forwarded):
+				a.forwarded <- h
+			}
+		}
+	}()
+	return a
+}
+
+// viewOfDomains returns a view with one route to a service with an agent in each of the domains a and b.
+func viewOfDomains(agents map[string]*domainAgent) *follower.View {
+	var events []cherviltide.PositionedEvent
+	for name, a := range agents {
+		events = append(events, cherviltide.PositionedEvent{Position: uint64(len(events) + 1), Event: cherviltide.MemberEvent{
+			Type: cherviltide.EventJoined, Member: cherviltide.Member{
+				Name: "agent-" + name, Role: cherviltide.RoleAgent, Service: "s", Incarnation: 1, Weight: 1, FailureDomain: name,
+				Address: a.conn.LocalAddr().(*net.UDPAddr).AddrPort(),
+			},
+		}})
+	}
+	return follower.NewView().WithRules(cherviltide.Rules{
+		Revision: 1, Services: []cherviltide.Service{{Name: "s", ID: cherviltide.ServiceIDOf("s"), Buckets: 1}},
+		Routes: []cherviltide.Route{{Name: "r", Address: relayFlow.Virtual, Shares: []cherviltide.Share{{Service: "s", Weight: 1}}}},
+	}).WithEvents(events)
+}
+
+// TestRelayAvoidsClosedDomain guards against new flows that an entry sends into a cut, later packets that reach neither the owner
+// nor the agent that took the flow, and an owner that is avoided after the cut.
+func TestRelayAvoidsClosedDomain(t *testing.T) {
+	agents := map[string]*domainAgent{"a": newDomainAgent(t, [16]byte{}), "b": newDomainAgent(t, [16]byte{})}
+	view := viewOfDomains(agents)
+	owner, ok := view.Tables["s"].Pick(relayFlow)
+	require.True(t, ok)
+	other := "a"
+	if owner.FailureDomain == "a" {
+		other = "b"
+	}
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	relay, err := ListenRelay(RelayConfig{
+		Public: local, Internal: local, Codec: textCodec{}, View: func() *follower.View { return view }, Log: zap.NewNop(), FailureDomain: other,
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- relay.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	caller, err := net.DialUDP("udp4", nil, relay.public.LocalAddr().(*net.UDPAddr))
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	send := func(packet string) {
+		_, err := caller.Write([]byte(packet))
+		require.NoError(t, err)
+	}
+	receive := func(domain string) framer.Header {
+		select {
+		case h := <-agents[domain].forwarded:
+			return h
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "no datagram arrived", domain)
+			return framer.Header{}
+		}
+	}
+
+	send("\x01new")
+	require.Zero(t, receive(owner.FailureDomain).Position)
+	require.Eventually(t, func() bool { return relay.Reach.Counters.Echoes.Load() > 2 }, 10*time.Second, time.Millisecond)
+
+	agents[owner.FailureDomain].cut.Store(true)
+	require.Eventually(t, func() bool { return len(relay.Reach.Closed()) == 1 }, 10*time.Second, time.Millisecond)
+	send("\x01new")
+	require.Equal(t, framer.PositionOwnerClosed, receive(other).Position)
+	agents[owner.FailureDomain].cut.Store(false)
+	send("\x02data")
+	require.Equal(t, framer.PositionOwnerClosed, receive(other).Position)
+	receive(owner.FailureDomain)
+
+	require.Eventually(t, func() bool { return len(relay.Reach.Closed()) == 0 }, 10*time.Second, time.Millisecond)
+	send("\x02data")
+	require.Zero(t, receive(owner.FailureDomain).Position)
+	require.Empty(t, agents[other].forwarded)
+}
