--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -56,6 +56,8 @@
 	Dir, Binary string
 	// BehindProxies is true when proxies listen on the addresses of the control instances.
 	BehindProxies bool
+	// FailureDomains are those of the machines by their numbers; other machines are in one domain.
+	FailureDomains map[int]string
 }
 
 // Daemon is a process of the system on a machine.
@@ -95,9 +97,12 @@
 	for _, machine := range seeds {
 		addresses = append(addresses, s.Address(machine, adminPort).String())
 	}
-	n := d.Machine
+	n, domain := d.Machine, s.FailureDomains[d.Machine]
+	if domain == "" {
+		domain = "z"
+	}
 	settings := map[string]any{
-		"NodeName": d.Name(), "Ip": s.Address(n, 0).Addr().String(), "Zone": "z", "Region": "r", "Seeds": addresses, "Bootstrap": bootstrap,
+		"NodeName": d.Name(), "Ip": s.Address(n, 0).Addr().String(), "Zone": domain, "Region": "r", "Seeds": addresses, "Bootstrap": bootstrap,
 		"InternalPorts": []int{internalPort, internalPort + internalPorts - 1}, "HeartbeatMs": heartbeatMs,
 		"Bounds": map[string]any{"DrainMs": DrainMs, "GraceS": GraceS, "MaxFlowS": maxFlowS, "DowngradeMs": downgradeMs},
 		"Listen": map[string]string{
