Bound the probes of a daemon whatever the number of failure domains

Entries send at most 40 probes a second and agents 10; agents also probe a domain at once that an entry has reported as closed. At 7 domains that is 5.4 KB/s out and 5.0 KB/s in for an entry (136 and 126 bytes with IP and UDP headers), and 1.4 KB/s each for an agent besides the echoes that it sends.

go test ./reacher ./relayer ./forwarder passes, and go test ./platform -run TestFrozenDomain.

--- a/pinger/pinger.go
+++ b/pinger/pinger.go
@@ -33,8 +33,8 @@
 // traffic took. Agents open a domain 150 ms earlier than entries, so that their holder notices arrive before entries send
 // packets to owners in that domain again.
 var (
-	EntryLimits = reacher.Limits{MinInterval: 50, OpenAfter: 6}
-	AgentLimits = reacher.Limits{MinInterval: 200, OpenAfter: 3}
+	EntryLimits = reacher.Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}
+	AgentLimits = reacher.Limits{MinInterval: 200, AverageInterval: 100, OpenAfter: 3}
 )
 
 // Config describes the process that probes.
@@ -111,6 +111,16 @@
 	}
 }
 
+// Suspect makes a probe to a domain due, after an entry has reported that it does not reach the domain.
+func (p *Pinger) Suspect(domain string) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reacher.Suspect(p.now(), domain)
+}
+
 // Handle handles a datagram if it is a probe or an echo, and reports whether it is one.
 func (p *Pinger) Handle(view *follower.View, header framer.Header, payload []byte, sender netip.AddrPort) bool {
 	switch {
--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -32,9 +32,6 @@
 	idleInterval cherviltide.Millis = 1_000
 	// firstProbes is the number of probes that are sent to a new domain before idleInterval applies to it.
 	firstProbes = 10
-	// budgetInterval is the average time between two probes to open domains under traffic. At 7 domains it keeps probes and
-	// echoes of a daemon at 40 datagrams a second each, about 10 KB/s in each direction.
-	budgetInterval cherviltide.Millis = 25
 	// pauseAfter is the time between two calls of Tick from which the process counts as paused. Echoes may then wait in the
 	// socket, so that unanswered probes are no evidence.
 	pauseAfter cherviltide.Millis = 150
@@ -49,6 +46,9 @@
 type Limits struct {
 	// MinInterval is the shortest interval of the probes to an open domain under traffic.
 	MinInterval cherviltide.Millis
+	// AverageInterval is the lowest average time between any two probes to open domains under traffic. It bounds the probes
+	// whatever the number of domains.
+	AverageInterval cherviltide.Millis
 	// OpenAfter is the number of probes, among the last 2*OpenAfter, that a closed domain must answer to be open again. Agents
 	// need fewer than entries, so that the holders of flows are known before entries send packets back to the owners.
 	OpenAfter int
@@ -221,6 +221,15 @@
 	}
 }
 
+// Suspect makes a probe to a domain due at once, after another process has reported that it does not reach the domain.
+func (r *Reacher) Suspect(now cherviltide.Millis, name string) {
+	for _, d := range r.domains {
+		if d.name == name && d.unanswered == 0 {
+			d.nextAt = min(d.nextAt, now)
+		}
+	}
+}
+
 // Tick decides which domains are closed and returns the probes that are due, which are valid until the next call. traffic says
 // that the process has forwarded packets since the last call.
 func (r *Reacher) Tick(now cherviltide.Millis, traffic bool) []Probe {
@@ -238,7 +247,7 @@
 	r.decide(now)
 	interval := idleInterval
 	if traffic {
-		interval = max(r.limits.MinInterval, cherviltide.Millis(len(r.domains)-1)*budgetInterval)
+		interval = max(r.limits.MinInterval, cherviltide.Millis(len(r.domains)-1)*r.limits.AverageInterval)
 	}
 	needsOwn := r.needsOwn(now)
 	for _, d := range r.domains {
--- a/reacher/reacher_test.go
+++ b/reacher/reacher_test.go
@@ -33,7 +33,7 @@
 
 func newNetwork(agents int, seed uint64) *network {
 	n := &network{
-		reacher: New(Limits{MinInterval: 50, OpenAfter: 6}, "a"), random: rand.New(rand.NewPCG(seed, 0)), agents: map[netip.AddrPort]string{},
+		reacher: New(Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}, "a"), random: rand.New(rand.NewPCG(seed, 0)), agents: map[netip.AddrPort]string{},
 		answers: func(cherviltide.Millis, string, netip.AddrPort) bool { return true },
 		delay:   func(cherviltide.Millis, string) cherviltide.Millis { return 2 },
 		echoes:  map[cherviltide.Millis][]uint64{}, lastEcho: map[string]cherviltide.Millis{}, silence: 1 << 40, closedAt: map[string]cherviltide.Millis{}, openedAt: map[string]cherviltide.Millis{},
@@ -224,9 +224,23 @@
 		n.run(0, 10_000)
 		require.InDelta(t, 400, n.probes, 10, "%d agents", agents)
 	}
-	single := New(Limits{MinInterval: 50, OpenAfter: 6}, "a")
+	many := New(Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}, "a")
+	var domains []Domain
+	for i := range 7 {
+		domains = append(domains, Domain{Name: string(rune('a' + i)), Agents: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}})
+	}
+	many.SetDomains(domains)
+	sent := 0
+	for now := cherviltide.Millis(0); now < 10_000; now += 50 {
+		for _, p := range many.Tick(now, true) {
+			sent++
+			many.Echo(now, p.Number)
+		}
+	}
+	require.InDelta(t, 400, sent, 10, "7 domains")
+	single := New(Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}, "a")
 	single.SetDomains([]Domain{{Name: "a", Agents: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}}})
-	idle := New(Limits{MinInterval: 50, OpenAfter: 6}, "a")
+	idle := New(Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}, "a")
 	idle.SetDomains([]Domain{{Name: "a"}, {Name: "b", Agents: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}}})
 	probes := 0
 	for now := cherviltide.Millis(0); now < 10_000; now += 50 {
--- a/relayer/reach.go
+++ b/relayer/reach.go
@@ -195,6 +195,17 @@
 	return reopened
 }
 
+// markTraffic records that the agent handles packets. If an entry reports that it does not reach a domain, this agent probes it.
+func (r *Relayer) markTraffic(in Input, header framer.Header) {
+	r.Reach.MarkTraffic()
+	if header.Flags != 0 || header.Position != framer.PositionOwnerClosed {
+		return
+	}
+	if owner, ok := in.Table.Pick(header.Flow); ok && !in.isClosed(owner) {
+		r.Reach.Suspect(owner.FailureDomain)
+	}
+}
+
 // newPinger returns the pinger of the agent, which sends from the socket for packets from entries and agents.
 func (r *Relayer) newPinger() *pinger.Pinger {
 	return pinger.New(pinger.Config{
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -229,7 +229,7 @@
 	r.mu.Lock()
 	decision := r.decider.FromPeer(in, a)
 	r.mu.Unlock()
-	r.Reach.MarkTraffic()
+	r.markTraffic(in, header)
 	r.sendNotices(in, decision.Notices)
 	r.execute(in, decision, header, a.Packet, datagram, packet)
 	r.sendDueNotices(in, false)
