--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -26,7 +26,7 @@
 func newDomainAgent(t *testing.T, key [16]byte) *domainAgent {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
-	a := &domainAgent{conn: conn, forwarded: make(chan framer.Header, 64)}
+	a := &domainAgent{conn: conn, forwarded: make(chan framer.Header, 4*batchSize)}
 	done := make(chan struct{})
 	t.Cleanup(func() { _ = conn.Close(); <-done })
 	go func() {
@@ -124,6 +124,14 @@
 	send("\x02data")
 	require.Equal(t, framer.PositionOwnerClosed, receive(other).Position)
 	receive(owner.FailureDomain)
+	// A full batch of packets makes twice as many datagrams as the sender has room for.
+	for range 2 * batchSize {
+		send("\x02data")
+	}
+	for range 2 * batchSize {
+		receive(other)
+		receive(owner.FailureDomain)
+	}
 
 	require.Eventually(t, func() bool { return len(relay.Reach.Closed()) == 0 }, 10*time.Second, time.Millisecond)
 	send("\x02data")
--- /dev/null
+++ b/relayer/reachdecision_test.go
@@ -0,0 +1,101 @@
+package relayer
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/framer"
+)
+
+// TestPacketsBehindCut guards against packets that an agent sends into a cut although another way is open, and against detours
+// without an end. The agent is in domain b with agent 4; its flow is owned by agent 2 in domain c, and 3 and 6 are in domain a.
+func TestPacketsBehindCut(t *testing.T) {
+	table := tableOf(6)
+	flow := ownedBy(t, table, member(2))
+	later := ack(flow, 501)
+	holder := member(5).Address
+	domainOf := map[netip.AddrPort]string{}
+	for _, m := range table.Active() {
+		domainOf[m.Address] = m.FailureDomain
+	}
+	cases := map[string]struct {
+		closed  []string
+		prepare func(d *Decider, in Input, a *Arrival)
+		reason  Reason
+		// to and copied are the failure domains of the receivers, or empty.
+		to, copied string
+	}{
+		"opening packet, nothing closed": {nil, func(_ *Decider, _ Input, a *Arrival) { *a = syn(flow, 0) }, ReasonNotOwner, "c", ""},
+		"opening packet, owner closed":   {[]string{"c"}, func(_ *Decider, _ Input, a *Arrival) { *a = syn(flow, 0) }, ReasonOpened, "", ""},
+		"opening packet, owner closed for the entry": {nil, func(_ *Decider, _ Input, a *Arrival) {
+			*a = syn(flow, 0)
+			a.Header.Position = framer.PositionOwnerClosed
+		}, ReasonOpened, "", ""},
+		"copy, owner closed for the entry": {nil, func(_ *Decider, _ Input, a *Arrival) {
+			*a = syn(flow, 1)
+			a.Header.Position = framer.PositionOwnerClosed
+		}, ReasonOpened, "", ""},
+		"offer, all others closed": {[]string{"a", "c"}, func(d *Decider, _ Input, a *Arrival) {
+			*a = syn(flow, 0)
+			d.load.active = 2
+		}, ReasonOffered, "b", ""},
+		"holder known, open": {nil, func(d *Decider, in Input, _ *Arrival) { d.recordHolder(in, flow, holder, true) }, ReasonProbed, "c", ""},
+		"holder known, closed, a third domain open": {[]string{"c"}, func(d *Decider, in Input, _ *Arrival) {
+			d.recordHolder(in, flow, holder, true)
+		}, ReasonDetour, "a", "c"},
+		"holder known, all others closed": {[]string{"a", "c"}, func(d *Decider, in Input, _ *Arrival) {
+			d.recordHolder(in, flow, holder, true)
+		}, ReasonDetour, "c", ""},
+		"holder known, closed, on a detour": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
+			d.recordHolder(in, flow, holder, true)
+			a.Header.Position = framer.PositionDetour
+		}, ReasonDetour, "c", ""},
+		"searched, owner closed": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
+			d.rememberSearch(in, *a)
+			d.markSearched(flow)
+		}, ReasonDetour, "a", "c"},
+		"searched, owner closed, copied by the entry": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
+			a.Header.Position = framer.PositionOwnerClosed
+			d.rememberSearch(in, *a)
+			d.markSearched(flow)
+		}, ReasonDetour, "a", ""},
+		"searched, on a detour": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
+			a.Header.Position = framer.PositionDetour
+			d.rememberSearch(in, *a)
+			d.markSearched(flow)
+		}, ReasonNoHolder, "", ""},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			d, in, a := newDecider(), inputAt(10, member(4), table), later
+			d.target.PredatesAgent = false
+			in.Closed = test.closed
+			d.observeTable(in)
+			test.prepare(d, in, &a)
+			decision := d.FromPeer(in, a)
+			require.Equal(t, test.reason, decision.Reason, decision.Reason.String())
+			require.Equal(t, test.to, domainOf[decision.To])
+			require.Equal(t, test.copied, domainOf[decision.Copy])
+		})
+	}
+}
+
+// TestNoticesAfterCut guards against an owner behind a cut that does not learn after it which agent holds its flow.
+func TestNoticesAfterCut(t *testing.T) {
+	table := tableOf(6)
+	flow := ownedBy(t, table, member(2))
+	d, in := newDecider(), inputAt(10, member(1), table)
+	in.Closed = []string{"c"}
+	require.Equal(t, ReasonOpened, d.FromPeer(in, syn(flow, 0)).Reason)
+	d.FromTarget(in, synAck(flow))
+	d.FromPeer(in, ack(flow, 501))
+	d.Notices(in)
+	require.False(t, d.HasNotices(in))
+	in.Now, in.Closed = 1_000, nil
+	require.True(t, d.HasNotices(in))
+	require.Contains(t, d.Notices(in), Notice{To: member(2).Address, Use: noticeHeld, Flows: []cherviltide.FlowKey{flow}})
+	require.False(t, d.HasNotices(in))
+}
