--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -30,6 +30,7 @@
 	{"overload", runOverload},
 	{"warm-up", runWarmUp},
 	{"hard-load-links", runHardLoadLinks},
+	{"cuts", runCuts},
 	{"at-most-once", runClaims},
 	{"placement-add", placementAdd},
 	{"placement-drain", placementDrain},
--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -56,8 +56,8 @@
 	Dir, Binary string
 	// BehindProxies is true when proxies listen on the addresses of the control instances.
 	BehindProxies bool
-	// Zones has the zones of machines that are not in the zone "z".
-	Zones map[int]string
+	// FailureDomains are those of the machines by their numbers; other machines are in one domain.
+	FailureDomains map[int]string
 	// NicMbps is the rate of the links of the machines, in Mbit/s; 0 means that the settings do not tell it.
 	NicMbps float64
 }
@@ -92,10 +92,10 @@
 // DataDir returns the directory for the state of a daemon.
 func (s *Site) DataDir(d Daemon) string { return filepath.Join(s.Dir, d.Name()+".data") }
 
-// ZoneOf returns the zone of a machine.
-func (s *Site) ZoneOf(machine int) string {
-	if zone, ok := s.Zones[machine]; ok {
-		return zone
+// FailureDomainOf returns the failure domain of a machine.
+func (s *Site) FailureDomainOf(machine int) string {
+	if domain, ok := s.FailureDomains[machine]; ok {
+		return domain
 	}
 	return "z"
 }
@@ -109,7 +109,7 @@
 	}
 	n := d.Machine
 	settings := map[string]any{
-		"NodeName": d.Name(), "Ip": s.Address(n, 0).Addr().String(), "Zone": s.ZoneOf(n), "Region": "r", "Seeds": addresses, "Bootstrap": bootstrap,
+		"NodeName": d.Name(), "Ip": s.Address(n, 0).Addr().String(), "Zone": s.FailureDomainOf(n), "Region": "r", "Seeds": addresses, "Bootstrap": bootstrap,
 		"InternalPorts": []int{internalPort, internalPort + internalPorts - 1}, "HeartbeatMs": heartbeatMs,
 		"Bounds": map[string]any{"DrainMs": DrainMs, "GraceS": GraceS, "MaxFlowS": maxFlowS, "DowngradeMs": downgradeMs},
 		"Listen": map[string]string{
@@ -118,7 +118,7 @@
 		},
 	}
 	zones := map[string]string{"z": "r"}
-	for _, zone := range s.Zones {
+	for _, zone := range s.FailureDomains {
 		zones[zone] = "r"
 	}
 	settings["Zones"] = zones
--- a/bench/soaker/evacuate.go
+++ b/bench/soaker/evacuate.go
@@ -58,7 +58,7 @@
 // evacuate evacuates the zone of an agent for a duration. A target of the zone that gets a new flow after evacuationPeriod is
 // recorded as a violation.
 func (r *soakRun) evacuate(ctx context.Context, d *daemon, duration time.Duration) error {
-	zone := r.site.ZoneOf(d.Machine)
+	zone := r.site.FailureDomainOf(d.Machine)
 	if !r.zones.tryLock(zone) {
 		r.record.updateCounts(func(c *Counts) { c.Skipped++ })
 		return nil
@@ -77,7 +77,7 @@
 
 // checkEvacuated records a violation for each target of a zone that has got a new flow after the given time.
 func (r *soakRun) checkEvacuated(zone string, limit time.Time) {
-	for machine, name := range r.site.Zones {
+	for machine, name := range r.site.FailureDomains {
 		target := r.backends.target(machine)
 		if name != zone || target == nil {
 			continue
--- a/bench/soaker/soaker.go
+++ b/bench/soaker/soaker.go
@@ -135,7 +135,7 @@
 		// Each goroutine of a run sends one exit, so none blocks.
 		taskExits: make(chan runner.Exit, maxTasks),
 	}
-	r.site.Zones = zonesOf(r.daemons)
+	r.site.FailureDomains = zonesOf(r.daemons)
 	r.backends = newBackends(r)
 	r.operator = newOperator(r)
 	return r
--- a/forwarder/link_test.go
+++ b/forwarder/link_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/shaper"
 )
 
