--- a/bench/replayer/transfer_test.go
+++ b/bench/replayer/transfer_test.go
@@ -16,75 +16,54 @@
 	return patterns[i]
 }
 
-// TestTransfers guards against uploads that take the slots of idle targets while their bytes are under way, so that they and
-// small requests are refused or late. Agents that count whole flows miss the bounds in the same run.
+// TestTransfers guards against uploads and downloads that take the slots of idle targets while their bytes are under way, so
+// that they and small requests are refused or late; against too many downloads at a target that holds a slot until the end of
+// an answer; and against new flows that wait at targets whose open flows have brought more requests than there are slots.
+//
+// Agents that count whole uploads miss the bounds in the same run. Agents that count whole downloads serve 0.32 of them within
+// the goal at targets that give slots back. Agents whose predictions leave out the requests of open flows serve at most 0.970
+// of the new flows of a burst, with seeds 0 to 4.
 func TestTransfers(t *testing.T) {
 	for name, test := range map[string]struct {
-		// The lowest shares within the goal, and the highest share of each kind that is refused.
-		small, upload, refused float64
+		// Seconds of arrival, and the lowest shares within the goal among them by kind.
+		from, to int
+		lowest   map[string]float64
+		// baselineFails is true when agents that count whole uploads miss the bounds and refuse uploads.
+		baselineFails bool
 	}{
-		"uploads": {0.99, 0.99, 0},
+		"uploads": {1, 12, map[string]float64{"small": 0.99, "upload": 0.99}, true},
 		// A fifth of the callers never complete their request.
-		"stalled-uploads": {0.99, 0.75, 0},
+		"stalled-uploads":  {1, 12, map[string]float64{"small": 0.99, "upload": 0.75}, true},
+		"downloads":        {1, 12, map[string]float64{"small": 0.995, "download": 0.95}, false},
+		"held-downloads":   {1, 12, map[string]float64{"small": 0.995, "download": 0.15}, false},
+		"long-flows":       {3, 34, map[string]float64{"small": 0.995, "long": 0.999}, false},
+		"long-flows-burst": {3, 8, map[string]float64{"small": 0.975, "long": 0.996}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(2) {
 				p := transferPattern(t, name)
-				meets := func(r *Report) bool {
-					small, upload := r.Sum(1, 12, "small"), r.Sum(1, 12, "upload")
-					return small.TimelyShare() >= test.small && upload.TimelyShare() >= test.upload &&
-						float64(small.Refused+upload.Refused) <= test.refused*float64(small.Asked+upload.Asked)
+				missed := func(r *Report) (kinds []string) {
+					for kind, lowest := range test.lowest {
+						if r.Sum(test.from, test.to, kind).TimelyShare() < lowest {
+							kinds = append(kinds, kind)
+						}
+					}
+					return kinds
 				}
 				r := Run(p, seed)
-				require.True(t, meets(r), "seed %d: small %+v, upload %+v", seed, r.Sum(1, 12, "small"), r.Sum(1, 12, "upload"))
-				require.Zero(t, r.Doubled, "attempts that ran at two targets, seed %d", seed)
-				require.Zero(t, r.FalseRefusals, "attempts that ran although they were refused, seed %d", seed)
-				require.Zero(t, r.LeftWaiting, "flows that wait for ever, seed %d", seed)
+				require.Empty(t, missed(r), "seed %d: %+v", seed, r.PerSecond)
+				require.Zero(t, r.Doubled+r.FalseRefusals+r.LeftWaiting, "run twice, refused and run, or left waiting, seed %d", seed)
+				require.True(t, p.Kinds[1].Name != "download" || r.LongestQueue <= 4, "requests wait in the targets, seed %d", seed)
+				if !test.baselineFails {
+					continue
+				}
+				require.Zero(t, r.Sum(test.from, test.to).Refused, "seed %d", seed)
 				p.WholeFlows = true
 				baseline := Run(p, seed)
-				require.False(t, meets(baseline), "the baseline meets the bounds, seed %d", seed)
-				require.Positive(t, baseline.Sum(1, 12, "upload").Refused, "the baseline refuses no upload, seed %d", seed)
+				require.NotEmpty(t, missed(baseline), "the baseline meets the bounds, seed %d", seed)
+				require.Positive(t, baseline.Sum(test.from, test.to, "upload").Refused, "the baseline refuses no upload, seed %d", seed)
 				require.Less(t, baseline.Busy, 0.7, "the baseline's targets are busy, seed %d", seed)
 			}
 		})
 	}
 }
-
-// TestLongFlows guards against new flows that wait at targets whose open flows have brought more requests than there are
-// slots. Predictions without these requests give shares below the bounds during the burst: at most 0.970 for new flows and
-// 0.995 for long ones, with seeds 0 to 4.
-func TestLongFlows(t *testing.T) {
-	for name, test := range map[string]struct {
-		to        int
-		new, long float64
-	}{
-		"long-flows":       {34, 0.995, 0.999},
-		"long-flows-burst": {8, 0.975, 0.996},
-	} {
-		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(2) {
-				r := Run(transferPattern(t, name), seed)
-				require.GreaterOrEqual(t, r.Sum(3, test.to, "small").TimelyShare(), test.new, "new flows, seed %d", seed)
-				require.GreaterOrEqual(t, r.Sum(3, test.to, "long").TimelyShare(), test.long, "long flows, seed %d", seed)
-				require.Zero(t, r.Doubled+r.FalseRefusals+r.LeftWaiting, "seed %d", seed)
-			}
-		})
-	}
-}
-
-// TestDownloads guards against downloads that wait for the slots of others although their target has given these back, and
-// against too many downloads at a target that holds a slot until the end of an answer. With agents that count each download
-// to its end, 0.32 of the downloads meet their goal at targets that give slots back (seed 0).
-func TestDownloads(t *testing.T) {
-	for name, lowest := range map[string]float64{"downloads": 0.95, "held-downloads": 0.15} {
-		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(2) {
-				r := Run(transferPattern(t, name), seed)
-				require.GreaterOrEqual(t, r.Sum(1, 12, "small").TimelyShare(), 0.995, "small requests, seed %d", seed)
-				require.GreaterOrEqual(t, r.Sum(1, 12, "download").TimelyShare(), lowest, "downloads, seed %d", seed)
-				require.LessOrEqual(t, r.LongestQueue, 4, "requests that wait in one target, seed %d", seed)
-				require.Zero(t, r.Doubled+r.FalseRefusals+r.LeftWaiting, "seed %d", seed)
-			}
-		})
-	}
-}
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -36,9 +36,8 @@
 	// minSilence is the shortest time without the beginning of an answer that is evidence. It is longer than pauses of a
 	// process for the collection of garbage, and shorter than the deadlines of requests.
 	minSilence cherviltide.Millis = 1_000
-	// A silence is evidence only when it is silenceFactor times the usual service time and slowestFactor times the slowest
-	// answer of the last minutes, so that long requests are not taken for a fault.
-	silenceFactor = 8
+	// A silence is evidence only when it is slowestFactor times the slowest answer of the last minutes, so that long requests
+	// are not taken for a fault.
 	slowestFactor = 2
 	// maxTick bounds the time that one tick adds to a silence. A process that did not run has not observed the target.
 	maxTick cherviltide.Millis = 300
@@ -205,7 +204,7 @@
 
 func (e *evidence) isSilent() bool {
 	slowest := max(e.slowest[0], e.slowest[1])
-	return e.silentFor >= max(minSilence, cherviltide.Millis(silenceFactor*e.usual), slowestFactor*slowest)
+	return e.silentFor >= max(minSilence, slowestFactor*slowest)
 }
 
 // isSlow reports whether recent service times are far above the target's own usual ones and those of the peers. A target
