Do not count assumed requests as unanswered work

A request that counts as complete only because its caller fell silent was work without an answer, so callers that stop after a full packet could make their target look like one that hangs. Such a request still takes its slot for a short time.

go test ./relayer passes.

--- a/relayer/upload.go
+++ b/relayer/upload.go
@@ -89,7 +89,8 @@
 	if d.load.working < d.target.Slots {
 		f.requestedAt = at
 	}
-	if !f.working {
+	// A request that may not be complete is no work that the target leaves without an answer.
+	if !f.working && !t.assumed {
 		f.working = true
 		d.load.working++
 	}
@@ -106,7 +107,7 @@
 		d.stopMoving(t)
 	case t.moving && f.requestSeen && !t.arrived.hasGap() && silence > fullRequestTimeout:
 		d.completeRequest(in, f, t.lastPayloadAt)
-	case t.assumed && f.working && silence > stallTimeout:
+	case t.assumed && f.active && silence > stallTimeout:
 		d.markIdle(f)
 	}
 }
