Measure transfers and grey targets

make measure CASE=transfers and CASE=grey play the patterns with their baselines and print a line for each kind of request.

--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -28,6 +28,8 @@
 	{"journal-replay", journalReplay},
 	{"admission", runAdmission},
 	{"overload", runOverload},
+	{"transfers", runTransfers},
+	{"grey", runGrey},
 	{"at-most-once", runClaims},
 	{"placement-add", placementAdd},
 	{"placement-drain", placementDrain},
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -203,7 +203,7 @@
 
 // withLoad returns a decision with the present load, for the log.
 func (d *Decider) withLoad(decision Decision) Decision {
-	decision.Active, decision.Slots, decision.Waiting = d.load.active, d.target.Slots, d.Waiting()
+	decision.Active, decision.Slots, decision.Transfers, decision.Waiting = d.load.active, d.target.Slots, d.load.transfers, d.Waiting()
 	return decision
 }
 
--- a/relayer/decision.go
+++ b/relayer/decision.go
@@ -91,7 +91,9 @@
 	Notices []Notice
 	// Active and Slots are the active flows and the slots of the target when the decision was made, for the log.
 	Active, Slots int
-	// Waiting is the number of flows that wait for a slot. Wait is the expected wait of a flow that begins to wait or is
+	// Transfers is the number of transfers in progress.
+	Transfers int
+	// Waiting is the number of flows that wait for a slot, or for a place among the transfers. Wait is the expected wait of a flow that begins to wait or is
 	// refused, and the time that a flow has waited when it is opened; for the log.
 	Waiting int
 	Wait    cherviltide.Millis
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -31,7 +31,7 @@
 		zap.Stringer("Reason", decision.Reason), zap.Uint64("Revision", in.Revision), zap.Uint64("SenderRevision", header.Revision),
 		zap.Uint64("Generation", in.Table.Generation()), zap.Uint64("SenderGeneration", header.Generation),
 		zap.Uint8("Hops", header.Hops), zap.Int("Active", decision.Active), zap.Int("Slots", decision.Slots),
-		zap.Int("Waiting", decision.Waiting), zap.Int64("WaitMs", int64(decision.Wait)),
+		zap.Int("Transfers", decision.Transfers), zap.Int("Waiting", decision.Waiting), zap.Int64("WaitMs", int64(decision.Wait)),
 	}
 	if decision.To.IsValid() {
 		fields = append(fields, zap.Stringer("To", decision.To))
