Look for waiting flows only while there are any

Each packet of an open flow was looked up in both queues of waiting flows. BenchmarkHeld took 193 to 217 ns, against 173 to 183 ns before the second queue, on a machine busy with other work. Without the lookups it takes 156 to 182 ns, without allocations.

--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -231,7 +231,9 @@
 func (d *Decider) decideLaterPacket(in Input, a Arrival) Decision {
 	key := a.Header.Flow
 	// The caller sends such a packet after another target has answered, or when it gives up.
-	d.removeWaiting(key)
+	if d.Waiting() > 0 {
+		d.removeWaiting(key)
+	}
 	f := d.flows[key]
 	if f != nil && f.acknowledgesOtherTarget(a.Packet) {
 		d.removeFlow(key, f)
