--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -31,6 +31,8 @@
 	{"warm-up", runWarmUp},
 	{"hard-load-links", runHardLoadLinks},
 	{"cuts", runCuts},
+	{"transfers", runTransfers},
+	{"grey", runGrey},
 	{"at-most-once", runClaims},
 	{"placement-add", placementAdd},
 	{"placement-drain", placementDrain},
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -222,7 +222,7 @@
 
 // withLoad returns a decision with the present load, for the log.
 func (d *Decider) withLoad(decision Decision) Decision {
-	decision.Active, decision.Slots, decision.Waiting = d.load.active, d.target.Slots, d.Waiting()
+	decision.Active, decision.Slots, decision.Transfers, decision.Waiting = d.load.active, d.target.Slots, d.load.transfers, d.Waiting()
 	return decision
 }
 
@@ -250,7 +250,9 @@
 func (d *Decider) decideLaterPacket(in Input, a Arrival) Decision {
 	key := a.Header.Flow
 	// The caller sends such a packet after another target has answered, or when it gives up.
-	d.removeWaiting(key)
+	if d.Waiting() > 0 {
+		d.removeWaiting(key)
+	}
 	f := d.flows[key]
 	if f != nil && f.acknowledgesOtherTarget(a.Packet) {
 		d.removeFlow(key, f)
