--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -56,7 +56,7 @@
 
 // relayRows are the faults of relayed flows and of the platform daemons.
 var relayRows = []row{
-	{"tables of different generations, agents that restart, full targets", "relayed flows", "I1", "relayer", "TestFlowsStayWhereTheyOpened", "rapid", "", passes},
+	{"tables of different generations, evacuations, agents that restart, full targets", "relayed flows", "I1", "relayer", "TestFlowsStayWhereTheyOpened", "rapid", "", passes},
 	{"agent restarts that offered a flow to another one", "relayed flows", "I1", "relayer", "TestRestartedOwnerFindsHolder", "", "", passes},
 	{"agent restarts that holds a flow of another one's bucket", "relayed flows", "I1", "relayer", "TestRestartedHolderLearnsItsFlows", "", "", passes},
 	{"targets replaced one after the other", "relayed flows", "I1", "relayer", "TestNewOwnerFindsHolder", "", "", passes},
--- a/picker/snapshot_test.go
+++ b/picker/snapshot_test.go
@@ -61,11 +61,15 @@
 			require.Equal(t, c.want, e.FaultKind())
 		})
 	}
-	for i := range good {
-		damaged := append([]byte{}, good...)
-		damaged[i] ^= 0x11
-		if restored, err := Restore(testService(), damaged); err == nil {
-			restored.AppendCandidates(nil, testKey(i))
+	evacuated, err := table.WithEvent(9, domainEvent(cherviltide.EventEvacuated, testDomains[0])).Snapshot()
+	require.NoError(t, err)
+	for _, data := range [][]byte{good, evacuated} {
+		for i := range data {
+			damaged := append([]byte{}, data...)
+			damaged[i] ^= 0x11
+			if restored, err := Restore(testService(), damaged); err == nil {
+				restored.AppendCandidates(nil, testKey(i))
+			}
 		}
 	}
 }
--- a/relayer/decider_test.go
+++ b/relayer/decider_test.go
@@ -19,6 +19,7 @@
 	return cherviltide.Member{
 		Name: fmt.Sprintf("agent-%d", n), Role: cherviltide.RoleAgent, Incarnation: 1, Service: service,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000), Weight: cherviltide.NominalWeight,
+		FailureDomain: []string{"z2", "z1"}[n%2],
 	}
 }
 
--- a/relayer/evacuation_test.go
+++ b/relayer/evacuation_test.go
@@ -10,28 +10,19 @@
 	"cherviltide.example/cherviltide/picker"
 )
 
-// evacuated returns a table of two agents in z1 and two in z2, in which the given domains are evacuated.
+// evacuated returns a table of the agents 1 and 3 in z1 and 2 and 4 in z2, in which the given domains are evacuated.
 func evacuated(domains ...string) *picker.Table {
-	t := picker.New(cherviltide.Service{Name: service, ID: cherviltide.ServiceIDOf(service), Buckets: 64})
-	for i := 1; i <= 4; i++ {
-		t = t.WithEvent(uint64(i), cherviltide.MemberEvent{Type: cherviltide.EventJoined, Member: zoned(i)})
-	}
+	t := tableOf(4)
 	for i, domain := range domains {
 		t = t.WithEvent(uint64(5+i), cherviltide.MemberEvent{Type: cherviltide.EventEvacuated, Member: cherviltide.Member{FailureDomain: domain}})
 	}
 	return t
 }
 
-func zoned(n int) cherviltide.Member {
-	m := member(n)
-	m.FailureDomain = []string{"z1", "z1", "z2", "z2"}[n-1]
-	return m
-}
-
 // TestAgentInEvacuatedDomain guards against a new flow that reaches a target of an evacuated domain, against one that is
 // refused although an agent elsewhere takes it, and against an open flow that ends because of the order.
 func TestAgentInEvacuatedDomain(t *testing.T) {
-	flow := ownedBy(t, evacuated(), zoned(1))
+	flow := ownedBy(t, evacuated(), member(1))
 	opened := func(d *Decider, in *Input, _ *Arrival) {
 		before := *in
 		before.Table = evacuated()
@@ -65,11 +56,11 @@
 		"packet of an open flow":       {evacuated("z1", "z2"), func(d *Decider, in *Input, a *Arrival) { opened(d, in, a); *a = ack(flow, 501) }, ActionDeliver, ReasonHeld, 0},
 		"another domain":               {evacuated("z2"), nil, ActionDeliver, ReasonOpened, 0},
 		"agent without the order yet":  {evacuated(), nil, ActionDeliver, ReasonOpened, 0},
-		"withdrawn":                    {evacuated("z1").WithEvent(9, cherviltide.MemberEvent{Type: cherviltide.EventRestored, Member: zoned(1)}), nil, ActionDeliver, ReasonOpened, 0},
+		"withdrawn":                    {evacuated("z1").WithEvent(9, cherviltide.MemberEvent{Type: cherviltide.EventRestored, Member: member(1)}), nil, ActionDeliver, ReasonOpened, 0},
 		"started, and no table is yet": {picker.New(cherviltide.Service{Name: service}).WithEvacuated([]string{"z1"}), nil, ActionRefuse, ReasonEvacuated, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d, in, a := newDecider(), inputAt(10, zoned(1), test.table), syn(flow, 0)
+			d, in, a := newDecider(), inputAt(10, member(1), test.table), syn(flow, 0)
 			in.Rules = rules{accepts: true, revision: 1, route: cherviltide.Route{Goal: 250, Deadline: 2_500}}
 			if test.prepare != nil {
 				test.prepare(d, &in, &a)
@@ -86,7 +77,7 @@
 			require.Equal(t, test.reason, decision.Reason, decision.Reason.String())
 			require.Equal(t, test.flags, decision.Header.Flags)
 			if decision.Action == ActionForward && decision.Reason != ReasonDeclined {
-				require.Contains(t, []cherviltide.Member{zoned(3), zoned(4)}, memberAt(decision))
+				require.Contains(t, []cherviltide.Member{member(2), member(4)}, memberAt(decision))
 			}
 		})
 	}
@@ -100,8 +91,8 @@
 // memberAt returns the agent that a packet is forwarded to.
 func memberAt(decision Decision) cherviltide.Member {
 	for i := 1; i <= 4; i++ {
-		if zoned(i).Address == decision.To {
-			return zoned(i)
+		if member(i).Address == decision.To {
+			return member(i)
 		}
 	}
 	return cherviltide.Member{}
--- a/relayer/model_test.go
+++ b/relayer/model_test.go
@@ -167,6 +167,8 @@
 // targetReceive carries out what the target does with a delivered packet: it answers, takes or returns the packet.
 func (s *simulation) targetReceive(p *pair, decision Decision, flow cherviltide.FlowKey, packet cherviltide.Packet) {
 	open, held := p.held[flow]
+	evacuated := packet.OpensFlow() && s.input(p).isEvacuated()
+	require.False(s.t, evacuated && !held, "a new flow reached a target of an evacuated domain")
 	held = held && (open || packet.OpensFlow() || packet.Acknowledgement == p.sequence()+1)
 	if packet.OpensFlow() && (held || len(p.held) < p.slots) {
 		if !held {
@@ -214,7 +216,8 @@
 }
 
 // TestFlowsStayWhereTheyOpened guards against packets of an open flow that reach another target or none, while agents
-// receive table changes at different times, agents restart without their targets, and targets are full.
+// receive table changes at different times, failure domains are evacuated and restored, agents restart without their targets,
+// and targets are full. It also guards against a new flow that reaches a target whose agent knows that its domain is evacuated.
 func TestFlowsStayWhereTheyOpened(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		agents := rapid.IntRange(2, 5).Draw(t, "agents")
@@ -222,7 +225,7 @@
 		for step := range rapid.IntRange(5, 40).Draw(t, "steps") {
 			s.now += cherviltide.Millis(rapid.IntRange(0, 300).Draw(t, "pause"))
 			agent := rapid.IntRange(0, agents-1).Draw(t, "agent")
-			switch rapid.IntRange(0, 6).Draw(t, fmt.Sprint("action ", step)) {
+			switch rapid.IntRange(0, 7).Draw(t, fmt.Sprint("action ", step)) {
 			case 0, 1:
 				s.lastPort++
 				s.flows[key(s.lastPort)] = &caller{}
@@ -247,6 +250,9 @@
 				p.table = rapid.IntRange(p.table, len(s.tables)-1).Draw(t, "table")
 			case 6:
 				s.startAgent(s.agents[agent], true)
+			case 7:
+				kind := rapid.SampledFrom([]cherviltide.EventType{cherviltide.EventEvacuated, cherviltide.EventRestored}).Draw(t, "order")
+				s.changeTable(kind, agent)
 			}
 			for _, p := range s.agents {
 				s.startWaiting(p)
