Refuse uploads early that would miss their goal at an entry

An opening packet waited as long as it could be admitted before its caller gave up, and the caller learned of a wait of a second only at its end. One that will miss its goal is now refused if it would wait for more than half of the goal.

--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -48,6 +48,9 @@
 	MaxTransfers = 4_096
 	// maxWaitingBytes bounds the memory of the opening packets that wait, in bytes.
 	maxWaitingBytes = 1 << 20
+	// maxLateWait is the share of its goal for which a flow that will miss the goal may wait. The caller of one that would wait
+	// longer has a better chance at another entry.
+	maxLateWait = 0.5
 	// smoothing is the weight of a new value in the means of times.
 	smoothing = 0.125
 )
@@ -60,7 +63,7 @@
 	VerdictForward  Verdict = iota // The packet is forwarded at once.
 	VerdictWait                    // The packet waits; Next returns it later.
 	VerdictAbsorbed                // A packet of the same flow waits, which this one has replaced.
-	VerdictRefuse                  // The flow cannot be admitted before its caller gives up.
+	VerdictRefuse                  // The flow cannot be admitted before its caller gives up, or would miss its goal by far.
 )
 
 // Opening is the opening packet of an upload.
@@ -223,12 +226,16 @@
 		return VerdictRefuse
 	}
 	s.updateCapacity(now)
-	w := &waitingOpening{Opening: o, since: now}
-	if _, verdict := s.queue.Submit(now, s.queued(now, o), w); verdict == queuer.VerdictRefused {
+	f := s.queued(now, o)
+	switch wait, verdict := s.queue.Predict(now, f); {
+	case verdict == queuer.VerdictRefused:
+		return VerdictRefuse
+	case verdict == queuer.VerdictLate && float64(wait) > maxLateWait*float64(o.Goal):
 		return VerdictRefuse
 	}
-	w.Datagram = append([]byte(nil), o.Datagram...)
-	s.waitingBytes += len(w.Datagram)
+	o.Datagram = append([]byte(nil), o.Datagram...)
+	s.waitingBytes += len(o.Datagram)
+	s.queue.Submit(now, f, &waitingOpening{Opening: o, since: now})
 	return VerdictWait
 }
 
