Test the bound of a cold target with processes

Settings, configuration, heartbeats and data path were only tested alone. A cold target with a bound of 20 opening packets a second is flooded by 40 callers while its agent is killed and starts again; the target counts what it gets.

go test ./platform -run TestColdTargetOfProcesses passes (10 s). It fails without the bound in the data path (13,450 packets in a second), without the start time of heartbeats (16,613), and when the second before the agent's start does not count as spent (40).

--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -66,6 +66,7 @@
 	{"outage, burst, lost, slow or overloaded targets, bulky transfers", "opening a relayed flow", "I1, I4", "bench/replayer", "TestWorstLoads", "0, 1", "the targets' own queues, in the same test", passes},
 	{"target leaves, agent stops, caller gives up or uses the port again", "a new flow waits for a slot", "I1, I4, I7", "relayer", "TestWaitingFlowEnds", "", "", passes},
 	{"target starts, heartbeats hide or claim its warm-up, agent restarts", "opening packets in any second", "I4", "pacer", "TestBoundOfAnySecond", "rapid", "", passes},
+	{"agent of a cold target killed", "opening packets in any second", "I4", "platform", "TestColdTargetOfProcesses", "", "", passes},
 	{"target cold", "each path of an opening packet", "I4", "relayer", "TestColdTargetIsBounded", "rapid", "", passes},
 	{"target or failure domain restarts, slower target, heartbeats misreport", "opening a relayed flow", "I4", "bench/replayer", "TestColdTargets", "0, 1", "no ramp or a linear ramp, in the same test", passes},
 	{"packets with any header fields", "relayed flows", "I4", "relayer", "FuzzDecider", "fuzz", "", passes},
--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -56,6 +56,8 @@
 	Dir, Binary string
 	// BehindProxies is true when proxies listen on the addresses of the control instances.
 	BehindProxies bool
+	// WarmupExcess and WarmupMargin are the hard bound for cold targets in the settings; there is none if both are 0.
+	WarmupExcess, WarmupMargin float64
 }
 
 // Daemon is a process of the system on a machine.
@@ -105,6 +107,10 @@
 			"Admin": s.Address(n, adminPort).String(), "outbound": s.Address(n, outboundPort).String(),
 		},
 	}
+	if s.WarmupExcess > 0 || s.WarmupMargin > 0 {
+		bounds := settings["Bounds"].(map[string]any)
+		bounds["WarmupExcess"], bounds["WarmupMargin"] = s.WarmupExcess, s.WarmupMargin
+	}
 	switch d.Role {
 	case RoleControl:
 		settings["DataDir"] = s.DataDir(d)
--- a/bench/relaypath/target.go
+++ b/bench/relaypath/target.go
@@ -35,10 +35,13 @@
 	// opened counts flows, notHeld packets of flows that the target does not hold, and corrupted those with a wrong
 	// checksum.
 	opened, notHeld, corrupted int
-	sequence                   uint64
-	stop                       context.CancelFunc
-	done                       chan struct{}
-	stopOnce                   sync.Once
+	// openings has the times of all opening packets of the last second, and mostOpenings the most in a second.
+	openings     []time.Time
+	mostOpenings int
+	sequence     uint64
+	stop         context.CancelFunc
+	done         chan struct{}
+	stopOnce     sync.Once
 }
 
 // Counts has the number of opened flows, of packets of flows that the target does not hold, and of corrupted packets.
@@ -106,6 +109,21 @@
 	return t.lastOpened
 }
 
+// MostOpenings returns the highest number of opening packets, also copies, that the target got in any second.
+func (t *Target) MostOpenings() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.mostOpenings
+}
+
+func (t *Target) recordOpening(now time.Time) {
+	t.openings = append(t.openings, now)
+	for now.Sub(t.openings[0]) > time.Second {
+		t.openings = t.openings[1:]
+	}
+	t.mostOpenings = max(t.mostOpenings, len(t.openings))
+}
+
 func (t *Target) receive() {
 	buffer := make([]byte, 2048)
 	for {
@@ -141,6 +159,7 @@
 	storedSequence, held := t.flows[key]
 	switch {
 	case p.Flags == Syn:
+		t.recordOpening(time.Now())
 		if !held {
 			t.opened++
 			t.flows[key] = initialSequence
