--- a/pacer/window_test.go
+++ b/pacer/window_test.go
@@ -52,6 +52,10 @@
 				p.Unanswered(now)
 			case 5:
 				now += p.WaitBehind(now, rapid.IntRange(0, 3).Draw(t, "ahead"))
+			case 6:
+				// The rules change for a moment.
+				p.SetService(now, cherviltide.WarmUp{Duration: 1_000, Rate: rapid.Float64Range(0, 5_000).Draw(t, "other rate"), HasRate: true}, 0)
+				p.SetService(now, warmUp, 0)
 			default:
 				for range rapid.IntRange(1, 30).Draw(t, "packets") {
 					if p.Allow(now) {
