--- a/bench/relaypath/site.go
+++ b/bench/relaypath/site.go
@@ -60,6 +60,8 @@
 	FailureDomains map[int]string
 	// NicMbps is the rate of the links of the machines, in Mbit/s; 0 means that the settings do not tell it.
 	NicMbps float64
+	// WarmupExcess and WarmupMargin are the hard bound for cold targets in the settings; there is none if both are 0.
+	WarmupExcess, WarmupMargin float64
 }
 
 // Daemon is a process of the system on a machine.
@@ -125,6 +127,10 @@
 	if s.NicMbps > 0 {
 		settings["Limits"] = map[string]float64{"NicMbps": s.NicMbps}
 	}
+	if s.WarmupExcess > 0 || s.WarmupMargin > 0 {
+		bounds := settings["Bounds"].(map[string]any)
+		bounds["WarmupExcess"], bounds["WarmupMargin"] = s.WarmupExcess, s.WarmupMargin
+	}
 	switch d.Role {
 	case RoleControl:
 		settings["DataDir"] = s.DataDir(d)
--- a/pacer/window_test.go
+++ b/pacer/window_test.go
@@ -52,6 +52,10 @@
 				p.Unanswered(now)
 			case 5:
 				now += p.WaitBehind(now, rapid.IntRange(0, 3).Draw(t, "ahead"))
+			case 6:
+				// The rules change for a moment.
+				p.SetService(now, cherviltide.WarmUp{Duration: 1_000, Rate: rapid.Float64Range(0, 5_000).Draw(t, "other rate"), HasRate: true}, 0)
+				p.SetService(now, warmUp, 0)
 			default:
 				for range rapid.IntRange(1, 30).Draw(t, "packets") {
 					if p.Allow(now) {
@@ -119,7 +123,7 @@
 		require.Zero(t, p.Wait(now+at))
 		p.Record(now + at)
 	}
-	for ahead, want := range []cherviltide.Millis{2_000, 2_100, 2_300, 3_050, 3_150} {
+	for ahead, want := range []cherviltide.Millis{2_000, 2_100, 2_300, 2_000 + windowLength, 2_100 + windowLength} {
 		require.Equal(t, want+windowLength-300, p.WaitBehind(now+300, ahead)+2_000, "%d ahead", ahead)
 	}
 }
