Play cuts between failure domains in the replayer

The model of entries, agents and callers moves from a test to bench/replayer, so that make measure CASE=cuts prints its results beside those of the earlier behaviour.

--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -28,6 +28,7 @@
 	{"journal-replay", journalReplay},
 	{"admission", runAdmission},
 	{"overload", runOverload},
+	{"cuts", runCuts},
 	{"at-most-once", runClaims},
 	{"placement-add", placementAdd},
 	{"placement-drain", placementDrain},
--- /dev/null
+++ b/bench/replayer/cut.go
@@ -0,0 +1,330 @@
+package replayer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/pinger"
+	"cherviltide.example/cherviltide/reacher"
+	"cherviltide.example/cherviltide/relayer"
+)
+
+// Times of a cut between failure domains. Flows are opened until its end, and their packets go on after it.
+const (
+	cutFrom         cherviltide.Millis = 1_000
+	cutUntil        cherviltide.Millis = 7_000
+	cutEnd          cherviltide.Millis = 9_500
+	cutSettled                         = cutUntil + 500
+	openingInterval cherviltide.Millis = 20
+	requestInterval cherviltide.Millis = 100
+	cutAgents                          = 6
+)
+
+// cutDomains are the failure domains of the model, with one entry and two agents each.
+var cutDomains = []string{"a", "b", "c"}
+
+// Cut is a fault of the network between failure domains. Callers' links are not affected.
+type Cut struct {
+	Name string
+	// Delivers reports whether a datagram between processes of two domains arrives.
+	Delivers func(random *rand.Rand, from, to string) bool
+	// Dead is a domain whose processes are off; its callers are not counted.
+	Dead string
+}
+
+// Cuts returns the faults that are played.
+func Cuts() []Cut {
+	return []Cut{
+		{Name: "nothing gets out of a", Delivers: func(_ *rand.Rand, from, to string) bool { return from != "a" || to == "a" }},
+		{Name: "nothing gets into a", Delivers: func(_ *rand.Rand, from, to string) bool { return to != "a" || from == "a" }},
+		{Name: "a and b cut, c reaches both", Delivers: func(_ *rand.Rand, from, to string) bool { return from+to != "ab" && from+to != "ba" }},
+		{Name: "two cuts", Delivers: func(_ *rand.Rand, from, to string) bool { return from == to }},
+		{Name: "a dead or frozen", Dead: "a", Delivers: func(_ *rand.Rand, from, to string) bool { return from != "a" && to != "a" }},
+		{Name: "30% loss from and to a", Delivers: func(random *rand.Rand, from, to string) bool {
+			return from == to || from != "a" && to != "a" || random.Float64() >= 0.3
+		}},
+	}
+}
+
+// CutReport is the result for the callers of one failure domain.
+type CutReport struct {
+	// Flows were begun during the fault, Opened of them were answered in time.
+	Flows, Opened int
+	// Sent packets of open flows were sent at any time, Arrived of them reached their target; Late ones were sent after the
+	// fault and half a second for the domains to open again.
+	Sent, Arrived, Late, LateArrived int
+	// Broken flows are open flows of which no late packet arrived.
+	Broken int
+	// Misdelivered packets reached a target that does not hold their flow, or another one than the caller's.
+	Misdelivered int
+}
+
+// cutSystem is the state of a run.
+type cutSystem struct {
+	cut    Cut
+	random *rand.Rand
+	now    cherviltide.Millis
+	table  *picker.Table
+	// decides is false for the earlier behaviour, without reachability.
+	decides         bool
+	entries, agents []*cutNode
+	byAddress       map[netip.AddrPort]*cutNode
+	events          map[cherviltide.Millis][]func()
+	flows           []*cutFlow
+	reports         map[string]*CutReport
+}
+
+// cutNode is an entry, or an agent with its target.
+type cutNode struct {
+	domain  string
+	address netip.AddrPort
+	member  cherviltide.Member
+	reacher *reacher.Reacher
+	// decider and held are those of an agent; held has the flows that the target holds.
+	decider *relayer.Decider
+	held    map[cherviltide.FlowKey]bool
+}
+
+// cutFlow is a flow of a caller.
+type cutFlow struct {
+	key      cherviltide.FlowKey
+	entry    *cutNode
+	begunAt  cherviltide.Millis
+	holder   *cutNode
+	received map[uint32]bool
+	// arrivedLate is true after a late packet has arrived.
+	arrivedLate bool
+}
+
+// RunCut plays a fault of 6 s with a new flow each 20 ms and domain. It returns the result by the domain of the callers. decides
+// is false for the earlier behaviour.
+func RunCut(c Cut, decides bool, seed uint64) map[string]*CutReport {
+	s := &cutSystem{
+		cut: c, decides: decides, random: rand.New(rand.NewPCG(seed, 0)), byAddress: map[netip.AddrPort]*cutNode{},
+		events: map[cherviltide.Millis][]func(){}, reports: map[string]*CutReport{},
+		table: picker.New(cherviltide.Service{Name: serviceName, ID: cherviltide.ServiceIDOf(serviceName), Buckets: 64}),
+	}
+	s.addNodes()
+	for at := cutFrom - 500; at < cutUntil; at += openingInterval {
+		for _, e := range s.entries {
+			s.at(at, func() { s.open(e) })
+		}
+	}
+	for ; s.now < cutEnd; s.now++ {
+		for len(s.events[s.now]) > 0 {
+			due := s.events[s.now]
+			delete(s.events, s.now)
+			for _, f := range due {
+				f()
+			}
+		}
+	}
+	for _, f := range s.flows {
+		report := s.reports[f.entry.domain]
+		report.Arrived += len(f.received)
+		if f.holder != nil && !f.arrivedLate {
+			report.Broken++
+		}
+	}
+	return s.reports
+}
+
+// addNodes adds the entries and agents, each with its reacher.
+func (s *cutSystem) addNodes() {
+	domains := make([]reacher.Domain, len(cutDomains))
+	for i := range cutAgents {
+		d := &domains[i%len(domains)]
+		d.Name = cutDomains[i%len(domains)]
+		m := cherviltide.Member{
+			Name: "agent-" + string(rune('1'+i)), Role: cherviltide.RoleAgent, Incarnation: 1, Service: serviceName, FailureDomain: d.Name,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000), Weight: cherviltide.NominalWeight,
+		}
+		d.Agents = append(d.Agents, m.Address)
+		s.table = s.table.WithEvent(uint64(i+1), cherviltide.MemberEvent{Type: cherviltide.EventJoined, Member: m})
+		decider := relayer.NewDecider(relayer.Limits{MaxFlowAge: 60_000, MaxPayload: fullPacketPayload}, 0)
+		decider.SetTarget(relayer.Target{Slots: 30, AcceptsNewFlows: true, LastResort: true}, false)
+		s.agents = append(s.agents, &cutNode{domain: d.Name, address: m.Address, member: m, decider: decider, held: map[cherviltide.FlowKey]bool{}})
+	}
+	for i, name := range cutDomains {
+		s.entries = append(s.entries, &cutNode{domain: name, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 7000)})
+		s.reports[name] = &CutReport{}
+	}
+	for _, n := range slices.Concat(s.entries, s.agents) {
+		s.byAddress[n.address] = n
+		limits := pinger.EntryLimits
+		if n.decider != nil {
+			limits = pinger.AgentLimits
+		}
+		n.reacher = reacher.New(limits, n.domain)
+		probed := slices.Clone(domains)
+		for i := range probed {
+			probed[i].Agents = slices.DeleteFunc(slices.Clone(probed[i].Agents), func(a netip.AddrPort) bool { return a == n.address })
+		}
+		n.reacher.SetDomains(probed)
+		s.at(cherviltide.Millis(s.random.IntN(50)), func() { s.tick(n) })
+	}
+}
+
+func (s *cutSystem) at(delay cherviltide.Millis, f func()) {
+	s.events[s.now+delay] = append(s.events[s.now+delay], f)
+}
+
+// transmit calls f for the receiver after the delay between processes, if the datagram arrives.
+func (s *cutSystem) transmit(from *cutNode, to netip.AddrPort, f func(to *cutNode)) {
+	receiver := s.byAddress[to]
+	if receiver == nil || s.now >= cutFrom && s.now < cutUntil && !s.cut.Delivers(s.random, from.domain, receiver.domain) {
+		return
+	}
+	s.at(agentDelay, func() { f(receiver) })
+}
+
+// tick sends the probes and notices of a process that are due.
+func (s *cutSystem) tick(n *cutNode) {
+	for _, p := range n.reacher.Tick(s.now, true) {
+		s.transmit(n, p.To, func(to *cutNode) {
+			s.transmit(to, n.address, func(*cutNode) { n.reacher.Echo(s.now, p.Number) })
+		})
+	}
+	if n.decider != nil && n.decider.HasNotices(s.input(n)) {
+		s.sendNotices(n, n.decider.Notices(s.input(n)))
+	}
+	s.at(n.reacher.NextTick(s.now), func() { s.tick(n) })
+}
+
+func (s *cutSystem) input(n *cutNode) relayer.Input {
+	return relayer.Input{Now: s.now, Self: n.member, Table: s.table, Revision: 1, Rules: cutRules{}, Closed: s.closed(n)}
+}
+
+// cutRules implements relayer.Rules: all routes lead to the one service.
+type cutRules struct{}
+
+func (cutRules) AcceptsNewFlows(netip.AddrPort) bool    { return true }
+func (cutRules) RouteRevision(netip.AddrPort) uint64    { return 1 }
+func (cutRules) Route(netip.AddrPort) cherviltide.Route { return cherviltide.Route{} }
+
+func (s *cutSystem) closed(n *cutNode) []string {
+	if !s.decides {
+		return nil
+	}
+	return n.reacher.Closed()
+}
+
+// enter lets an entry forward a caller's packet as forwarder.Relay does.
+func (s *cutSystem) enter(f *cutFlow, p cherviltide.Packet) {
+	p.Source, p.Destination = f.key.Caller, f.key.Virtual
+	header := framer.Header{Flow: f.key, Revision: 1, ServiceCount: 1, Generation: s.table.Generation()}
+	owner, _ := s.table.Pick(f.key)
+	agent, _ := s.table.PickOpen(f.key, s.closed(f.entry))
+	if agent.Address != owner.Address {
+		header.Position = framer.PositionOwnerClosed
+		if !p.OpensFlow() {
+			s.toAgent(f.entry, owner.Address, relayer.Arrival{Header: header, Packet: p})
+		}
+	}
+	s.toAgent(f.entry, agent.Address, relayer.Arrival{Header: header, Packet: p})
+}
+
+func (s *cutSystem) toAgent(from *cutNode, to netip.AddrPort, a relayer.Arrival) {
+	a.Sender = from.address
+	s.transmit(from, to, func(n *cutNode) {
+		if n.decider != nil {
+			s.execute(n, n.decider.FromPeer(s.input(n), a), a)
+		}
+	})
+}
+
+func (s *cutSystem) sendNotices(n *cutNode, notices []relayer.Notice) {
+	for _, x := range notices {
+		header := framer.Header{Flags: framer.FlagHolderNotice, Position: x.Use, Entry: x.Holder}
+		s.toAgent(n, x.To, relayer.Arrival{Header: header, Flows: x.Flows})
+	}
+}
+
+func (s *cutSystem) execute(n *cutNode, decision relayer.Decision, a relayer.Arrival) {
+	s.sendNotices(n, decision.Notices)
+	if decision.Notify.IsValid() {
+		s.sendNotices(n, []relayer.Notice{{To: decision.Notify, Flows: []cherviltide.FlowKey{a.Header.Flow}}})
+	}
+	switch decision.Action {
+	case relayer.ActionForward:
+		next := relayer.Arrival{Header: decision.Header, Packet: a.Packet}
+		s.toAgent(n, decision.To, next)
+		if decision.Copy.IsValid() {
+			s.toAgent(n, decision.Copy, next)
+		}
+	case relayer.ActionDeliver:
+		s.targetReceive(n, a)
+	}
+}
+
+// targetReceive answers an opening packet or a request. The answers reach the caller directly.
+func (s *cutSystem) targetReceive(n *cutNode, a relayer.Arrival) {
+	key := a.Header.Flow
+	f := s.flows[key.Caller.Port()-1024]
+	answer := cherviltide.Packet{Source: key.Virtual, Destination: key.Caller, Flags: cherviltide.PacketAck, Length: 10}
+	if a.Packet.OpensFlow() {
+		n.held[key] = true
+		answer.Flags, answer.Length = cherviltide.PacketOpen|cherviltide.PacketAck, 0
+		answer.Sequence = uint32(n.address.Addr().As4()[3]) * 10_000_000
+		s.at(callerDelay, func() { s.acknowledge(f, n, answer.Sequence) })
+	} else {
+		if !n.held[key] || f.holder != n {
+			s.reports[f.entry.domain].Misdelivered++
+		}
+		if !f.received[a.Packet.Sequence] && a.Packet.Sequence >= cutLateSequence(f) {
+			s.reports[f.entry.domain].LateArrived++
+			f.arrivedLate = true
+		}
+		f.received[a.Packet.Sequence] = true
+	}
+	n.decider.FromTarget(s.input(n), answer)
+}
+
+// cutLateSequence returns the lowest sequence number of a packet that a caller sends after the fault is over for good: callers
+// number packets by their time.
+func cutLateSequence(f *cutFlow) uint32 { return uint32(cutSettled - f.begunAt) }
+
+// open begins a flow through an entry. Copies of the opening packet follow while no target has answered.
+func (s *cutSystem) open(entry *cutNode) {
+	f := &cutFlow{entry: entry, begunAt: s.now, received: map[uint32]bool{}, key: cherviltide.FlowKey{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, 1}), uint16(1024+len(s.flows))),
+		Virtual: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), 443),
+	}}
+	s.flows = append(s.flows, f)
+	if s.now >= cutFrom {
+		s.reports[entry.domain].Flows++
+	}
+	for i, delay := range append([]cherviltide.Millis{0}, openingRetransmissions...) {
+		s.at(delay, func() {
+			if f.holder == nil {
+				s.enter(f, cherviltide.Packet{Flags: cherviltide.PacketOpen, Retransmission: uint32(i)})
+			}
+		})
+	}
+}
+
+// acknowledge lets the caller take the first target that answers in time, and send requests until the end of the run.
+func (s *cutSystem) acknowledge(f *cutFlow, n *cutNode, sequence uint32) {
+	if f.holder != nil || s.now-f.begunAt >= openingTimeout {
+		return
+	}
+	f.holder = n
+	report := s.reports[f.entry.domain]
+	if f.begunAt >= cutFrom {
+		report.Opened++
+	}
+	for delay := callerDelay; s.now+delay < cutEnd-requestInterval; delay += requestInterval {
+		s.at(delay, func() {
+			p := cherviltide.Packet{Flags: cherviltide.PacketAck, Acknowledgement: sequence + 1, Length: 10, Sequence: uint32(s.now - f.begunAt)}
+			report.Sent++
+			if p.Sequence >= cutLateSequence(f) {
+				report.Late++
+			}
+			s.enter(f, p)
+		})
+	}
+}
