Show in status which failure domains do not reach others

Announcements of relaying entries and agents carry the domains that are closed for them, and status prints for each pair how many members of a domain have closed the other. Control decides nothing by them, and announcements are unchanged while none is closed.

--- a/commands/show.go
+++ b/commands/show.go
@@ -47,7 +47,11 @@
 	for _, m := range res.Members {
 		t.addRow(m.Member.Name, m.Member.Role, m.Member.Service, m.Member.FailureDomain, m.State, m.Member.Weight, m.RevisionSeen, m.RevisionInForce)
 	}
-	return t.write(console.Out)
+	if err := t.write(console.Out); err != nil {
+		return err
+	}
+	printUnreached(console.Out, res.Members)
+	return nil
 }
 
 type rulesCommand struct {
--- a/controller/members.go
+++ b/controller/members.go
@@ -269,6 +269,7 @@
 			RevisionInForce: announcement.RevisionInForce,
 			Generation:      announcement.Generation,
 			Lags:            record.State != cherviltide.StateDead && announcement.RevisionInForce < res.Revision,
+			Unreached:       announcement.Unreached,
 		})
 	}
 }
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -35,6 +35,8 @@
 	Counters []cherviltide.KindCounts
 	// Rate is the measured service rate in thousandths of the rate of a nominal slot; 0 when it is not known.
 	Rate uint32
+	// Unreached has the failure domains that are closed for an entry or agent: it sends them no new flows.
+	Unreached []string
 	// Forwarded is true when another control instance has forwarded the announcement. It is not forwarded again.
 	Forwarded bool
 }
@@ -118,4 +120,6 @@
 	Generation uint64
 	// Lags is true when the accepted revision is not in force at the member.
 	Lags bool
+	// Unreached has the failure domains that are closed for the member.
+	Unreached []string
 }
