Leave closed failure domains out of announcements when there are none

The field took 11 bytes of each announcement also without closed domains.

go test ./messenger ./commands passes, and go test ./platform -run 'TestFrozen|TestPlatformPath'.

--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -36,7 +36,7 @@
 	// Rate is the measured service rate in thousandths of the rate of a nominal slot; 0 when it is not known.
 	Rate uint32
 	// Unreached has the failure domains that are closed for an entry or agent: it sends them no new flows.
-	Unreached []string
+	Unreached []string `cbor:",omitempty"`
 	// Forwarded is true when another control instance has forwarded the announcement. It is not forwarded again.
 	Forwarded bool
 }
@@ -121,5 +121,5 @@
 	// Lags is true when the accepted revision is not in force at the member.
 	Lags bool
 	// Unreached has the failure domains that are closed for the member.
-	Unreached []string
+	Unreached []string `cbor:",omitempty"`
 }
