Place a copy of an opening packet again when the first went behind a cut

A copy followed the agent that was offered the first packet, or had announced it, also across a cut. If the flow is not confirmed there, the copy is now placed like a first packet. The flow belongs to the target whose answer the caller acknowledges, as before.

--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -65,11 +65,15 @@
 	}
 	if a.Packet.Retransmission > 0 {
 		// Another agent may have opened the flow for an earlier transmission of the packet.
-		if remote.state == remoteHeld && remote.agent != a.Sender {
+		behindCut := !remote.confirmed && d.isClosedAgent(in, remote.agent)
+		if remote.state == remoteHeld && remote.agent != a.Sender && !behindCut {
 			return d.forward(in, a, remote.agent, framer.FlagOffered, d.offerPosition(in, a, remote.attempt), ReasonOffered)
 		}
 		if remote.state == remoteOffered {
 			// The agent that was offered the first packet would have sent a holder notice if it had opened the flow.
+			if behindCut {
+				return d.placeFlow(in, a, 0)
+			}
 			return d.placeFlow(in, a, remote.attempt+1)
 		}
 		if a.Header.Position != framer.PositionOwnerClosed &&
--- a/relayer/reach_test.go
+++ b/relayer/reach_test.go
@@ -38,6 +38,15 @@
 			*a = syn(flow, 1)
 			a.Header.Position = framer.PositionOwnerClosed
 		}, ReasonOpened, "", ""},
+		"copy, first one offered to an agent that is now closed": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
+			*a = syn(flow, 1)
+			d.remoteFlows.set(flow, remoteFlow{state: remoteOffered, agent: holder, attempt: 2}, in.Now)
+			d.load.active = 2
+		}, ReasonOffered, "b", ""},
+		"copy, first one opened by an agent that is now closed": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
+			*a = syn(flow, 1)
+			d.recordHolder(in, flow, holder, false)
+		}, ReasonOpened, "", ""},
 		"offer, all others closed": {[]string{"a", "c"}, func(d *Decider, _ Input, a *Arrival) {
 			*a = syn(flow, 0)
 			d.load.active = 2
@@ -74,6 +83,7 @@
 			d.target.PredatesAgent = false
 			in.Closed = test.closed
 			d.observeTable(in)
+			d.tableChangedAt = -tableSettleTime
 			test.prepare(d, in, &a)
 			decision := d.FromPeer(in, a)
 			require.Equal(t, test.reason, decision.Reason, decision.Reason.String())
