--- a/bench/replayer/cut.go
+++ b/bench/replayer/cut.go
@@ -57,6 +57,8 @@
 	// Sent packets of open flows were sent at any time, Arrived of them reached their target; Late ones were sent after the
 	// fault and half a second for the domains to open again.
 	Sent, Arrived, Late, LateArrived int
+	// Broken flows are open flows of which no late packet arrived.
+	Broken int
 	// Misdelivered packets reached a target that does not hold their flow, or another one than the caller's.
 	Misdelivered int
 }
@@ -94,6 +96,8 @@
 	begunAt  cherviltide.Millis
 	holder   *cutNode
 	received map[uint32]bool
+	// arrivedLate is true after a late packet has arrived.
+	arrivedLate bool
 }
 
 // RunCut plays a fault of 6 s with a new flow each 20 ms and domain. It returns the result by the domain of the callers. decides
@@ -120,7 +124,11 @@
 		}
 	}
 	for _, f := range s.flows {
-		s.reports[f.entry.domain].Arrived += len(f.received)
+		report := s.reports[f.entry.domain]
+		report.Arrived += len(f.received)
+		if f.holder != nil && !f.arrivedLate {
+			report.Broken++
+		}
 	}
 	return s.reports
 }
@@ -269,6 +277,7 @@
 		}
 		if !f.received[a.Packet.Sequence] && a.Packet.Sequence >= cutLateSequence(f) {
 			s.reports[f.entry.domain].LateArrived++
+			f.arrivedLate = true
 		}
 		f.received[a.Packet.Sequence] = true
 	}
--- a/bench/replayer/cut_test.go
+++ b/bench/replayer/cut_test.go
@@ -28,6 +28,7 @@
 				earlier := without[domain]
 				t.Logf("callers of %s: with %+v, without %+v", domain, *r, *earlier)
 				require.Zero(t, r.Misdelivered)
+				require.Zero(t, r.Broken)
 				if domain == c.Dead {
 					continue
 				}
--- a/controller/members.go
+++ b/controller/members.go
@@ -281,6 +281,7 @@
 			Generation:      announcement.Generation,
 			OpenFlows:       announcement.OpenFlows,
 			Lags:            record.State != cherviltide.StateDead && announcement.RevisionInForce < res.Revision,
+			Unreached:       announcement.Unreached,
 		})
 	}
 }
