Begin the pace again when the evacuation of the own domain is withdrawn

Cause: nothing called Pacer.Restart, so a target that had no traffic during an evacuation got all its slots at once afterwards. A pace that was in progress also kept its time limit and had ended meanwhile. Change: the agent begins the pace again with the first table without the evacuation. As before, services without a warm-up have no pace. The log line names the cause Restored.

--- a/pacer/change.go
+++ b/pacer/change.go
@@ -9,6 +9,7 @@
 const (
 	CauseStarted    Cause = "Started"    // The target has started, or reports that it is cold.
 	CauseRecovered  Cause = "Recovered"  // The target takes new flows again.
+	CauseRestored   Cause = "Restored"   // The evacuation of the target's failure domain is withdrawn.
 	CauseSlow       Cause = "Slow"       // The target is much slower than before.
 	CauseUnanswered Cause = "Unanswered" // The target has left a request unanswered.
 )
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -80,8 +80,8 @@
 	p.update(now)
 }
 
-// Restart begins the pace anew for a target that has had no traffic for other reasons than a start, such as an evacuation.
-func (p *Pacer) Restart(now cherviltide.Millis) { p.begin(now, 1, CauseRecovered) }
+// Restart begins the pace anew, with its time limit, for a target that has had no traffic because of an evacuation.
+func (p *Pacer) Restart(now cherviltide.Millis) { p.begin(now, 1, CauseRestored) }
 
 // update computes until when the target is cold, and begins the pace for a target that has started or that is back.
 func (p *Pacer) update(now cherviltide.Millis) {
@@ -173,12 +173,13 @@
 	return p.pace.expected()
 }
 
-// begin limits the target to a number of concurrent requests. A pace that is in progress keeps its time limit.
+// begin limits the target to a number of concurrent requests. A pace that is in progress keeps its time limit,
+// so that repeated causes do not hold the target back for ever; a start or an operator's order begins it again.
 func (p *Pacer) begin(now cherviltide.Millis, limit int, cause Cause) {
 	if p.warmUp.Duration == 0 || p.state.Slots < 2 {
 		return
 	}
-	restart := cause == CauseStarted || !p.pace.active
+	restart := cause == CauseStarted || cause == CauseRestored || !p.pace.active
 	p.pace.begin(now, limit, restart)
 	if restart {
 		p.addChange(Change{At: now, Cause: cause, Limit: limit, Slots: p.state.Slots, Left: max(p.coldUntil-now, 0)})
--- a/relayer/pacing.go
+++ b/relayer/pacing.go
@@ -21,6 +21,8 @@
 	limit int
 	// table is the last table whose service and weights the pacer knows.
 	table *picker.Table
+	// evacuated is true when that table has the agent's failure domain evacuated.
+	evacuated bool
 	// reported is true after the first report of the target.
 	reported bool
 	// heldBack counts the deliveries of opening packets that the hard bound did not allow.
@@ -40,14 +42,19 @@
 	p.limit = p.pacer.Limit(t.ReportedAt)
 }
 
-// observePace gives the pacer the warm-up of the service and the weights of the target's peers when they may have changed, and
-// updates the limit of concurrent requests.
+// observePace gives the pacer the warm-up of the service and the weights of the target's peers when they may have changed, begins
+// the pace anew when the evacuation of the agent's failure domain is withdrawn, and updates the limit of concurrent requests.
 func (d *Decider) observePace(in Input) {
 	p := &d.pacing
 	if in.Table != p.table {
 		p.table = in.Table
 		warmUp := in.Table.Service().WarmUp
 		p.pacer.SetService(in.Now, warmUp, d.peerServiceTime(in, warmUp))
+		evacuated := in.isEvacuated()
+		if p.evacuated && !evacuated {
+			p.pacer.Restart(in.Now)
+		}
+		p.evacuated = evacuated
 	}
 	p.limit = p.pacer.Limit(in.Now)
 }
--- a/relayer/pacing_test.go
+++ b/relayer/pacing_test.go
@@ -153,3 +153,37 @@
 		require.Equal(t, want, limit, class)
 	}
 }
+
+// TestPaceAfterEvacuation guards against a target that gets all its slots at once after the evacuation of its failure domain is
+// withdrawn, also when a former pace would have ended meanwhile, and against a pace without such a withdrawal.
+func TestPaceAfterEvacuation(t *testing.T) {
+	for name, test := range map[string]struct {
+		domain    string
+		hasWarmUp bool
+		// age is that of the target at its report at 10 ms.
+		age  cherviltide.Millis
+		want int
+	}{
+		"own domain":                              {member(1).FailureDomain, true, 600_000, 1},
+		"own domain, target started meanwhile":    {member(1).FailureDomain, true, 5, 1},
+		"own domain of a service without warm-up": {member(1).FailureDomain, false, 600_000, 8},
+		"another domain":                          {member(2).FailureDomain, true, 600_000, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, in := coldDecider(3)
+			d.SetTarget(Target{Slots: 8, AcceptsNewFlows: true, ReportedAt: 10, Age: test.age, HasAge: true}, test.age < 100)
+			if !test.hasWarmUp {
+				in.Table = tableOf(3)
+			}
+			d.Expire(in)
+			domain := cherviltide.Member{FailureDomain: test.domain}
+			in.Table = in.Table.WithEvent(5, cherviltide.MemberEvent{Type: cherviltide.EventEvacuated, Member: domain})
+			d.Expire(in)
+			in.Now += 45_000
+			in.Table = in.Table.WithEvent(6, cherviltide.MemberEvent{Type: cherviltide.EventRestored, Member: domain})
+			d.FromPeer(in, offered(syn(key(3_000), 0)))
+			limit, _ := d.Pace()
+			require.Equal(t, test.want, limit)
+		})
+	}
+}
