Take grey targets out of service only where a deployment asks for it

A given share holds for all services. A service that loses its warm-up time brings its targets back at once. The view of the peers follows a change of the slots, which changed the peers' service time before only with the next table. Run: go test ./relayer -run 'Grey|Quarantine', ./quarantiner and ./platform -run 'Quarantine|Grey|Memory' pass.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -71,6 +71,14 @@
 // New returns the state of a target in service.
 func New(share float64) *Quarantiner { return &Quarantiner{share: share} }
 
+// SetShare sets the largest share of a service that is out. With a share of 0, the target is in service at once.
+func (q *Quarantiner) SetShare(share float64) {
+	if share <= 0 && q.share > 0 {
+		*q = Quarantiner{}
+	}
+	q.share = share
+}
+
 // State returns the state of the target.
 func (q *Quarantiner) State() State { return q.state }
 
--- a/relayer/grey.go
+++ b/relayer/grey.go
@@ -11,16 +11,26 @@
 // earlier may have other reasons.
 const abandonTime cherviltide.Millis = 1_000
 
-// peers is what the table of a generation shows about the service, so that it is read once for each change.
+// peers is what the table of a generation shows about the service to the agent of a target with a number of slots, so that the
+// table is read once for each change.
 type peers struct {
 	generation uint64
+	slots      int
 	view       quarantiner.Peers
 }
 
 // tickQuarantine moves the decision about a grey target on.
 func (d *Decider) tickQuarantine(in Input) {
-	if g := in.Table.Generation(); d.peers.generation != g {
-		d.peers = peers{generation: g, view: d.peersOf(in)}
+	share := d.limits.QuarantineShare
+	if d.limits.QuarantineNeedsWarmUp && in.Table.Service().WarmUp.Duration == 0 {
+		share = 0
+	}
+	d.quarantine.SetShare(share)
+	if share <= 0 {
+		return
+	}
+	if g, slots := in.Table.Generation(), d.target.Slots; d.peers.generation != g || d.peers.slots != slots {
+		d.peers = peers{generation: g, slots: slots, view: d.peersOf(in)}
 	}
 	d.quarantine.Tick(in.Now, d.target.Slots, d.load.working, d.peers.view)
 }
