Test the schedule of a link with a clock that the test advances

Cause: TestLinkPacesDepartures sent its packets by the real clock. On a slow machine the link carried the first packet meanwhile, so that the second one left at once. Change: the link has a cherviltide.Clock; clock.Monotonic replaces the time since the start. The test checks the time of each departure as well.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -1,4 +1,4 @@
-// Package clock provides the system clock and a manual clock for tests. Times are in milliseconds.
+// Package clock provides the system clock, a monotonic clock, and a manual clock for tests. Times are in milliseconds.
 package clock
 
 import (
@@ -21,6 +21,15 @@
 	return cherviltide.Millis(time.Now().UnixMilli())
 }
 
+// Monotonic reads the time since its creation, which steps of the wall clock do not change.
+type Monotonic struct{ started time.Time }
+
+// NewMonotonic returns a monotonic clock that starts at 0.
+func NewMonotonic() Monotonic { return Monotonic{started: time.Now()} }
+
+// Now returns the time since the creation of the clock.
+func (m Monotonic) Now() cherviltide.Millis { return cherviltide.MillisOf(time.Since(m.started)) }
+
 // Manual is a clock that only changes when Advance is called. It is safe for concurrent use.
 type Manual struct {
 	now atomic.Int64
--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/clock"
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/shaper"
@@ -35,8 +36,8 @@
 // link schedules the link of an entry: it connects a Shaper to the clock, to the packets of the entry and to its sockets.
 // It is safe for concurrent use.
 type link struct {
-	relay   *Relay
-	started time.Time
+	relay *Relay
+	clock cherviltide.Clock
 	// receivedAt is the time at which the last packets were received, and of the decisions about them. The clock is read once
 	// for a batch.
 	receivedAt atomic.Int64
@@ -58,18 +59,14 @@
 	if r.config.ShortHeaders {
 		config.ForwardHeader = framer.ShortHeaderSize
 	}
-	l := &link{relay: r, started: time.Now(), waiting: make(chan struct{}, 1), shaper: shaper.New(config)}
+	l := &link{relay: r, clock: clock.NewMonotonic(), waiting: make(chan struct{}, 1), shaper: shaper.New(config)}
 	l.separate = l.shaper.Separate()
 	return l
 }
 
-func (l *link) now() cherviltide.Millis {
-	return cherviltide.MillisOf(time.Since(l.started))
-}
-
 // receive returns the time and keeps it for the decisions about the packets that were received.
 func (l *link) receive() cherviltide.Millis {
-	now := l.now()
+	now := l.clock.Now()
 	l.receivedAt.Store(int64(now))
 	return now
 }
@@ -184,7 +181,7 @@
 func (l *link) nextRelease() (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	wait, waits := l.shaper.Exit.Wait(l.now())
+	wait, waits := l.shaper.Exit.Wait(l.clock.Now())
 	switch {
 	case waits:
 		return min(max(wait.Duration(), time.Millisecond), releaseInterval), true
@@ -220,7 +217,7 @@
 // sendNext queues the next packet that leaves now, and returns false when there is none.
 func (l *link) sendNext(out *sender) bool {
 	l.mu.Lock()
-	p, ok := l.shaper.Exit.Next(l.now())
+	p, ok := l.shaper.Exit.Next(l.clock.Now())
 	l.mu.Unlock()
 	if !ok {
 		return false
@@ -282,7 +279,7 @@
 func (l *link) transfers() (inProgress, waiting int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.shaper.InProgress(l.now()), l.shaper.Waiting()
+	return l.shaper.InProgress(l.clock.Now()), l.shaper.Waiting()
 }
 
 // Transfers returns the numbers of uploads in progress through the link and of opening packets that wait for it; both are 0
--- a/forwarder/link_test.go
+++ b/forwarder/link_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/clock"
 	"cherviltide.example/cherviltide/framer"
 	"cherviltide.example/cherviltide/shaper"
 )
@@ -29,19 +30,22 @@
 	return append(b, byte(flow.Caller.Port()), byte(sequence))
 }
 
-// newLinkFixture returns a relay whose link has a place for one upload, and whose route has the given class.
-func newLinkFixture(t testing.TB, class cherviltide.Class) *relayFixture {
+// newLinkFixture returns a relay whose link has a place for one upload, and whose route has the given class. The link reads a clock
+// that only the test advances.
+func newLinkFixture(t testing.TB, class cherviltide.Class) (*relayFixture, *clock.Manual) {
 	x := newRelayFixture(t)
 	x.relay.config.Codec = linkCodec{}
 	x.relay.config.CallerPort = uint16(x.caller.LocalAddr().(*net.UDPAddr).Port)
 	x.relay.config.Link = shaper.Config{Rate: 200_000, MaxPayload: 1_200, OpeningTimeout: 1_400}
 	x.relay.link = newLink(x.relay)
+	now := clock.NewManual(1)
+	x.relay.link.clock = now
 	x.setRules(1, "a")
 	rules := x.view.Rules.WithRevision(2)
 	rules.Routes = []cherviltide.Route{rules.Routes[0]}
 	rules.Routes[0].Class = class
 	x.view = x.view.WithRules(rules)
-	return x
+	return x, now
 }
 
 // runLink releases waiting packets until the end of the test.
@@ -63,7 +67,7 @@
 // TestLinkReleasesOpenings guards against uploads beyond the places of the link, against a waiting opening packet that is
 // forwarded twice or never, and against admission control of packets of open flows.
 func TestLinkReleasesOpenings(t *testing.T) {
-	x := newLinkFixture(t, cherviltide.ClassUpload)
+	x, _ := newLinkFixture(t, cherviltide.ClassUpload)
 	x.runLink()
 	x.send("\x01\x01")
 	_, payload := x.receivedBy("a")
@@ -87,7 +91,7 @@
 // TestLinkRefuses guards against callers that wait for a time-out instead of a reset, and against a reset that an open flow
 // takes for its own.
 func TestLinkRefuses(t *testing.T) {
-	x := newLinkFixture(t, cherviltide.ClassUpload)
+	x, _ := newLinkFixture(t, cherviltide.ClassUpload)
 	for port := byte(1); x.relay.LinkCounters.Refused.Load() == 0; port++ {
 		x.send(string([]byte{byte(cherviltide.PacketOpen), port}))
 	}
@@ -102,7 +106,7 @@
 func TestLinkIgnoresOtherRoutes(t *testing.T) {
 	for name, class := range map[string]cherviltide.Class{"normal": cherviltide.ClassNormal, "without a rate": cherviltide.ClassUpload} {
 		t.Run(name, func(t *testing.T) {
-			x := newLinkFixture(t, class)
+			x, now := newLinkFixture(t, class)
 			if class == cherviltide.ClassUpload {
 				x.relay.config.Link.Rate = 0
 				x.relay.link = newLink(x.relay)
@@ -110,6 +114,8 @@
 				x.runLink()
 			}
 			for port := byte(1); port < 100; port++ {
+				// The link carries 200 bytes, which is more than a packet has.
+				now.Advance(1)
 				x.send(string([]byte{byte(cherviltide.PacketOpen), port}))
 				_, payload := x.receivedBy("a")
 				require.Equal(t, port, payload[1])
@@ -118,10 +124,11 @@
 	}
 }
 
-// TestLinkPacesDepartures guards against packets that are lost or sent twice when the link is busy, and against small packets
-// behind the data of uploads.
+// TestLinkPacesDepartures guards against packets that are lost, sent twice or sent faster than the rate when the link is busy, and
+// against small packets behind the data of uploads. The link carries 200 bytes/ms and has a backlog of at most 5 ms; the datagrams
+// have 1,328 bytes and 128 bytes with their headers.
 func TestLinkPacesDepartures(t *testing.T) {
-	x := newLinkFixture(t, cherviltide.ClassUpload)
+	x, now := newLinkFixture(t, cherviltide.ClassUpload)
 	for i := range byte(5) {
 		x.send("\x02" + string([]byte{10 + i}) + strings.Repeat("x", 1_200))
 	}
@@ -129,7 +136,16 @@
 	x.requireSent("a", 10)
 	x.requireNothingReceived("a")
 	x.runLink()
-	x.requireSent("a", 1, 11, 12, 13, 14)
+	for _, departure := range []struct {
+		after cherviltide.Millis
+		port  byte
+	}{{2, 1}, {1, 11}, {6, 12}, {7, 13}, {7, 14}} {
+		now.Advance(departure.after - 1)
+		x.requireNothingReceived("a")
+		now.Advance(1)
+		x.requireSent("a", departure.port)
+	}
+	now.Advance(1_000)
 	x.requireNothingReceived("a")
 }
 
@@ -146,7 +162,7 @@
 func BenchmarkLinkAccept(b *testing.B) {
 	for name, class := range map[string]cherviltide.Class{"small": cherviltide.ClassNormal, "upload": cherviltide.ClassUpload} {
 		b.Run(name, func(b *testing.B) {
-			x := newLinkFixture(b, class)
+			x, _ := newLinkFixture(b, class)
 			x.relay.config.Link.Rate = 1 << 40
 			x.relay.link = newLink(x.relay)
 			route := x.view.Routes[relayFlow.Virtual]
