Remove the link rate from the settings of cherviltide entry

Cause: LinkMbps was checked and reported with LinkNotScheduled, but had no effect, since cherviltide entry serves no relayed routes. A setting without effect misleads. The rate of the operators' platform (Limits.NicMbps) stays.

--- a/commands/entry.go
+++ b/commands/entry.go
@@ -43,9 +43,6 @@
 		return err
 	}
 	log.Info("EntryStarted", zap.String("Name", s.Name))
-	if s.LinkMbps != nil {
-		log.Warn("LinkNotScheduled", zap.Float64("LinkMbps", *s.LinkMbps))
-	}
 	path, probe := newProbe(s.Process, f, data.RevisionInForce, log)
 	probe.Counters("Forwarder", &data.Counters)
 	for _, r := range forwarder.Reasons() {
--- a/loader/field.go
+++ b/loader/field.go
@@ -152,8 +152,6 @@
 		return `an address such as "127.0.0.1"`
 	}
 	switch t.Kind() {
-	case reflect.Pointer:
-		return describeType(t.Elem())
 	case reflect.Slice:
 		return "a list, each item " + describeType(t.Elem())
 	case reflect.Struct:
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -40,8 +40,6 @@
 	Listen   netip.Addr     `default:"0.0.0.0"`
 	Ports    []Port         `setting:"required"`
 	Internal netip.AddrPort `setting:"required"`
-	// LinkMbps is the rate of the entry's link; nil when it is not known.
-	LinkMbps *float64 `unit:"Mbit/s"`
 }
 
 // Agent has the settings of an agent.
@@ -146,14 +144,8 @@
 	report(name, "Certificate, Key and Authority are given together or not at all")
 }
 
-// maxLinkMbps is the highest rate of a link, that of the fastest Ethernet.
-const maxLinkMbps = 1_600_000
-
 func (e *Entry) validate(report func(name, format string, args ...any)) {
 	e.validateDataPathRole(report)
-	if rate := e.LinkMbps; rate != nil && (*rate <= 0 || *rate > maxLinkMbps) {
-		report("LinkMbps", "found %v, expected above 0 and at most %d Mbit/s", *rate, maxLinkMbps)
-	}
 	listen, virtual := map[uint16]bool{}, map[uint16]bool{}
 	for _, p := range e.Ports {
 		if p.Listen == 0 || p.Virtual == 0 {
