Keep placing flows among reached agents that control has lost

During a cut that lasts longer than the leases, announcements of a failure domain's members do not reach the leader of the membership group, while its events still reach the domain. Its agents left the tables of its own entries and agents. The own domain was then no longer probed, the cut looked like an isolated process, all domains opened, and new flows went into the cut.

While domains are closed, a process now retains agents that its tables have lost since the first domain was closed (picker.Table.Retain, follower.Retainer). It does so while the active targets in domains that were never closed have less than half of their earlier weight. The retained tables are the present ones with these agents added, so leaving agents, newer incarnations and evacuated domains of the present tables hold, and former owners stay candidates of a search. Agents that do not answer probes are left out. An agent sends the notices of its flows whenever its table changes, also when the generation stays the same.

If no agent with buckets is in an open domain, PickOpen returns the newest former owner there, so that packets of open flows reach the agents of an evacuated domain, which refuse new flows at once.

--- a/bench/measurer/cuts.go
+++ b/bench/measurer/cuts.go
@@ -9,13 +9,14 @@
 	"cherviltide.example/cherviltide/bench/replayer"
 )
 
-// runCuts plays faults of the network between failure domains, with the earlier behaviour without reachability as the baseline.
+// runCuts plays faults of the network between failure domains, with earlier behaviours as baselines: without reachability, and
+// without the agents that a cut has taken out of the tables.
 // Kind is the failure domain of the callers; Timely flows were opened, Lost ones were not. No packet of BrokenFlows arrives after
 // the fault.
 func runCuts(_ context.Context, seed uint64, emit func(Line)) error {
 	for _, c := range replayer.Cuts() {
-		for _, variant := range []string{"", "WithoutReachability"} {
-			reports := replayer.RunCut(c, variant == "", seed)
+		for behaviour, variant := range []string{"WithoutReachability", "WithoutRetention", ""} {
+			reports := replayer.RunCut(c, replayer.CutBehaviour(behaviour), seed)
 			for _, domain := range slices.Sorted(maps.Keys(reports)) {
 				r := reports[domain]
 				emit(Line{
--- a/bench/replayer/cut.go
+++ b/bench/replayer/cut.go
@@ -6,19 +6,20 @@
 	"slices"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
-	"cherviltide.example/cherviltide/picker"
 	"cherviltide.example/cherviltide/pinger"
 	"cherviltide.example/cherviltide/reacher"
 	"cherviltide.example/cherviltide/relayer"
+	"cherviltide.example/cherviltide/tracker"
 )
 
-// Times of a cut between failure domains. Flows are opened until its end, and their packets go on after it.
+// Times of a cut between failure domains. Flows are opened until its end, and their packets go on for cutRest after it.
 const (
 	cutFrom         cherviltide.Millis = 1_000
-	cutUntil        cherviltide.Millis = 7_000
-	cutEnd          cherviltide.Millis = 9_500
-	cutSettled                         = cutUntil + 500
+	cutDuration     cherviltide.Millis = 6_000
+	cutRest         cherviltide.Millis = 2_500
+	cutSettle       cherviltide.Millis = 500
 	openingInterval cherviltide.Millis = 20
 	requestInterval cherviltide.Millis = 100
 	cutAgents                          = 6
@@ -34,16 +35,40 @@
 	Delivers func(random *rand.Rand, from, to string) bool
 	// Dead is a domain whose processes are off; its callers are not counted.
 	Dead string
+	// Expired are the domains whose members' leases run out because their announcements do not reach control; the cut then lasts
+	// longer than the leases. Killed is an agent that is killed during the cut, and Evacuated a domain that is evacuated.
+	Expired           []string
+	Killed, Evacuated string
 }
 
+// outOfA delivers what does not have to get out of a.
+func outOfA(_ *rand.Rand, from, to string) bool { return from != "a" || to == "a" }
+
+// CutBehaviour says which decisions processes make about failure domains.
+type CutBehaviour int
+
+// Behaviours of processes. Earlier ones are baselines.
+const (
+	// CutWithoutReach uses all domains.
+	CutWithoutReach CutBehaviour = iota
+	// CutWithoutRetention avoids closed domains and uses the present tables.
+	CutWithoutRetention
+	// CutPresent is the behaviour of the processes.
+	CutPresent
+)
+
 // Cuts returns the faults that are played.
 func Cuts() []Cut {
 	return []Cut{
-		{Name: "nothing gets out of a", Delivers: func(_ *rand.Rand, from, to string) bool { return from != "a" || to == "a" }},
+		{Name: "nothing gets out of a", Delivers: outOfA},
 		{Name: "nothing gets into a", Delivers: func(_ *rand.Rand, from, to string) bool { return to != "a" || from == "a" }},
 		{Name: "a and b cut, c reaches both", Delivers: func(_ *rand.Rand, from, to string) bool { return from+to != "ab" && from+to != "ba" }},
 		{Name: "two cuts", Delivers: func(_ *rand.Rand, from, to string) bool { return from == to }},
 		{Name: "a dead or frozen", Dead: "a", Delivers: func(_ *rand.Rand, from, to string) bool { return from != "a" && to != "a" }},
+		{Name: "nothing gets out of a, leases run out", Expired: []string{"a"}, Delivers: outOfA},
+		{Name: "nothing gets out of a, leases run out, agent killed", Expired: []string{"a"}, Killed: "agent-4", Delivers: outOfA},
+		{Name: "nothing gets out of a, leases run out, a evacuated", Expired: []string{"a"}, Evacuated: "a", Delivers: outOfA},
+		{Name: "two cuts, leases run out", Expired: []string{"a", "c"}, Delivers: func(_ *rand.Rand, from, to string) bool { return from == to }},
 		{Name: "30% loss from and to a", Delivers: func(random *rand.Rand, from, to string) bool {
 			return from == to || from != "a" && to != "a" || random.Float64() >= 0.3
 		}},
@@ -61,6 +86,8 @@
 	Broken int
 	// Misdelivered packets reached a target that does not hold their flow, or another one than the caller's.
 	Misdelivered int
+	// Evacuated counts the new flows that targets of an evacuated domain got.
+	Evacuated int
 }
 
 // cutSystem is the state of a run.
@@ -68,9 +95,11 @@
 	cut    Cut
 	random *rand.Rand
 	now    cherviltide.Millis
-	table  *picker.Table
-	// decides is false for the earlier behaviour, without reachability.
-	decides         bool
+	// until is the end of the cut, end that of the run.
+	until, end cherviltide.Millis
+	// view is that of all processes: updates of control are not cut off.
+	view            *follower.View
+	behaviour       CutBehaviour
 	entries, agents []*cutNode
 	byAddress       map[netip.AddrPort]*cutNode
 	events          map[cherviltide.Millis][]func()
@@ -84,6 +113,10 @@
 	address netip.AddrPort
 	member  cherviltide.Member
 	reacher *reacher.Reacher
+	// retainer decides which view the process uses.
+	retainer follower.Retainer
+	used     *follower.View
+	killed   bool
 	// decider and held are those of an agent; held has the flows that the target holds.
 	decider *relayer.Decider
 	held    map[cherviltide.FlowKey]bool
@@ -100,21 +133,28 @@
 	arrivedLate bool
 }
 
-// RunCut plays a fault of 6 s with a new flow each 20 ms and domain. It returns the result by the domain of the callers. decides
-// is false for the earlier behaviour.
-func RunCut(c Cut, decides bool, seed uint64) map[string]*CutReport {
+// RunCut plays a fault of 6 s, or one that outlasts the leases, with a new flow each 20 ms and domain. It returns the result by the
+// domain of the callers.
+func RunCut(c Cut, behaviour CutBehaviour, seed uint64) map[string]*CutReport {
 	s := &cutSystem{
-		cut: c, decides: decides, random: rand.New(rand.NewPCG(seed, 0)), byAddress: map[netip.AddrPort]*cutNode{},
-		events: map[cherviltide.Millis][]func(){}, reports: map[string]*CutReport{},
-		table: picker.New(cherviltide.Service{Name: serviceName, ID: cherviltide.ServiceIDOf(serviceName), Buckets: 64}),
+		cut: c, behaviour: behaviour, random: rand.New(rand.NewPCG(seed, 0)), byAddress: map[netip.AddrPort]*cutNode{},
+		events: map[cherviltide.Millis][]func(){}, reports: map[string]*CutReport{}, until: cutFrom + cutDuration,
+		view: follower.NewView().WithRules(cherviltide.Rules{
+			Revision: 1, Services: []cherviltide.Service{{Name: serviceName, ID: cherviltide.ServiceIDOf(serviceName), Buckets: 64}},
+		}),
 	}
+	if len(c.Expired) > 0 {
+		s.until = cutFrom + tracker.LeaseDuration + expiredTime
+	}
+	s.end = s.until + cutRest
 	s.addNodes()
-	for at := cutFrom - 500; at < cutUntil; at += openingInterval {
+	s.planMembership()
+	for at := cutFrom - 500; at < s.until; at += openingInterval {
 		for _, e := range s.entries {
 			s.at(at, func() { s.open(e) })
 		}
 	}
-	for ; s.now < cutEnd; s.now++ {
+	for ; s.now < s.end; s.now++ {
 		for len(s.events[s.now]) > 0 {
 			due := s.events[s.now]
 			delete(s.events, s.now)
@@ -126,7 +166,7 @@
 	for _, f := range s.flows {
 		report := s.reports[f.entry.domain]
 		report.Arrived += len(f.received)
-		if f.holder != nil && !f.arrivedLate {
+		if f.holder != nil && !f.holder.killed && !f.arrivedLate {
 			report.Broken++
 		}
 	}
@@ -135,19 +175,15 @@
 
 // addNodes adds the entries and agents, each with its reacher.
 func (s *cutSystem) addNodes() {
-	domains := make([]reacher.Domain, len(cutDomains))
 	for i := range cutAgents {
-		d := &domains[i%len(domains)]
-		d.Name = cutDomains[i%len(domains)]
 		m := cherviltide.Member{
-			Name: "agent-" + string(rune('1'+i)), Role: cherviltide.RoleAgent, Incarnation: 1, Service: serviceName, FailureDomain: d.Name,
+			Name: "agent-" + string(rune('1'+i)), Role: cherviltide.RoleAgent, Incarnation: 1, Service: serviceName, FailureDomain: cutDomains[i%len(cutDomains)],
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000), Weight: cherviltide.NominalWeight,
 		}
-		d.Agents = append(d.Agents, m.Address)
-		s.table = s.table.WithEvent(uint64(i+1), cherviltide.MemberEvent{Type: cherviltide.EventJoined, Member: m})
+		s.addEvent(cherviltide.EventJoined, m)
 		decider := relayer.NewDecider(relayer.Limits{MaxFlowAge: 60_000, MaxPayload: fullPacketPayload}, 0)
 		decider.SetTarget(relayer.Target{Slots: 30, AcceptsNewFlows: true, LastResort: true}, false)
-		s.agents = append(s.agents, &cutNode{domain: d.Name, address: m.Address, member: m, decider: decider, held: map[cherviltide.FlowKey]bool{}})
+		s.agents = append(s.agents, &cutNode{domain: m.FailureDomain, address: m.Address, member: m, decider: decider, held: map[cherviltide.FlowKey]bool{}})
 	}
 	for i, name := range cutDomains {
 		s.entries = append(s.entries, &cutNode{domain: name, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 7000)})
@@ -160,11 +196,7 @@
 			limits = pinger.AgentLimits
 		}
 		n.reacher = reacher.New(limits, n.domain)
-		probed := slices.Clone(domains)
-		for i := range probed {
-			probed[i].Agents = slices.DeleteFunc(slices.Clone(probed[i].Agents), func(a netip.AddrPort) bool { return a == n.address })
-		}
-		n.reacher.SetDomains(probed)
+		s.updateView(n)
 		s.at(cherviltide.Millis(s.random.IntN(50)), func() { s.tick(n) })
 	}
 }
@@ -176,7 +208,7 @@
 // transmit calls f for the receiver after the delay between processes, if the datagram arrives.
 func (s *cutSystem) transmit(from *cutNode, to netip.AddrPort, f func(to *cutNode)) {
 	receiver := s.byAddress[to]
-	if receiver == nil || s.now >= cutFrom && s.now < cutUntil && !s.cut.Delivers(s.random, from.domain, receiver.domain) {
+	if receiver == nil || from.killed || receiver.killed || s.now >= cutFrom && s.now < s.until && !s.cut.Delivers(s.random, from.domain, receiver.domain) {
 		return
 	}
 	s.at(agentDelay, func() { f(receiver) })
@@ -184,11 +216,16 @@
 
 // tick sends the probes and notices of a process that are due.
 func (s *cutSystem) tick(n *cutNode) {
+	s.updateView(n)
 	for _, p := range n.reacher.Tick(s.now, true) {
 		s.transmit(n, p.To, func(to *cutNode) {
-			s.transmit(to, n.address, func(*cutNode) { n.reacher.Echo(s.now, p.Number) })
+			s.transmit(to, n.address, func(*cutNode) {
+				n.reacher.Echo(s.now, p.Number)
+				n.reacher.Answered(p.To)
+			})
 		})
 	}
+	s.updateView(n)
 	if n.decider != nil && n.decider.HasNotices(s.input(n)) {
 		s.sendNotices(n, n.decider.Notices(s.input(n)))
 	}
@@ -196,7 +233,7 @@
 }
 
 func (s *cutSystem) input(n *cutNode) relayer.Input {
-	return relayer.Input{Now: s.now, Self: n.member, Table: s.table, Revision: 1, Rules: cutRules{}, Closed: s.closed(n)}
+	return relayer.Input{Now: s.now, Self: n.member, Table: n.table(), Revision: 1, Rules: cutRules{}, Closed: s.closed(n)}
 }
 
 // cutRules implements relayer.Rules: all routes lead to the one service.
@@ -207,7 +244,7 @@
 func (cutRules) Route(netip.AddrPort) cherviltide.Route { return cherviltide.Route{} }
 
 func (s *cutSystem) closed(n *cutNode) []string {
-	if !s.decides {
+	if s.behaviour == CutWithoutReach {
 		return nil
 	}
 	return n.reacher.Closed()
@@ -216,9 +253,10 @@
 // enter lets an entry forward a caller's packet as forwarder.Relay does.
 func (s *cutSystem) enter(f *cutFlow, p cherviltide.Packet) {
 	p.Source, p.Destination = f.key.Caller, f.key.Virtual
-	header := framer.Header{Flow: f.key, Revision: 1, ServiceCount: 1, Generation: s.table.Generation()}
-	owner, _ := s.table.Pick(f.key)
-	agent, _ := s.table.PickOpen(f.key, s.closed(f.entry))
+	table := f.entry.table()
+	header := framer.Header{Flow: f.key, Revision: 1, ServiceCount: 1, Generation: table.Generation()}
+	owner, _ := table.Pick(f.key)
+	agent, _ := table.PickOpen(f.key, s.closed(f.entry))
 	if agent.Address != owner.Address {
 		header.Position = framer.PositionOwnerClosed
 		if !p.OpensFlow() {
@@ -267,6 +305,9 @@
 	f := s.flows[key.Caller.Port()-1024]
 	answer := cherviltide.Packet{Source: key.Virtual, Destination: key.Caller, Flags: cherviltide.PacketAck, Length: 10}
 	if a.Packet.OpensFlow() {
+		if !n.held[key] && n.table().IsEvacuated(n.domain) {
+			s.reports[f.entry.domain].Evacuated++
+		}
 		n.held[key] = true
 		answer.Flags, answer.Length = cherviltide.PacketOpen|cherviltide.PacketAck, 0
 		answer.Sequence = uint32(n.address.Addr().As4()[3]) * 10_000_000
@@ -275,7 +316,7 @@
 		if !n.held[key] || f.holder != n {
 			s.reports[f.entry.domain].Misdelivered++
 		}
-		if !f.received[a.Packet.Sequence] && a.Packet.Sequence >= cutLateSequence(f) {
+		if !f.received[a.Packet.Sequence] && a.Packet.Sequence >= s.lateSequence(f) {
 			s.reports[f.entry.domain].LateArrived++
 			f.arrivedLate = true
 		}
@@ -284,9 +325,9 @@
 	n.decider.FromTarget(s.input(n), answer)
 }
 
-// cutLateSequence returns the lowest sequence number of a packet that a caller sends after the fault is over for good: callers
+// lateSequence returns the lowest sequence number of a packet that a caller sends after the fault is over for good: callers
 // number packets by their time.
-func cutLateSequence(f *cutFlow) uint32 { return uint32(cutSettled - f.begunAt) }
+func (s *cutSystem) lateSequence(f *cutFlow) uint32 { return uint32(s.until + cutSettle - f.begunAt) }
 
 // open begins a flow through an entry. Copies of the opening packet follow while no target has answered.
 func (s *cutSystem) open(entry *cutNode) {
@@ -317,11 +358,14 @@
 	if f.begunAt >= cutFrom {
 		report.Opened++
 	}
-	for delay := callerDelay; s.now+delay < cutEnd-requestInterval; delay += requestInterval {
+	for delay := callerDelay; s.now+delay < s.end-requestInterval; delay += requestInterval {
 		s.at(delay, func() {
 			p := cherviltide.Packet{Flags: cherviltide.PacketAck, Acknowledgement: sequence + 1, Length: 10, Sequence: uint32(s.now - f.begunAt)}
+			if n.killed {
+				return
+			}
 			report.Sent++
-			if p.Sequence >= cutLateSequence(f) {
+			if p.Sequence >= s.lateSequence(f) {
 				report.Late++
 			}
 			s.enter(f, p)
--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -196,7 +196,7 @@
 
 // release forwards or refuses the opening packets that wait no longer for a place.
 func (l *link) release(out *sender) {
-	view := l.relay.config.View()
+	view := l.relay.Reach.View(l.relay.config.View())
 	for {
 		l.mu.Lock()
 		d, ok := l.shaper.Next(l.receive())
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -123,7 +123,7 @@
 	for {
 		deadline.renew()
 		n, err := in.read()
-		view := r.config.View()
+		view := r.Reach.View(r.config.View())
 		r.inForce.Store(view.Rules.Revision)
 		if err != nil {
 			if receiverEnded(err, r.closed) {
--- a/picker/open.go
+++ b/picker/open.go
@@ -14,7 +14,9 @@
 // order that is in another domain. The order is the owner, the secondary, and then the owners of buckets that are drawn with
 // the flow's hash, so that the flows of a closed domain spread over the others as their weights say. It is the same in all
 // processes, and closing a further domain does not move the flows of agents in the domains that stay open. If all agents with
-// buckets are in closed domains, PickOpen returns the owner; without closed domains, it is Pick. It does not allocate.
+// buckets are in closed domains, the newest former owner elsewhere follows, such as one in an evacuated domain: it may hold the
+// flow, and refuses a new one at once. Without any, PickOpen returns the owner; without closed domains, it is Pick. It does not
+// allocate.
 func (t *Table) PickOpen(key cherviltide.FlowKey, closed []string) (cherviltide.Member, bool) {
 	if len(closed) == 0 {
 		return t.Pick(key)
@@ -62,6 +64,13 @@
 			best, lowest = row.owner, c
 		}
 	}
+	if best == noTarget {
+		for _, f := range t.histories[r.history] {
+			if t.isAcceptable(f.target, acceptable) {
+				return f.target
+			}
+		}
+	}
 	return best
 }
 
--- a/pinger/pinger.go
+++ b/pinger/pinger.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
@@ -22,8 +21,6 @@
 	trafficHold cherviltide.Millis = 1_000
 	// membersInterval is the shortest time between two collections of the agents to probe, which reads all tables.
 	membersInterval cherviltide.Millis = 1_000
-	// sampleSize is the number of agents of a domain that one process probes in turn. Other processes probe others.
-	sampleSize = 16
 	// maxNameSize bounds the name of the sender's failure domain in the payload of a probe, in bytes.
 	maxNameSize = 64
 )
@@ -62,16 +59,25 @@
 	started time.Time
 	mu      sync.Mutex
 	reacher *reacher.Reacher
-	closed  atomic.Pointer[[]string]
+	state   atomic.Pointer[state]
 	traffic atomic.Bool
-	// view is the view whose agents are probed, collectedAt when they were collected. lastTraffic is the time of the last
-	// traffic. Only Run uses these.
+	// retainer decides which agents are used during a cut. view is the view whose agents are probed, collectedAt when they were
+	// collected, collections how often that was done. lastTraffic is the time of the last traffic. Only Run uses these.
+	retainer                 follower.Retainer
 	view                     *follower.View
 	collectedAt, lastTraffic cherviltide.Millis
-	members                  []cherviltide.Member
+	collections              int
 	Counters                 Counters
 }
 
+// state is what the data path uses. It is immutable.
+type state struct {
+	closed []string
+	// view replaces the present view while agents are retained, and is nil otherwise. agents is their number.
+	view   *follower.View
+	agents int
+}
+
 // New returns a pinger, or nil when the process has no failure domain.
 func New(config Config) *Pinger {
 	if config.FailureDomain == "" {
@@ -88,8 +94,8 @@
 	if p == nil {
 		return nil
 	}
-	if closed := p.closed.Load(); closed != nil {
-		return *closed
+	if s := p.state.Load(); s != nil {
+		return s.closed
 	}
 	return nil
 }
@@ -131,6 +137,7 @@
 		p.Counters.Echoes.Add(1)
 		p.mu.Lock()
 		p.reacher.Echo(p.now(), header.Generation)
+		p.reacher.Answered(sender)
 		p.mu.Unlock()
 	default:
 		p.Counters.Answered.Add(1)
@@ -175,14 +182,16 @@
 		p.lastTraffic = now
 	}
 	p.mu.Lock()
-	if view != p.view && now-p.collectedAt >= membersInterval {
-		p.view, p.collectedAt = view, now
-		p.reacher.SetDomains(p.collect(view))
+	used := p.retain(view)
+	if now-p.collectedAt >= membersInterval && (used != p.view || used != view) {
+		p.view, p.collectedAt = used, now
+		p.collections++
+		p.reacher.SetDomains(Domains(used, p.config.Self, p.collections))
 	}
 	probes := p.reacher.Tick(now, now-p.lastTraffic < trafficHold)
-	next, changes, closed := p.reacher.NextTick(now), p.reacher.TakeChanges(), p.reacher.Closed()
+	next, changes := p.reacher.NextTick(now), p.reacher.TakeChanges()
+	changed := p.publish(view, p.retain(view))
 	p.mu.Unlock()
-	p.closed.Store(&closed)
 	name := []byte(p.config.FailureDomain)
 	for _, x := range probes {
 		p.Counters.Probes.Add(1)
@@ -191,41 +200,12 @@
 	for _, c := range changes {
 		p.logChange(c)
 	}
-	if len(changes) > 0 && p.config.Changed != nil {
+	if (changed || len(changes) > 0) && p.config.Changed != nil {
 		p.config.Changed()
 	}
 	return next
 }
 
-// collect returns the failure domains of a view's agents, with a sample of the agents of each.
-func (p *Pinger) collect(view *follower.View) []reacher.Domain {
-	var domains []reacher.Domain
-	indexes, counts := map[string]int{}, []uint64{}
-	seed := p.config.Self.String()
-	for _, table := range view.Tables {
-		p.members = table.AppendMembers(p.members[:0])
-		for _, m := range p.members {
-			if m.Address == p.config.Self || !m.Address.Addr().Is4() || m.FailureDomain == "" {
-				continue
-			}
-			i, ok := indexes[m.FailureDomain]
-			if !ok {
-				i = len(domains)
-				indexes[m.FailureDomain] = i
-				domains, counts = append(domains, reacher.Domain{Name: m.FailureDomain}), append(counts, 0)
-			}
-			counts[i]++
-			d := &domains[i]
-			if len(d.Agents) < sampleSize {
-				d.Agents = append(d.Agents, m.Address)
-			} else if at := xxhash.Sum64String(seed+m.Name) % counts[i]; at < sampleSize {
-				d.Agents[at] = m.Address
-			}
-		}
-	}
-	return domains
-}
-
 func (p *Pinger) logChange(c reacher.Change) {
 	event := "DomainOpened"
 	if c.Closed {
--- /dev/null
+++ b/reacher/answers.go
@@ -0,0 +1,50 @@
+package reacher
+
+import (
+	"net/netip"
+
+	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/detector"
+)
+
+// maxSilent bounds the agents that are known not to answer; further ones count as answering.
+const maxSilent = 4_096
+
+// answers knows which agents do not answer probes. An agent that is probed once and answers later counts again.
+type answers struct {
+	detector *detector.Detector
+	// silent has the agents that do not answer. revision changes with it.
+	silent   map[netip.AddrPort]bool
+	revision uint64
+}
+
+func newAnswers() answers {
+	return answers{detector: detector.New(), silent: map[netip.AddrPort]bool{}}
+}
+
+// probed records that a probe is sent to an agent.
+func (a *answers) probed(agent netip.AddrPort, now cherviltide.Millis) {
+	if !a.silent[agent] && a.detector.IsUnresponsive(agent, now) && len(a.silent) < maxSilent {
+		a.silent[agent] = true
+		a.revision++
+	}
+	a.detector.RecordProbe(agent, now)
+}
+
+// answered records an echo of an agent.
+func (a *answers) answered(agent netip.AddrPort) {
+	a.detector.MarkAlive(agent)
+	if a.silent[agent] {
+		delete(a.silent, agent)
+		a.revision++
+	}
+}
+
+// Answered records that an echo came from an agent.
+func (r *Reacher) Answered(agent netip.AddrPort) { r.answers.answered(agent) }
+
+// Answers reports whether an agent answers probes, or has not been probed often enough to tell.
+func (r *Reacher) Answers(agent netip.AddrPort) bool { return !r.answers.silent[agent] }
+
+// AnswersRevision returns a number that changes whenever the result of Answers changes for an agent.
+func (r *Reacher) AnswersRevision() uint64 { return r.answers.revision }
--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -141,11 +141,12 @@
 	closed  []string
 	changes []Change
 	probes  []Probe
+	answers answers
 }
 
 // New returns the reacher of a process in the given failure domain, with no domain closed.
 func New(limits Limits, own string) *Reacher {
-	return &Reacher{limits: limits, own: own}
+	return &Reacher{limits: limits, own: own, answers: newAnswers()}
 }
 
 // SetDomains sets the failure domains with agents. A domain that is no longer among them is forgotten.
@@ -305,6 +306,7 @@
 		d.unansweredSince = now
 	}
 	d.next = (d.next + 1) % len(d.agents)
+	r.answers.probed(d.agents[d.next], now)
 	r.probes = append(r.probes, Probe{To: d.agents[d.next], Number: uint64(d.id)<<32 | uint64(d.sent)})
 }
 
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -153,13 +153,13 @@
 	// releasedGeneration is the highest generation for which the agent has announced that it holds no flow opened before
 	// it.
 	releasedGeneration uint64
-	// recall is the state of the recall after the start. noticedGeneration and noticedAt are the table generation and the time
-	// of the last notices.
-	recall            recall
-	noticedGeneration uint64
-	noticedAt         cherviltide.Millis
-	searches          searchLimit
-	reach             reach
+	// recall is the state of the recall after the start. noticedTable and noticedAt are the table and the time of the last
+	// notices. Tables of one generation differ by the agents that are retained during a cut.
+	recall       recall
+	noticedTable *picker.Table
+	noticedAt    cherviltide.Millis
+	searches     searchLimit
+	reach        reach
 	// candidates and members are buffers that are reused, so that a decision does not allocate.
 	candidates []cherviltide.Member
 	members    []cherviltide.Member
--- a/relayer/reach.go
+++ b/relayer/reach.go
@@ -216,7 +216,7 @@
 			}
 		},
 		Changed: func() {
-			if in, ok := r.input(r.config.View()); ok {
+			if in, ok := r.input(r.view()); ok {
 				r.sendDueNotices(in, false)
 			}
 		},
--- a/relayer/recall.go
+++ b/relayer/recall.go
@@ -68,8 +68,8 @@
 	d.addRecalls(in, &b)
 	repeat := in.Now-d.noticedAt >= noticeInterval
 	d.observeReach(in)
-	if generation := in.Table.Generation(); repeat || generation != d.noticedGeneration || len(d.reach.reopened) > 0 {
-		d.noticedGeneration = generation
+	if repeat || in.Table != d.noticedTable || len(d.reach.reopened) > 0 {
+		d.noticedTable = in.Table
 		if repeat {
 			d.noticedAt = in.Now
 		}
@@ -81,7 +81,7 @@
 // HasNotices reports whether the table has changed, or a failure domain has become open, since the last call of Notices.
 func (d *Decider) HasNotices(in Input) bool {
 	d.observeReach(in)
-	return in.Table.Generation() != d.noticedGeneration || len(d.reach.reopened) > 0
+	return in.Table != d.noticedTable || len(d.reach.reopened) > 0
 }
 
 // addRecalls adds recalls to the agents that have not answered yet. An agent whose target has started after it has nothing to
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -166,26 +166,38 @@
 // table and no rules with services have arrived.
 func (r *Relayer) input(view *follower.View) (Input, bool) {
 	self := r.config.Self()
-	table, ok := view.Tables[self.Service]
-	if !ok {
-		table, ok = picker.New(cherviltide.Service{Name: self.Service, ID: cherviltide.ServiceIDOf(self.Service)}), len(view.Rules.Services) > 0
-		table = table.WithEvacuated(view.Evacuated())
-	}
 	r.revisionInForce.Store(view.Rules.Revision)
 	rules := r.rules.Load()
 	if rules == nil || rules.view != view || rules.service != self.Service {
-		rules = &viewRules{view: view, service: self.Service}
+		rules = newViewRules(view, self.Service)
 		r.rules.Store(rules)
 	}
 	return Input{
-		Now: r.now(), Self: self, Table: table, Rules: rules, Revision: view.Rules.Revision, IdleTimeout: view.Rules.FlowIdle, Closed: r.Reach.Closed(),
-	}, ok
+		Now: r.now(), Self: self, Table: rules.table, Rules: rules, Revision: view.Rules.Revision, IdleTimeout: view.Rules.FlowIdle, Closed: r.Reach.Closed(),
+	}, rules.hasTable
+}
+
+// view returns the present view, or during a cut the one with retained agents.
+func (r *Relayer) view() *follower.View {
+	return r.Reach.View(r.config.View())
 }
 
 // viewRules implements Rules with the routes of a view for one service.
 type viewRules struct {
 	view    *follower.View
 	service string
+	// table is that of the service. hasTable is false while it is empty because no rules with services have arrived.
+	table    *picker.Table
+	hasTable bool
+}
+
+func newViewRules(view *follower.View, service string) *viewRules {
+	v := &viewRules{view: view, service: service}
+	if v.table, v.hasTable = view.Tables[service]; !v.hasTable {
+		v.table = picker.New(cherviltide.Service{Name: service, ID: cherviltide.ServiceIDOf(service)}).WithEvacuated(view.Evacuated())
+		v.hasTable = len(view.Rules.Services) > 0
+	}
+	return v
 }
 
 // AcceptsNewFlows reports whether new flows of a virtual address may go to the service.
@@ -214,7 +226,7 @@
 // handlePeerDatagram handles a datagram from an entry or another agent. The headroom of the buffer makes room for the full
 // header of a packet that arrived with the short one.
 func (r *Relayer) handlePeerDatagram(buffer []byte, n int, sender netip.AddrPort) {
-	view := r.config.View()
+	view := r.view()
 	a, packet, err := r.decodePeerDatagram(view, buffer, n, sender)
 	if err == nil && r.Reach.Handle(view, a.Header, packet, sender) {
 		return
@@ -276,7 +288,7 @@
 		r.Counters.Malformed.Add(1)
 		return
 	}
-	in, _ := r.input(r.config.View())
+	in, _ := r.input(r.view())
 	r.mu.Lock()
 	decision := r.decider.FromTarget(in, p)
 	r.mu.Unlock()
@@ -383,7 +395,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		in, ok := r.input(r.config.View())
+		in, ok := r.input(r.view())
 		if !ok {
 			continue
 		}
@@ -406,7 +418,7 @@
 // expire removes expired flows at regular intervals until ctx ends.
 func (r *Relayer) expire(ctx context.Context) error {
 	return runner.Every(ctx, expireInterval, func() {
-		in, ok := r.input(r.config.View())
+		in, ok := r.input(r.view())
 		r.mu.Lock()
 		r.decider.Expire(in)
 		changes := r.decider.pacing.pacer.TakeChanges()
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -215,7 +215,7 @@
 				return nil
 			case <-ticker.C:
 			}
-			in, _ := r.input(r.config.View())
+			in, _ := r.input(r.view())
 			r.mu.Lock()
 			r.decider.ExpireActive(in)
 			r.mu.Unlock()
