Give each problem of a rules file a stable code

Tools could only match the text of a problem. Each problem now has a code and the entry, and ColumnOf locates a setting.

--- a/parser/check.go
+++ b/parser/check.go
@@ -50,33 +50,33 @@
 	return c.problems
 }
 
-func (c *checker) addProblem(s statement, column int, format string, args ...any) {
-	c.problems = append(c.problems, Problem{Line: s.line, Column: column, Text: fmt.Sprintf(format, args...)})
+func (c *checker) addProblem(code Code, s statement, column int, format string, args ...any) {
+	c.problems = append(c.problems, Problem{Code: code, Entry: s.entry(), Line: s.line, Column: column, Text: fmt.Sprintf(format, args...)})
 }
 
 func (c *checker) checkService(s statement) {
 	name := s.names[0]
 	if line, ok := c.serviceLines[name.text]; ok {
-		c.addProblem(s, name.column, "service %s is defined on line %d already", name.text, line)
+		c.addProblem(CodeDuplicateEntry, s, name.column, "service %s is defined on line %d already", name.text, line)
 		return
 	}
 	c.serviceLines[name.text] = s.line
 	id := cherviltide.ServiceIDOf(name.text)
 	if other, ok := c.serviceByID[id]; ok {
-		c.addProblem(s, name.column, "service %s has the same ID on the wire as service %s; expected another name", name.text, other)
+		c.addProblem(CodeDuplicateID, s, name.column, "service %s has the same ID on the wire as service %s; expected another name", name.text, other)
 	}
 	c.serviceByID[id] = name.text
 	if _, ok := s.findSetting("Address"); !ok && !s.invalid {
-		c.addProblem(s, endColumn(name, nil), "service %s has no Address", name.text)
+		c.addProblem(CodeMissingSetting, s, endColumn(name, nil), "service %s has no Address", name.text)
 	}
 	if _, ok := s.findSetting("WarmUpRate"); ok && !s.invalid {
 		if _, ok := s.findSetting("WarmUp"); !ok {
-			c.addProblem(s, s.valueColumn("WarmUpRate"), "service %s has a WarmUpRate that never takes effect; expected WarmUp too", name.text)
+			c.addProblem(CodeRateWithoutWarmUp, s, s.valueColumn("WarmUpRate"), "service %s has a WarmUpRate that never takes effect; expected WarmUp too", name.text)
 		}
 	}
 	for _, a := range settingValue[[]netip.AddrPort](s, "Address", nil) {
 		if other, ok := c.serviceByAddress[a]; ok {
-			c.addProblem(s, s.valueColumn("Address"), "address %s belongs to service %s already", a, other)
+			c.addProblem(CodeDuplicateAddress, s, s.valueColumn("Address"), "address %s belongs to service %s already", a, other)
 			continue
 		}
 		c.serviceByAddress[a] = name.text
@@ -89,7 +89,7 @@
 		return
 	}
 	c.problems = append(c.problems, Problem{
-		Line: s.line, Column: column,
+		Code: CodeUnknownService, Entry: s.entry(), Line: s.line, Column: column,
 		Text:       fmt.Sprintf("found %q, expected a service of this file", name),
 		Suggestion: speller.Suggest(name, slices.Sorted(maps.Keys(c.serviceLines))),
 	})
@@ -100,14 +100,14 @@
 	c.requireService(s, service.column, service.text)
 	key := service.text + " " + name.text
 	if line, ok := c.kindLines[key]; ok {
-		c.addProblem(s, name.column, "kind %s of service %s is defined on line %d already", name.text, service.text, line)
+		c.addProblem(CodeDuplicateEntry, s, name.column, "kind %s of service %s is defined on line %d already", name.text, service.text, line)
 		return
 	}
 	c.kindLines[key] = s.line
 	c.checkReachable(s)
 	method := settingValue(s, "Method", "")
 	if settingValue(s, "AtMostOnce", false) && slices.Contains([]string{"GET", "HEAD", "OPTIONS"}, method) {
-		c.addProblem(s, s.valueColumn("AtMostOnce"), "method %s is safe to repeat; expected AtMostOnce false or another method", method)
+		c.addProblem(CodeSafeMethodAtMostOnce, s, s.valueColumn("AtMostOnce"), "method %s is safe to repeat; expected AtMostOnce false or another method", method)
 	}
 }
 
@@ -117,7 +117,7 @@
 	service, path, method := s.names[0].text, settingValue(s, "Path", DefaultPath), settingValue(s, "Method", "")
 	for _, earlier := range slices.Compact([]string{"", method}) {
 		if line, ok := c.matchLines[service+" "+earlier+" "+path]; ok {
-			c.addProblem(s, s.valueColumn("Path"), "the kind can never match: line %d takes the same path and method", line)
+			c.addProblem(CodeKindNeverMatches, s, s.valueColumn("Path"), "the kind can never match: line %d takes the same path and method", line)
 			return
 		}
 	}
@@ -127,18 +127,18 @@
 func (c *checker) checkCustomer(s statement) {
 	name := s.names[0]
 	if line, ok := c.customerLines[name.text]; ok {
-		c.addProblem(s, name.column, "customer %s is defined on line %d already", name.text, line)
+		c.addProblem(CodeDuplicateEntry, s, name.column, "customer %s is defined on line %d already", name.text, line)
 		return
 	}
 	c.customerLines[name.text] = s.line
 	certificate := settingValue(s, "Certificate", name.text)
 	if other, ok := c.customerByCertificate[certificate]; ok {
-		c.addProblem(s, s.valueColumn("Certificate"), "certificate %s belongs to customer %s already", certificate, other)
+		c.addProblem(CodeDuplicateCertificate, s, s.valueColumn("Certificate"), "certificate %s belongs to customer %s already", certificate, other)
 	}
 	c.customerByCertificate[certificate] = name.text
 	services, ok := s.findSetting("Services")
 	if !ok && !s.invalid {
-		c.addProblem(s, endColumn(name, nil), "customer %s has no Services", name.text)
+		c.addProblem(CodeMissingSetting, s, endColumn(name, nil), "customer %s has no Services", name.text)
 	}
 	if !ok {
 		return
@@ -148,7 +148,7 @@
 	for _, service := range settingValue[[]string](s, "Services", nil) {
 		c.requireService(s, column, service)
 		if seen[service] {
-			c.addProblem(s, column, "found %s a second time, expected it once", service)
+			c.addProblem(CodeRepeatedService, s, column, "found %s a second time, expected it once", service)
 		}
 		seen[service] = true
 		column += len([]rune(service)) + 1
--- a/parser/error.go
+++ b/parser/error.go
@@ -13,8 +13,37 @@
 	Problems Problems
 }
 
+// Code identifies a class of problems. Codes are stable, so that tools can act on them.
+type Code string
+
+// The codes of problems.
+const (
+	CodeInvalidEncoding      Code = "InvalidEncoding"
+	CodeMissingRequester     Code = "MissingRequester"
+	CodeUnknownKeyword       Code = "UnknownKeyword"
+	CodeMissingName          Code = "MissingName"
+	CodeInvalidName          Code = "InvalidName"
+	CodeUnknownSetting       Code = "UnknownSetting"
+	CodeMissingValue         Code = "MissingValue"
+	CodeRepeatedSetting      Code = "RepeatedSetting"
+	CodeInvalidValue         Code = "InvalidValue"
+	CodeMissingSetting       Code = "MissingSetting"
+	CodeDuplicateEntry       Code = "DuplicateEntry"
+	CodeDuplicateID          Code = "DuplicateId"
+	CodeDuplicateAddress     Code = "DuplicateAddress"
+	CodeDuplicateCertificate Code = "DuplicateCertificate"
+	CodeRepeatedService      Code = "RepeatedService"
+	CodeUnknownService       Code = "UnknownService"
+	CodeKindNeverMatches     Code = "KindNeverMatches"
+	CodeSafeMethodAtMostOnce Code = "SafeMethodAtMostOnce"
+	CodeRateWithoutWarmUp    Code = "RateWithoutWarmUp"
+)
+
 // Problem is one error in a rules file.
 type Problem struct {
+	Code Code
+	// Entry is the keyword and the names of the rule, or empty when they are not known.
+	Entry string
 	// Line and Column start at 1; columns count characters.
 	Line, Column int
 	// Text describes the problem, including what was found and what was expected.
--- a/parser/statement.go
+++ b/parser/statement.go
@@ -59,8 +59,8 @@
 	problems Problems
 }
 
-func (r *statementReader) addProblem(column int, suggestion, format string, args ...any) {
-	r.problems = append(r.problems, Problem{Line: r.line, Column: column, Text: fmt.Sprintf(format, args...), Suggestion: suggestion})
+func (r *statementReader) addProblem(code Code, column int, suggestion, format string, args ...any) {
+	r.problems = append(r.problems, Problem{Code: code, Line: r.line, Column: column, Text: fmt.Sprintf(format, args...), Suggestion: suggestion})
 }
 
 // splitLines returns the lines of a file without their line breaks.
@@ -104,7 +104,7 @@
 	r.line = number
 	problemsBefore := len(r.problems)
 	if !utf8.ValidString(line) {
-		r.addProblem(1, "", "the line is not valid UTF-8")
+		r.addProblem(CodeInvalidEncoding, 1, "", "the line is not valid UTF-8")
 		return statement{}, false
 	}
 	words, comment, hasComment := splitWords(line)
@@ -112,15 +112,18 @@
 		return statement{}, false
 	}
 	if !hasComment || !strings.ContainsFunc(comment, unicode.IsLetter) {
-		r.addProblem(utf8.RuneCountInString(line)+1, "", "found no comment, expected # and who requested the rule")
+		r.addProblem(CodeMissingRequester, utf8.RuneCountInString(line)+1, "", "found no comment, expected # and who requested the rule")
 	}
 	s = statement{line: number, keyword: words[0], requester: comment}
 	allowed, known := syntaxes[s.keyword.text]
 	if !known {
-		r.addProblem(s.keyword.column, speller.Suggest(s.keyword.text, keywords), "found %q, expected %s", s.keyword.text, speller.JoinOr(keywords))
+		r.addProblem(CodeUnknownKeyword, s.keyword.column, speller.Suggest(s.keyword.text, keywords), "found %q, expected %s", s.keyword.text, speller.JoinOr(keywords))
 		return s, false
 	}
 	r.readNames(&s, allowed, words[1:])
+	for i := problemsBefore; i < len(r.problems); i++ {
+		r.problems[i].Entry = s.entry()
+	}
 	s.invalid = len(r.problems) > problemsBefore
 	return s, !s.invalid
 }
@@ -129,11 +132,11 @@
 func (r *statementReader) readNames(s *statement, allowed syntax, words []word) {
 	for i, expected := range allowed.names {
 		if i == len(words) {
-			r.addProblem(endColumn(s.keyword, words), "", "found the end of the rule, expected %s %s", s.keyword.text, strings.Join(allowed.names, " "))
+			r.addProblem(CodeMissingName, endColumn(s.keyword, words), "", "found the end of the rule, expected %s %s", s.keyword.text, strings.Join(allowed.names, " "))
 			return
 		}
 		if slices.Contains(allowed.settings, words[i].text) {
-			r.addProblem(words[i].column, "", "found the setting %s, expected %s", words[i].text, expected)
+			r.addProblem(CodeMissingName, words[i].column, "", "found the setting %s, expected %s", words[i].text, expected)
 			return
 		}
 		r.checkName(words[i], expected)
@@ -151,7 +154,7 @@
 		return !unicode.IsLetter(c) && !unicode.IsDigit(c) && !strings.ContainsRune("-_.", c)
 	})
 	if invalid || utf8.RuneCountInString(w.text) > maxNameLength {
-		r.addProblem(w.column, "", "found %q, expected a %s of at most %d letters, digits, hyphens, underscores and dots", w.text, expected, maxNameLength)
+		r.addProblem(CodeInvalidName, w.column, "", "found %q, expected a %s of at most %d letters, digits, hyphens, underscores and dots", w.text, expected, maxNameLength)
 	}
 }
 
@@ -162,22 +165,22 @@
 		name := words[i]
 		known := slices.Contains(allowed.settings, name.text)
 		if !known {
-			r.addProblem(name.column, speller.Suggest(name.text, allowed.settings), "found %q, expected %s", name.text, speller.JoinOr(allowed.settings))
+			r.addProblem(CodeUnknownSetting, name.column, speller.Suggest(name.text, allowed.settings), "found %q, expected %s", name.text, speller.JoinOr(allowed.settings))
 		}
 		if i+1 == len(words) {
 			if known {
-				r.addProblem(endColumn(name, nil), "", "found the end of the rule, expected a value for %s", name.text)
+				r.addProblem(CodeMissingValue, endColumn(name, nil), "", "found the end of the rule, expected a value for %s", name.text)
 			}
 			return
 		}
 		if slices.Contains(allowed.settings, words[i+1].text) {
-			r.addProblem(words[i+1].column, "", "found the setting %s, expected a value for %s", words[i+1].text, name.text)
+			r.addProblem(CodeMissingValue, words[i+1].column, "", "found the setting %s, expected a value for %s", words[i+1].text, name.text)
 			i--
 			continue
 		}
 		_, duplicate := s.findSetting(name.text)
 		if known && duplicate {
-			r.addProblem(name.column, "", "found a second %s, expected it once", name.text)
+			r.addProblem(CodeRepeatedSetting, name.column, "", "found a second %s, expected it once", name.text)
 		}
 		if known && !duplicate {
 			s.settings = append(s.settings, r.parseValue(name, words[i+1]))
@@ -190,12 +193,36 @@
 	parsed, invalid := valueParsers[name.text](value.text)
 	if invalid != nil {
 		column := value.column + utf8.RuneCountInString(value.text[:invalid.offset])
-		r.addProblem(column, invalid.suggestion, "found %q, expected %s", invalid.found, invalid.expected)
+		r.addProblem(CodeInvalidValue, column, invalid.suggestion, "found %q, expected %s", invalid.found, invalid.expected)
 		return setting{name: name, value: value}
 	}
 	return setting{name: name, value: value, parsed: parsed}
 }
 
+// entry returns the keyword and the names of the rule.
+func (s statement) entry() string {
+	parts := []string{s.keyword.text}
+	for _, n := range s.names {
+		parts = append(parts, n.text)
+	}
+	return strings.Join(parts, " ")
+}
+
+// ColumnOf returns the column of a setting's value in the line of a rule, or of the rule's keyword when the rule does not have
+// the setting. It is 1 for a blank line.
+func ColumnOf(line, setting string) int {
+	words, _, _ := splitWords(line)
+	for i := 1; i+1 < len(words); i++ {
+		if words[i].text == setting {
+			return words[i+1].column
+		}
+	}
+	if len(words) == 0 {
+		return 1
+	}
+	return words[0].column
+}
+
 // endColumn returns the column after the last word.
 func endColumn(first word, rest []word) int {
 	last := first
--- a/parser/value.go
+++ b/parser/value.go
@@ -154,7 +154,7 @@
 func formatValue(value any) string {
 	switch v := value.(type) {
 	case cherviltide.Millis:
-		return formatMillis(v)
+		return FormatMillis(v)
 	case float64:
 		return strconv.FormatFloat(v, 'f', -1, 64)
 	case []string:
@@ -170,8 +170,8 @@
 	}
 }
 
-// formatMillis returns a duration in the largest unit that needs no fraction.
-func formatMillis(m cherviltide.Millis) string {
+// FormatMillis returns a duration in the largest unit that needs no fraction.
+func FormatMillis(m cherviltide.Millis) string {
 	units := []struct {
 		name string
 		size cherviltide.Millis
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -22,7 +22,8 @@
 
 // Limits of connections and requests.
 const (
-	idleTimeout = 30 * time.Second
+	// IdleTimeout is how long a connection of a caller may be without packets.
+	IdleTimeout = 30 * time.Second
 	dialTimeout = 2 * time.Second
 	// targetIdleTimeout is how long an unused connection to the target is kept. It is shorter than the usual idle timeout
 	// of targets: the outcome of a request that is sent on a connection that the target has just closed is unknown.
@@ -148,7 +149,7 @@
 
 // quicConfig returns the QUIC configuration. Connections that conn does not accept are refused.
 func quicConfig(conn PacketConn) *quic.Config {
-	accepted := &quic.Config{MaxIdleTimeout: idleTimeout, DisablePathMTUDiscovery: true}
+	accepted := &quic.Config{MaxIdleTimeout: IdleTimeout, DisablePathMTUDiscovery: true}
 	config := accepted.Clone()
 	config.GetConfigForClient = func(info *quic.ClientInfo) (*quic.Config, error) {
 		if !conn.AcceptsConnection(info.RemoteAddr) {
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -39,8 +39,8 @@
 	// tableSettleTime is how long after a change of the table a retransmitted opening packet may belong to a flow that was
 	// offered to another agent. It covers the caller's last retransmission and the distribution of the table.
 	tableSettleTime cherviltide.Millis = 2_000
-	// defaultIdleTimeout is how long a flow without packets is kept when the rules set no timeout.
-	defaultIdleTimeout cherviltide.Millis = 60_000
+	// DefaultIdleTimeout is how long a flow without packets is kept when the rules set no timeout.
+	DefaultIdleTimeout cherviltide.Millis = 60_000
 )
 
 const (
@@ -116,7 +116,7 @@
 // idleTimeout returns how long a flow without packets is kept.
 func (in Input) idleTimeout() cherviltide.Millis {
 	if in.IdleTimeout <= 0 {
-		return defaultIdleTimeout
+		return DefaultIdleTimeout
 	}
 	return in.IdleTimeout
 }
--- a/relayer/flow_test.go
+++ b/relayer/flow_test.go
@@ -23,7 +23,7 @@
 			d.FromPeer(in, arrival(flow, cherviltide.Packet{Flags: cherviltide.PacketReset}))
 		},
 		"neither side sends packets": func(d *Decider, in Input, _ cherviltide.FlowKey) {
-			in.Now += defaultIdleTimeout + 1
+			in.Now += DefaultIdleTimeout + 1
 			d.Expire(in)
 		},
 		"another target": func(d *Decider, _ Input, _ cherviltide.FlowKey) {
--- a/relayer/recall_test.go
+++ b/relayer/recall_test.go
@@ -184,7 +184,7 @@
 	for i := range flows {
 		require.Equal(t, member(2).Address, d.remoteFlows.get(flowAt(i), in.Now).agent)
 	}
-	d.remoteFlows.expire(in.Now + defaultIdleTimeout + 1)
+	d.remoteFlows.expire(in.Now + DefaultIdleTimeout + 1)
 	require.Empty(t, d.remoteFlows.byFlow)
 	require.Zero(t, d.remoteFlows.unconfirmed)
 }
--- a/relayer/remoteflow.go
+++ b/relayer/remoteflow.go
@@ -52,7 +52,7 @@
 }
 
 func newRemoteFlows() remoteFlows {
-	return remoteFlows{byFlow: map[cherviltide.FlowKey]remoteFlow{}, ttl: defaultIdleTimeout}
+	return remoteFlows{byFlow: map[cherviltide.FlowKey]remoteFlow{}, ttl: DefaultIdleTimeout}
 }
 
 // get returns the record of a flow, or the zero remoteFlow, and restarts the record's expiry.
--- a/speller/speller.go
+++ b/speller/speller.go
@@ -1,7 +1,10 @@
 // Package speller finds the known word closest to a misspelt one.
 package speller
 
-import "strings"
+import (
+	"strings"
+	"unicode/utf8"
+)
 
 // maxDistance is the largest edit distance at which a word is suggested.
 const maxDistance = 2
@@ -11,7 +14,13 @@
 // is returned.
 func Suggest(word string, candidates []string) string {
 	best, bestDistance := "", maxDistance+1
+	length := utf8.RuneCountInString(word)
 	for _, c := range candidates {
+		// The distance is at least the difference of the lengths. Without this check a word of 1.5 MiB
+		// took 885 MiB with a candidate of 63 characters.
+		if difference := utf8.RuneCountInString(c) - length; difference > maxDistance || difference < -maxDistance {
+			continue
+		}
 		d := editDistance([]rune(strings.ToLower(word)), []rune(strings.ToLower(c)))
 		if d < bestDistance && d < len([]rune(c)) {
 			best, bestDistance = c, d
