Check configurations before they are sent

check listed only what the parser refuses.

TestFileCommands expected 1 and the standard error; it now requires the new code, the place and the code of the finding.

--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,4 @@
 	$(GO) test ./platform -run '^$$' -fuzz FuzzPacket -fuzztime 3s
 	$(GO) test ./relayer -run '^$$' -fuzz FuzzDecider -fuzztime 3s
 	$(GO) test ./parser -run '^$$' -fuzz FuzzParse -fuzztime 3s
+	$(GO) test ./checker -run '^$$' -fuzz FuzzCheckText -fuzztime 3s -fuzzminimizetime 1x
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -54,7 +54,7 @@
 	lines := strings.Split(text, "\n")
 	findings = append(findings, problemFindings(err, lines)...)
 	if len(findings) > 0 {
-		return nil, append(findings, onlyErrorsChecked)
+		return nil, append(findings, OnlyErrorsChecked)
 	}
 	document := &Document{Rules: rules, Locate: func(entry EntryType, index int, setting string) Position {
 		return locate(rules, lines, entry, index, setting)
@@ -62,9 +62,9 @@
 	return document, CheckDocument(*document, limits)
 }
 
-// onlyErrorsChecked accompanies errors: an entry with an error may be what makes another entry reachable, so warnings would be
+// OnlyErrorsChecked accompanies errors: an entry with an error may be what makes another entry reachable, so warnings would be
 // unreliable.
-var onlyErrorsChecked = Finding{
+var OnlyErrorsChecked = Finding{
 	Severity: SeverityWarning, Code: CodeOnlyErrorsChecked,
 	Message: "the file has errors; entries that never take effect and contradicting limits are checked when it has none",
 }
--- a/checker/document.go
+++ b/checker/document.go
@@ -87,14 +87,15 @@
 		case r.kinds > 0 && r.customers == 0:
 			c.warn(CodeServiceWithoutCustomer, EntryService, i, "", s.Name, "no customer may reach the service, so its %d kinds never match", r.kinds)
 		case r.kinds == 0 && !r.hasWeight:
-			c.warn(CodeServiceTakesNoNewFlows, EntryService, i, "", s.Name, "the %d routes that name the service all have a share of 0 for it", r.routes)
+			c.warn(CodeServiceTakesNoNewFlows, EntryService, i, "", s.Name, "every route that names the service has a share of 0 for it (%d routes)", r.routes)
 		}
-		if other, exists := byID[s.ID]; exists && other == s.Name {
+		if other, exists := byID[s.ID]; !exists {
+			byID[s.ID] = s.Name
+		} else if other == s.Name {
 			c.warn(CodeDuplicateEntry, EntryService, i, "", s.Name, "the service is defined more than once; only the first definition counts")
-		} else if exists {
+		} else {
 			c.warn(CodeDuplicateID, EntryService, i, "", s.Name, "the service has the same ID on the wire as service %s; one of them needs another name", other)
 		}
-		byID[s.ID] = s.Name
 		c.checkWarmUp(i, s, r)
 		for _, a := range s.Addresses {
 			if !a.Addr().Is4() {
@@ -160,7 +161,7 @@
 
 func (c *documentChecker) checkRoute(i int, r cherviltide.Route) {
 	if r.Goal > r.Deadline {
-		c.warn(CodeGoalAboveDeadline, EntryRoute, i, "Goal", r.Name, "the goal of %s is above the deadline of %s, so that no late request is answered",
+		c.warn(CodeGoalAboveDeadline, EntryRoute, i, "Goal", r.Name, "the goal of %s is above the deadline of %s and has no effect",
 			parser.FormatMillis(r.Goal), parser.FormatMillis(r.Deadline))
 	}
 	if r.Class != cherviltide.ClassBulky && r.Class != cherviltide.ClassUpload {
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide/logger"
-	"cherviltide.example/cherviltide/platform"
 )
 
 // daemonCommand is a subcommand that runs a daemon.
@@ -28,30 +27,31 @@
 }
 
 type arguments struct {
-	Entry    *entryCommand     `arg:"subcommand:entry" help:"forward callers' datagrams to agents"`
-	Agent    *agentCommand     `arg:"subcommand:agent" help:"serve callers beside a target"`
-	Control  *controlCommand   `arg:"subcommand:control" help:"keep configuration and membership"`
-	Platform *platform.Command `arg:"subcommand:platform" help:"run a daemon with the settings of the operators' platform"`
-	Check    *checkCommand     `arg:"subcommand:check" help:"list all problems of a rules file"`
-	Format   *formatCommand    `arg:"subcommand:format" help:"print a rules file in the canonical format"`
-	Diff     *diffCommand      `arg:"subcommand:diff" help:"compare the accepted rules with a file"`
-	Apply    *applyCommand     `arg:"subcommand:apply" help:"put a rules file in force"`
-	Rollback *rollbackCommand  `arg:"subcommand:rollback" help:"make a new revision with the content of an old one"`
-	Rules    *rulesCommand     `arg:"subcommand:rules" help:"show each accepted rule and who requested it"`
-	History  *historyCommand   `arg:"subcommand:history" help:"show accepted revisions, newest first"`
-	Status   *statusCommand    `arg:"subcommand:status" help:"show members and the revision each has in force"`
-	Drain    *drainCommand     `arg:"subcommand:drain" help:"make a member finish its work and end"`
-	Evacuate *evacuateCommand  `arg:"subcommand:evacuate" help:"end new flows to the targets of a failure domain, or allow them again"`
-	Report   *reportCommand    `arg:"subcommand:report" help:"show the service-level report"`
-	Explain  *explainCommand   `arg:"subcommand:explain" help:"show the log lines of a flow and mark the one that decided its outcome"`
-	Settings *settingsCommand  `arg:"subcommand:settings" help:"check a settings file and print it in full"`
-	Version  *versionCommand   `arg:"subcommand:version" help:"print the version"`
+	Entry    *entryCommand    `arg:"subcommand:entry" help:"forward callers' datagrams to agents"`
+	Agent    *agentCommand    `arg:"subcommand:agent" help:"serve callers beside a target"`
+	Control  *controlCommand  `arg:"subcommand:control" help:"keep configuration and membership"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"run a daemon with the settings of the operators' platform, or check a configuration"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"check a rules file or a settings file"`
+	Format   *formatCommand   `arg:"subcommand:format" help:"print a rules file in the canonical format"`
+	Diff     *diffCommand     `arg:"subcommand:diff" help:"compare the accepted rules with a file"`
+	Apply    *applyCommand    `arg:"subcommand:apply" help:"put a rules file in force"`
+	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"make a new revision with the content of an old one"`
+	Rules    *rulesCommand    `arg:"subcommand:rules" help:"show each accepted rule and who requested it"`
+	History  *historyCommand  `arg:"subcommand:history" help:"show accepted revisions, newest first"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show members and the revision each has in force"`
+	Drain    *drainCommand    `arg:"subcommand:drain" help:"make a member finish its work and end"`
+	Evacuate *evacuateCommand `arg:"subcommand:evacuate" help:"end new flows to the targets of a failure domain, or allow them again"`
+	Report   *reportCommand   `arg:"subcommand:report" help:"show the service-level report"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"show the log lines of a flow and mark the one that decided its outcome"`
+	Settings *settingsCommand `arg:"subcommand:settings" help:"check a settings file and print it in full"`
+	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
 
 // Epilogue documents the exit codes in the help.
 func (arguments) Epilogue() string {
 	return `Exit codes: 0 done; 1 failed or wrong input; 2 wrong command line; 3 conflict, nothing changed; 4 refused as not run;
-5 answer lost, the change may have happened; 6 done, but not in force everywhere within the bound of --wait.`
+5 answer lost, the change may have happened; 6 done, but not in force everywhere within the bound of --wait.
+The check commands end with 0 without errors; 1 with warnings and --strict; 2 with errors or a wrong command line.`
 }
 
 // Run runs the command line and returns the exit code.
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -177,11 +177,12 @@
 	require.Zero(t, code)
 	require.Contains(t, out, "1 services, 0 kinds, 0 customers")
 	bad := writeRulesFile(t, "Servise x # R")
-	code, _, errOut = runCommand("check", bad)
-	require.Equal(t, ExitFailed, code)
-	require.Contains(t, errOut, bad+":1:1: found")
+	code, out, errOut = runCommand("check", bad)
+	require.Equal(t, ExitCheckErrors, code)
+	require.Contains(t, out, bad+":1:1: error UnknownKeyword: found")
+	require.Contains(t, errOut, "1 errors")
 	code, _, _ = runCommand("check", filepath.Join(t.TempDir(), "none"))
-	require.Equal(t, ExitFailed, code)
+	require.Equal(t, ExitCheckErrors, code)
 }
 
 // TestDiffAndStatus guards against responses of an instance without a majority that are shown without a warning.
--- a/commands/exit.go
+++ b/commands/exit.go
@@ -31,10 +31,13 @@
 // exitCode returns the exit code of a command that ended with an error.
 func exitCode(err error) int {
 	var lagging *laggingError
+	var findings *findingsError
 	var fault interface{ FaultKind() cherviltide.ErrorKind }
 	switch {
 	case err == nil:
 		return ExitDone
+	case errors.As(err, &findings):
+		return findings.code
 	case errors.As(err, &lagging):
 		return ExitLagging
 	case errors.Is(err, errOutcomeUnknown):
--- a/commands/file.go
+++ b/commands/file.go
@@ -12,25 +12,6 @@
 	"cherviltide.example/cherviltide/parser"
 )
 
-type checkCommand struct {
-	File string `arg:"positional,required" help:"rules file"`
-}
-
-func (c *checkCommand) examples() string { return "cherviltide check rules" }
-
-func (c *checkCommand) execute(_ context.Context, console console) error {
-	text, err := readRulesFile(c.File)
-	if err != nil {
-		return err
-	}
-	rules, err := parser.Parse(text)
-	if err != nil {
-		return withFileName(c.File, err)
-	}
-	_, err = fmt.Fprintf(console.Out, "%s: %d services, %d kinds, %d customers\n", c.File, len(rules.Services), len(rules.Kinds), len(rules.Customers))
-	return err
-}
-
 type formatCommand struct {
 	File  string `arg:"positional,required" help:"rules file"`
 	Write bool   `arg:"-w,--write" help:"replace the file instead of printing it"`
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -20,11 +20,20 @@
 	return "cherviltide settings --role agent agent.json --set Slots=3"
 }
 
-func (c *settingsCommand) execute(_ context.Context, console console) error {
+// settingsRoles are the roles that have settings.
+var settingsRoles = []string{"entry", "agent", "control"}
+
+// newSettings returns the empty settings of a role, and false for an unknown role.
+func newSettings(role string) (settings any, ok bool) {
 	roles := map[string]any{"entry": &loader.Entry{}, "agent": &loader.Agent{}, "control": &loader.Control{}}
-	settings, ok := roles[c.Role]
+	settings, ok = roles[role]
+	return settings, ok
+}
+
+func (c *settingsCommand) execute(_ context.Context, console console) error {
+	settings, ok := newSettings(c.Role)
 	if !ok {
-		return &usageError{fmt.Errorf("found role %q, expected %s", c.Role, speller.JoinOr([]string{"entry", "agent", "control"}))}
+		return &usageError{fmt.Errorf("found role %q, expected %s", c.Role, speller.JoinOr(settingsRoles))}
 	}
 	values, err := loader.ReadWithSources(c.File, settings, c.Set...)
 	var e *loader.Error
