--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -22,6 +22,8 @@
 	Available bool
 	// Started is true in the first report after a start of the target, as far as the agent has seen the start.
 	Started bool
+	// Unserved is true when no other agent can have delivered a flow to the target since its start.
+	Unserved bool
 }
 
 // Pacer has the pace of one target. It reads no clock and is not safe for concurrent use.
@@ -72,6 +74,7 @@
 	p.state = s
 	p.targetStartedAt, p.reportedUntil = now-s.Age, now+s.WarmUpLeft
 	p.pace.slots = s.Slots
+	p.window.complete = p.window.complete || s.Unserved
 	if s.Started {
 		// Nothing can have reached this target before the agent's own start.
 		p.window.complete = p.window.complete || s.HasAge && p.targetStartedAt > p.window.unknownUntil
--- a/pacer/window_test.go
+++ b/pacer/window_test.go
@@ -95,6 +95,7 @@
 		"no rate":                              {bound, cherviltide.WarmUp{Duration: 5_000}, State{HasAge: true}, 2_000, 100},
 		"no bound in the settings":             {Bound{}, rated, State{HasAge: true}, 2_000, 100},
 		"second after the agent's start":       {bound, rated, State{HasAge: true, Age: 100}, 1_000, 0},
+		"target that no agent has served":      {bound, rated, State{HasAge: true, Age: 100, Unserved: true}, 10, 15},
 		"target started right after its agent": {bound, rated, State{HasAge: true, Age: 0, Started: true}, 10, 15},
 		"start before the agent's own":         {bound, rated, State{HasAge: true, Age: 100, Started: true}, 10, 0},
 	} {
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -82,6 +82,8 @@
 	AcceptsNewFlows, LastResort bool
 	// PredatesAgent is true when the target started before this agent and may hold flows that the agent does not know.
 	PredatesAgent bool
+	// Unserved is true when no agent can have delivered a flow to the target before this agent started.
+	Unserved bool
 	// ReportedAt is the time of the report on the clock of the data path; the following fields are those of that time.
 	ReportedAt cherviltide.Millis
 	// WarmUpLeft is the remaining warm-up. Age is the time since the start of the target, only valid if HasAge is true.
--- a/relayer/pacing.go
+++ b/relayer/pacing.go
@@ -37,7 +37,7 @@
 	p.reported = p.reported || first
 	p.pacer.SetTarget(t.ReportedAt, pacer.State{
 		Slots: t.Slots, WarmUpLeft: t.WarmUpLeft, Age: t.Age, HasAge: t.HasAge, Available: t.AcceptsNewFlows,
-		Started: replaced || first && !t.PredatesAgent,
+		Started: replaced || first && !t.PredatesAgent, Unserved: t.Unserved,
 	})
 	p.limit = p.pacer.Limit(t.ReportedAt)
 }
