Leave quarantine of grey targets off unless the command line asks for it

Cause: after a loss of power of all machines, flows whose callers have gone look like failures of the targets; agents claimed quarantine in a whole failure domain. Change: the share is 0 by default, for services with a warm-up too.

--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -66,9 +66,8 @@
 	// OldRulesGrace is how long new flows are still opened with old rules after a flow was opened here with newer ones.
 	OldRulesGrace cherviltide.Millis
 	// QuarantineShare is the largest share of a service whose targets may be out of service because they are grey; 0 means that
-	// all stay in service. With QuarantineNeedsWarmUp, it applies only to services with a warm-up.
-	QuarantineShare       float64
-	QuarantineNeedsWarmUp bool
+	// all stay in service.
+	QuarantineShare float64
 	// ColdBound bounds the opening packets that a cold target gets.
 	ColdBound pacer.Bound
 }
--- a/relayer/grey.go
+++ b/relayer/grey.go
@@ -22,9 +22,6 @@
 // tickQuarantine moves the decision about a grey target on.
 func (d *Decider) tickQuarantine(in Input) {
 	share := d.limits.QuarantineShare
-	if d.limits.QuarantineNeedsWarmUp && in.Table.Service().WarmUp.Duration == 0 {
-		share = 0
-	}
 	d.quarantine.SetShare(share)
 	if share <= 0 {
 		return
