--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -311,10 +311,6 @@
 func (d *Decider) recordRequest(in Input, f *flow) {
 	d.stopSending(f)
 	d.markActive(f)
-	if f.requestSeen && f.answering && !f.further {
-		f.further = true
-		d.load.further++
-	}
 	if !f.requestSeen {
 		d.load.openingTime.add(in.Now - f.openedAt)
 	}
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -44,9 +44,8 @@
 	upload bool
 	// transfer is the state of the newest request of a flow of a route with uploads; nil for other flows.
 	transfer *transfer
-	// active is true while the flow counts against the slots of the target. further is true while it does so for a request that
-	// is not its first one.
-	active, further bool
+	// active is true while the flow counts against the slots of the target.
+	active bool
 	// noticed is the owner that was told that this agent holds the flow; it is invalid while this agent is the owner.
 	noticed                        netip.AddrPort
 	callerFinished, targetFinished bool
--- a/relayer/load.go
+++ b/relayer/load.go
@@ -13,8 +13,6 @@
 	// activeBulky is the number of active flows that are bulky, working that of requests that the target has not begun to
 	// answer.
 	activeBulky, working int
-	// further is the number of active flows whose request is not their first one.
-	further int
 	// transfers is the number of transfers in progress. They do not count as active.
 	transfers int
 	// sending is the number of bulky flows whose answers are under way. promptness tells whether they hold slots.
@@ -80,10 +78,6 @@
 	}
 	f.active = false
 	d.load.active--
-	if f.further {
-		f.further = false
-		d.load.further--
-	}
 	if f.bulky {
 		d.load.activeBulky--
 	}
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -73,16 +73,10 @@
 	return hasSlot && d.load.sending < d.transferLimit()
 }
 
-// backlog returns the number of requests beyond the slots that came on flows which were open already. Flows beyond the slots that
-// were opened in advance, and uploads that are complete, have passed the queues and do not count.
-func (d *Decider) backlog() int {
-	return min(max(d.load.active-d.slots(), 0), d.load.further)
-}
-
 // updateCapacity gives the queue the present capacity of the target.
 func (d *Decider) updateCapacity() {
 	d.queue.SetCapacity(queuer.Capacity{
-		Slots: d.slots(), Backlog: d.backlog(), ServiceTime: d.expectedServiceTime(), OpeningTime: d.load.openingTime.value,
+		Slots: d.slots(), Backlog: max(d.load.active-d.slots(), 0), ServiceTime: d.expectedServiceTime(), OpeningTime: d.load.openingTime.value,
 	})
 	d.uploads.SetCapacity(queuer.Capacity{Slots: d.transferLimit(), ServiceTime: d.load.transferTime.value})
 }
