--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -40,8 +40,6 @@
 type Capacity struct {
 	// Slots is the number of requests that the target runs at once.
 	Slots int
-	// Backlog is the number of requests beyond the slots that the target has got on open flows. They run before waiting flows.
-	Backlog int
 	// ServiceTime is the mean time for which a request takes a slot, in milliseconds; 0 when it is not known.
 	ServiceTime float64
 	// OpeningTime is the mean time from the delivery of an opening packet to the request, in milliseconds.
@@ -119,7 +117,7 @@
 		return f.GiveUpAt - now, VerdictRefused
 	}
 	ahead := q.timelyIndex(f.Priority, q.startBy(f))
-	wait = max(cherviltide.Millis(float64(ahead+1+q.capacity.Backlog)*q.capacity.perFlow()), q.boundWait(now, ahead))
+	wait = max(cherviltide.Millis(float64(ahead+1)*q.capacity.perFlow()), q.boundWait(now, ahead))
 	if now+wait <= q.startBy(f) {
 		return wait, VerdictTimely
 	}
@@ -274,7 +272,7 @@
 func (q *Queue[T]) waitBehind(now cherviltide.Millis, late int) cherviltide.Millis {
 	perFlow := q.capacity.perFlow()
 	share := max(1-q.load.perSecond(now)*perFlow/1000, minLateShare)
-	wait := cherviltide.Millis(float64(len(q.timely)+q.capacity.Backlog)*perFlow + float64(late+1)*perFlow/share)
+	wait := cherviltide.Millis(float64(len(q.timely))*perFlow + float64(late+1)*perFlow/share)
 	return max(wait, q.boundWait(now, len(q.timely)+late))
 }
 
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -76,7 +76,7 @@
 // updateCapacity gives the queue the present capacity of the target.
 func (d *Decider) updateCapacity() {
 	d.queue.SetCapacity(queuer.Capacity{
-		Slots: d.slots(), Backlog: max(d.load.active-d.slots(), 0), ServiceTime: d.expectedServiceTime(), OpeningTime: d.load.openingTime.value,
+		Slots: d.slots(), ServiceTime: d.expectedServiceTime(), OpeningTime: d.load.openingTime.value,
 	})
 	d.uploads.SetCapacity(queuer.Capacity{Slots: d.transferLimit(), ServiceTime: d.load.transferTime.value})
 }
