Pace a target whose data path is silent although heartbeats arrive

Cause: the silence after which a target gets new flows at a pace (500 ms) was measured from a time that each report sets back, and the platform reports at least twice in a heartbeat interval of 1 s. So it was never reached. Change: the silence is measured from the opening packet to the target's next packet. The report still allows another attempt at an unresponsive target. The fuzz target of the decider also compares the count of further requests.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -7,7 +7,7 @@
 // FromTarget decides about a packet that the target sent or returned.
 func (d *Decider) FromTarget(in Input, p cherviltide.Packet) Decision {
 	d.observeTable(in)
-	d.unansweredSince = 0
+	d.unansweredSince, d.silentSince = 0, 0
 	if p.Flags&cherviltide.PacketReturned != 0 {
 		return d.handleReturnedPacket(in, p)
 	}
--- a/relayer/decider.go
+++ b/relayer/decider.go
@@ -140,8 +140,9 @@
 	// quarantine decides whether the target is grey; peers is what it knows of the service.
 	quarantine *quarantiner.Quarantiner
 	peers      peers
-	// unansweredSince is when the first opening packet was delivered after the target's last packet; 0 when there is none.
-	unansweredSince cherviltide.Millis
+	// unansweredSince is when the first opening packet was delivered after the target's last packet or report; 0 when there is
+	// none. silentSince is the same without the reports, which do not show that the target serves flows.
+	unansweredSince, silentSince cherviltide.Millis
 	// targetFullUntil is until when new flows are offered to other agents because the target returned one.
 	targetFullUntil cherviltide.Millis
 	// tableGeneration is the generation of the last table, tableChangedAt is when this generation was first used.
@@ -184,6 +185,7 @@
 	if replaced {
 		clear(d.flows)
 		d.load = load{}
+		d.silentSince = 0
 		d.quarantine.Restarted()
 	}
 	d.target = t
@@ -350,7 +352,7 @@
 		}
 	}
 	d.remoteFlows.expire(in.Now)
-	if d.unansweredSince != 0 && in.Now-d.unansweredSince > silentAfter {
+	if d.silentSince != 0 && in.Now-d.silentSince > silentAfter {
 		d.pacing.pacer.Unanswered(in.Now)
 	}
 	d.observePace(in)
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -49,11 +49,14 @@
 			if d.Waiting() > 8 || d.Active() < 0 {
 				panic("the counts of flows are wrong")
 			}
-			transfers, active, sending := 0, 0, 0
+			transfers, active, sending, further := 0, 0, 0, 0
 			for _, f := range d.flows {
 				if f.active {
 					active++
 				}
+				if f.further {
+					further++
+				}
 				if f.sending {
 					sending++
 				}
@@ -61,7 +64,7 @@
 					transfers++
 				}
 			}
-			if transfers != d.Transfers() || active != d.Active() || sending != d.load.sending {
+			if transfers != d.Transfers() || active != d.Active() || sending != d.load.sending || further != d.load.further {
 				panic("the load differs from that of the flows")
 			}
 		}
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -187,6 +187,9 @@
 	if d.unansweredSince == 0 {
 		d.unansweredSince = in.Now
 	}
+	if d.silentSince == 0 {
+		d.silentSince = in.Now
+	}
 	d.pacing.pacer.Record(in.Now)
 	return Decision{Action: ActionDeliver, Reason: ReasonHeld, Token: d.tokens.issue(a)}
 }
--- a/relayer/pacing_test.go
+++ b/relayer/pacing_test.go
@@ -154,6 +154,30 @@
 	}
 }
 
+// TestSilentTargetIsPaced guards against heartbeats that hide the silence of a target's data path from the pace.
+func TestSilentTargetIsPaced(t *testing.T) {
+	for name, answers := range map[string]bool{"silent": false, "answers": true} {
+		t.Run(name, func(t *testing.T) {
+			d, in := coldDecider(1)
+			report := func() {
+				d.SetTarget(Target{Slots: 8, AcceptsNewFlows: true, ReportedAt: in.Now, Age: 60_000, HasAge: true}, false)
+			}
+			report()
+			require.Equal(t, ReasonOpened, d.FromPeer(in, syn(key(3_000), 0)).Reason)
+			if answers {
+				d.FromTarget(in, synAck(key(3_000)))
+			}
+			for range 3 {
+				in.Now += 250
+				report()
+				d.Expire(in)
+			}
+			limit, _ := d.Pace()
+			require.Equal(t, answers, limit == 8, limit)
+		})
+	}
+}
+
 // TestPaceAfterEvacuation guards against a target that gets all its slots at once after the evacuation of its failure domain is
 // withdrawn, also when a former pace would have ended meanwhile, and against a pace without such a withdrawal.
 func TestPaceAfterEvacuation(t *testing.T) {
