Leave evacuated targets out of the share for quarantine

Cause: the share was of all targets of a service, also of those in evacuated failure domains. With one of three domains evacuated, a fifth of all is a third of those that bear the load. Change: targets in evacuated domains do not count, and need no quarantine. Run: go test ./relayer passes; TestQuarantineBesideEvacuation fails without the change.

--- a/relayer/grey.go
+++ b/relayer/grey.go
@@ -35,10 +35,16 @@
 	d.quarantine.Tick(in.Now, d.target.Slots, d.load.working, d.peers.view)
 }
 
-// peersOf returns what the table shows. Agents that are suspect or leaving take no new flows.
+// peersOf returns what the table shows. Agents that are suspect or leaving take no new flows. Targets in evacuated failure domains
+// do not count, since the others bear the load of the service; those targets themselves need no quarantine.
 func (d *Decider) peersOf(in Input) quarantiner.Peers {
-	active := in.Table.Active()
-	d.members = in.Table.AppendMembers(d.members[:0])
+	if in.isEvacuated() {
+		return quarantiner.Peers{}
+	}
+	active := in.Table.AppendActive(nil)
+	d.members = slices.DeleteFunc(in.Table.AppendMembers(d.members[:0]), func(m cherviltide.Member) bool {
+		return in.Table.IsEvacuated(m.FailureDomain)
+	})
 	view := quarantiner.Peers{Members: len(d.members)}
 	weights := make([]uint32, 0, len(active))
 	next := 0
--- a/relayer/grey_test.go
+++ b/relayer/grey_test.go
@@ -7,6 +7,7 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/quarantiner"
 )
 
 // failRequests makes the target fail six requests within half a second, in one way.
@@ -57,6 +58,23 @@
 	}
 }
 
+// TestQuarantineBesideEvacuation guards against more targets out of service than the share of those that bear the load while a
+// failure domain is evacuated.
+func TestQuarantineBesideEvacuation(t *testing.T) {
+	table := tableOf(9).WithEvent(20, cherviltide.MemberEvent{Type: cherviltide.EventSuspected, Member: member(2)})
+	for evacuated, want := range map[string]quarantiner.Peers{
+		"":                      {Members: 9, Out: false, OutBefore: 1},
+		member(2).FailureDomain: {Members: 6},
+		member(4).FailureDomain: {},
+	} {
+		d, in := newDecider(), inputAt(10, member(4), table)
+		in.Table = table.WithEvent(21, cherviltide.MemberEvent{Type: cherviltide.EventEvacuated, Member: cherviltide.Member{FailureDomain: evacuated}})
+		got := d.peersOf(in)
+		got.ServiceTime = 0
+		require.Equal(t, want, got, evacuated)
+	}
+}
+
 // TestGreyTarget guards against evidence that does not reach the decision, and against new flows for a target that is out.
 func TestGreyTarget(t *testing.T) {
 	for name, test := range map[string]struct {
