Make the test of an order on its way independent of the order of its callers

Cause: TestOrderOnItsWay sent an order twice and its withdrawal at the same time, and expected two proposals. Change: the second attempt comes before the withdrawal, and must join the first one. Run: 60 runs of go test ./controller -run Order in four processes pass, and go test ./platform -run TestEvacuatedZone.

--- a/controller/evacuate_test.go
+++ b/controller/evacuate_test.go
@@ -108,41 +108,53 @@
 // commit.
 func TestOrderOnItsWay(t *testing.T) {
 	x := newOrderFixture(t)
-	x.inLoop(func() { x.log.held = []func(){} })
-	answers := make(chan error, 3)
-	for _, withdraw := range []bool{false, false, true} {
-		go func() { _, err := x.order("z1", withdraw, "one"); answers <- err }()
-	}
-	held := func() (n int) { x.inLoop(func() { n = len(x.log.held) }); return n }
-	require.Eventually(t, func() bool { return held() == 2 }, 10*time.Second, time.Millisecond)
+	x.hold()
+	answers := make(chan error, 2)
+	send := func(withdraw bool) { _, err := x.order("z1", withdraw, "one"); answers <- err }
+	go send(false)
+	x.awaitHeld(1)
+	// The second attempt comes before the withdrawal; after it, the order would begin anew.
+	var again *order
+	x.inLoop(func() { again = x.proposeOrder(&messenger.EvacuateRequest{FailureDomain: "z1", Operator: "one"}) })
+	x.awaitHeld(1)
+	go send(true)
+	x.awaitHeld(2)
 	require.Empty(t, answers)
 	require.Empty(t, x.evacuations())
+	x.release()
+	require.NoError(t, errors.Join(<-answers, <-answers))
+	<-again.done
+	require.NoError(t, again.err)
+}
+
+// hold makes the proposals wait for release.
+func (x *orderFixture) hold() { x.inLoop(func() { x.log.held = []func(){} }) }
+
+func (x *orderFixture) awaitHeld(n int) {
+	held := func() (n int) { x.inLoop(func() { n = len(x.log.held) }); return n }
+	require.Eventually(x.t, func() bool { return held() == n }, 10*time.Second, time.Millisecond)
+}
+
+func (x *orderFixture) release() {
 	x.inLoop(func() {
 		for _, release := range x.log.held {
 			release()
 		}
 		x.log.held = nil
 	})
-	require.NoError(t, errors.Join(<-answers, <-answers, <-answers))
 }
 
 // TestOrderAfterItsWithdrawal guards against an order that is acknowledged with an earlier one although a withdrawal comes
 // between them.
 func TestOrderAfterItsWithdrawal(t *testing.T) {
 	x := newOrderFixture(t)
-	x.inLoop(func() { x.log.held = []func(){} })
+	x.hold()
 	answers := make(chan error, 3)
-	held := func() (n int) { x.inLoop(func() { n = len(x.log.held) }); return n }
 	for i, withdraw := range []bool{false, true, false} {
 		go func() { _, err := x.order("z1", withdraw, "one"); answers <- err }()
-		require.Eventually(t, func() bool { return held() == i+1 }, 10*time.Second, time.Millisecond)
+		x.awaitHeld(i + 1)
 	}
-	x.inLoop(func() {
-		for _, release := range x.log.held {
-			release()
-		}
-		x.log.held = nil
-	})
+	x.release()
 	require.NoError(t, errors.Join(<-answers, <-answers, <-answers))
 	require.Len(t, x.evacuations(), 1)
 }
