Test retained agents at an entry and forget silent agents after a cut

An agent that does not answer probes counts as silent only while a domain is closed, so that evidence from before a cut is not used in it. The agents to probe are sampled anew each second while agents are retained, because control does not remove those that die. The decision about grey targets reads the peers again when the table differs at the same generation.

--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -71,9 +71,13 @@
 
 // runRelay runs an entry in a failure domain until the test ends.
 func runRelay(t *testing.T, view *follower.View, domain string) *Relay {
+	return runRelayWith(t, func() *follower.View { return view }, domain)
+}
+
+func runRelayWith(t *testing.T, view func() *follower.View, domain string) *Relay {
 	local := netip.MustParseAddrPort("127.0.0.1:0")
 	relay, err := ListenRelay(RelayConfig{
-		Public: local, Internal: local, Codec: textCodec{}, View: func() *follower.View { return view }, Log: zap.NewNop(), FailureDomain: domain,
+		Public: local, Internal: local, Codec: textCodec{}, View: view, Log: zap.NewNop(), FailureDomain: domain,
 	})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -138,3 +142,49 @@
 	require.Zero(t, receive(owner.FailureDomain).Position)
 	require.Empty(t, agents[other].forwarded)
 }
+
+// TestRelayRetainsLostAgents guards against new flows that an entry sends into a cut because control has lost the agents of its own
+// domain, and against an entry that goes on using lost agents after the cut or when they do not answer.
+func TestRelayRetainsLostAgents(t *testing.T) {
+	agents := map[string]*domainAgent{"a": newDomainAgent(t, [16]byte{}), "b": newDomainAgent(t, [16]byte{})}
+	var view atomic.Pointer[follower.View]
+	view.Store(viewOfDomains(agents))
+	relay := runRelayWith(t, view.Load, "a")
+	caller, err := net.DialUDP("udp4", nil, relay.public.LocalAddr().(*net.UDPAddr))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	// receives opens flows until one arrives in a domain and none in the other for a while.
+	receives := func(domain, other string) {
+		require.Eventually(t, func() bool {
+			for len(agents[other].forwarded) > 0 {
+				<-agents[other].forwarded
+			}
+			_, err := caller.Write([]byte("\x01new"))
+			require.NoError(t, err)
+			select {
+			case <-agents[domain].forwarded:
+				return len(agents[other].forwarded) == 0
+			case <-time.After(20 * time.Millisecond):
+				return false
+			}
+		}, 10*time.Second, time.Millisecond)
+	}
+	require.Eventually(t, func() bool {
+		_, _ = caller.Write([]byte("\x02data"))
+		return relay.Reach.Counters.Echoes.Load() > 2
+	}, 10*time.Second, 10*time.Millisecond)
+	agents["b"].cut.Store(true)
+	require.Eventually(t, func() bool { return len(relay.Reach.Closed()) == 1 }, 10*time.Second, time.Millisecond)
+	view.Store(view.Load().WithEvents([]cherviltide.PositionedEvent{{Position: 3, Event: cherviltide.MemberEvent{
+		Type: cherviltide.EventDied, Member: cherviltide.Member{Name: "agent-a", Service: "s", Incarnation: 1},
+	}}}))
+	require.Eventually(t, func() bool { return relay.Reach.Retained() == 1 }, 10*time.Second, time.Millisecond)
+	receives("a", "b")
+	// The agents to probe are collected again each second.
+	time.Sleep(1_200 * time.Millisecond)
+	require.Equal(t, []string{"b"}, relay.Reach.Closed())
+	receives("a", "b")
+	agents["b"].cut.Store(false)
+	require.Eventually(t, func() bool { return relay.Reach.Retained() == 0 }, 10*time.Second, time.Millisecond)
+	receives("b", "a")
+}
--- a/pinger/pinger.go
+++ b/pinger/pinger.go
@@ -62,7 +62,7 @@
 	state   atomic.Pointer[state]
 	traffic atomic.Bool
 	// retainer decides which agents are used during a cut. view is the view whose agents are probed, collectedAt when they were
-	// collected, collections how often that was done. lastTraffic is the time of the last traffic. Only Run uses these.
+	// collected, collections how often that was done with retained agents. lastTraffic is the time of the last traffic. Only Run uses these.
 	retainer                 follower.Retainer
 	view                     *follower.View
 	collectedAt, lastTraffic cherviltide.Millis
@@ -185,7 +185,10 @@
 	used := p.retain(view)
 	if now-p.collectedAt >= membersInterval && (used != p.view || used != view) {
 		p.view, p.collectedAt = used, now
-		p.collections++
+		if used != view {
+			// Control does not remove retained agents that die, so all of them are probed in the course of time.
+			p.collections++
+		}
 		p.reacher.SetDomains(Domains(used, p.config.Self, p.collections))
 	}
 	probes := p.reacher.Tick(now, now-p.lastTraffic < trafficHold)
--- a/reacher/answers.go
+++ b/reacher/answers.go
@@ -10,7 +10,7 @@
 // maxSilent bounds the agents that are known not to answer; further ones count as answering.
 const maxSilent = 4_096
 
-// answers knows which agents do not answer probes. An agent that is probed once and answers later counts again.
+// answers knows which agents have not answered probes since the first domain was closed.
 type answers struct {
 	detector *detector.Detector
 	// silent has the agents that do not answer. revision changes with it.
@@ -22,9 +22,9 @@
 	return answers{detector: detector.New(), silent: map[netip.AddrPort]bool{}}
 }
 
-// probed records that a probe is sent to an agent.
-func (a *answers) probed(agent netip.AddrPort, now cherviltide.Millis) {
-	if !a.silent[agent] && a.detector.IsUnresponsive(agent, now) && len(a.silent) < maxSilent {
+// probed records that a probe is sent to an agent. isCut is false while no domain is closed.
+func (a *answers) probed(agent netip.AddrPort, now cherviltide.Millis, isCut bool) {
+	if isCut && !a.silent[agent] && a.detector.IsUnresponsive(agent, now) && len(a.silent) < maxSilent {
 		a.silent[agent] = true
 		a.revision++
 	}
@@ -40,10 +40,20 @@
 	}
 }
 
+// reset forgets all agents. One that was silent may not be probed for long, and must not count as silent in a later cut.
+func (a *answers) reset() {
+	if len(a.silent) > 0 {
+		a.silent = map[netip.AddrPort]bool{}
+		a.revision++
+	}
+	a.detector = detector.New()
+}
+
 // Answered records that an echo came from an agent.
 func (r *Reacher) Answered(agent netip.AddrPort) { r.answers.answered(agent) }
 
-// Answers reports whether an agent answers probes, or has not been probed often enough to tell.
+// Answers reports whether an agent answers probes, or has not been probed often enough to tell. It always does
+// while no domain is closed.
 func (r *Reacher) Answers(agent netip.AddrPort) bool { return !r.answers.silent[agent] }
 
 // AnswersRevision returns a number that changes whenever the result of Answers changes for an agent.
--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -306,7 +306,7 @@
 		d.unansweredSince = now
 	}
 	d.next = (d.next + 1) % len(d.agents)
-	r.answers.probed(d.agents[d.next], now)
+	r.answers.probed(d.agents[d.next], now, len(r.closed) > 0)
 	r.probes = append(r.probes, Probe{To: d.agents[d.next], Number: uint64(d.id)<<32 | uint64(d.sent)})
 }
 
@@ -355,5 +355,8 @@
 			closed = append(closed, d.name)
 		}
 	}
+	if (len(closed) == 0) != (len(r.closed) == 0) {
+		r.answers.reset()
+	}
 	r.closed = closed
 }
--- a/reacher/reacher_test.go
+++ b/reacher/reacher_test.go
@@ -278,3 +278,28 @@
 		require.Empty(t, n.reacher.Closed())
 	})
 }
+
+// TestAnswers guards against an agent of a reached domain that has died during a cut and still counts as answering, against one that
+// counts as silent after it has answered, and against evidence from before the cut.
+func TestAnswers(t *testing.T) {
+	n := newNetwork(2, 1)
+	dead := n.reacher.domains[0].agents[0]
+	down := func(now cherviltide.Millis) bool { return now < 1_000 || now >= 5_000 && now < 7_000 }
+	n.answers = func(now cherviltide.Millis, domain string, agent netip.AddrPort) bool {
+		answers := (now < cutAt || domain == "a") && (agent != dead || !down(now))
+		if answers {
+			n.reacher.Answered(agent)
+		}
+		return answers
+	}
+	require.Equal(t, "a", n.agents[dead])
+	n.run(0, 4_900)
+	require.Equal(t, []string{"b", "c"}, n.reacher.Closed())
+	require.True(t, n.reacher.Answers(dead))
+	revision := n.reacher.AnswersRevision()
+	n.run(4_900, 6_000)
+	require.False(t, n.reacher.Answers(dead))
+	require.Greater(t, n.reacher.AnswersRevision(), revision)
+	n.run(6_000, 8_000)
+	require.True(t, n.reacher.Answers(dead))
+}
--- a/relayer/grey.go
+++ b/relayer/grey.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/picker"
 	"cherviltide.example/cherviltide/quarantiner"
 )
 
@@ -11,16 +12,16 @@
 // earlier may have other reasons.
 const abandonTime cherviltide.Millis = 1_000
 
-// peers is what the table of a generation shows about the service, so that it is read once for each change.
+// peers is what a table shows about the service, so that it is read once for each change.
 type peers struct {
-	generation uint64
-	view       quarantiner.Peers
+	table *picker.Table
+	view  quarantiner.Peers
 }
 
 // tickQuarantine moves the decision about a grey target on.
 func (d *Decider) tickQuarantine(in Input) {
-	if g := in.Table.Generation(); d.peers.generation != g {
-		d.peers = peers{generation: g, view: d.peersOf(in)}
+	if d.peers.table != in.Table {
+		d.peers = peers{table: in.Table, view: d.peersOf(in)}
 	}
 	d.quarantine.Tick(in.Now, d.target.Slots, d.load.working, d.peers.view)
 }
