Tell new substitutes of a closed owner who holds its flows

When the table changes during a cut, entries may send the packets of a flow whose owner is behind it to another substitute than the one that opened the flow. That agent did not find the holder: substitutes are no candidates, and notices went to the owner only. The holder now tells the new substitute after each change of the table, also for a flow that is not open yet. An agent that opens a flow as a substitute tells the one that its own table names, if that is another one, since the entry may be behind.

--- a/bench/replayer/cut_test.go
+++ b/bench/replayer/cut_test.go
@@ -22,11 +22,12 @@
 	}
 	for _, c := range replayer.Cuts() {
 		t.Run(c.Name, func(t *testing.T) {
-			baseline := replayer.CutWithoutReach
+			baseline, seed := replayer.CutWithoutReach, uint64(1)
 			if len(c.Expired) > 0 {
-				baseline = replayer.CutWithoutRetention
+				// With this seed, a flow is opened while the substitute of its owner changes.
+				baseline, seed = replayer.CutWithoutRetention, 4
 			}
-			with, without := replayer.RunCut(c, replayer.CutPresent, 1), replayer.RunCut(c, baseline, 1)
+			with, without := replayer.RunCut(c, replayer.CutPresent, seed), replayer.RunCut(c, baseline, seed)
 			worst, least := 1.0, 1.0
 			if before[c.Name] == 1 {
 				least = 0.93
--- a/relayer/flow.go
+++ b/relayer/flow.go
@@ -47,7 +47,9 @@
 	// active is true while the flow counts against the slots of the target.
 	active bool
 	// noticed is the owner that was told that this agent holds the flow; it is invalid while this agent is the owner.
-	noticed                        netip.AddrPort
+	noticed netip.AddrPort
+	// substitute is the agent that was told last because the owner is in a closed failure domain; see addSubstituteNotice.
+	substitute                     netip.AddrPort
 	callerFinished, targetFinished bool
 }
 
--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -176,9 +176,11 @@
 	if a.Header.Flags == framer.FlagOffered {
 		decision.Notify, f.noticed = a.Sender, a.Sender
 	}
-	if owner, ok := in.Table.Pick(a.Header.Flow); ok && a.Header.Position == framer.PositionOwnerClosed && a.Header.Flags == 0 && !in.isClosed(owner) {
-		// The entry may send further copies of the packet to the owner.
-		decision.Notify = owner.Address
+	if a.Header.Position == framer.PositionOwnerClosed && a.Header.Flags == 0 {
+		// The entry may send further packets to the owner, or, when its table changes, to another substitute.
+		if next, ok := in.Table.PickOpen(a.Header.Flow, in.Closed); ok && !isSelf(in, next) && !in.isClosed(next) {
+			decision.Notify = next.Address
+		}
 	}
 	return decision
 }
--- a/relayer/reach_test.go
+++ b/relayer/reach_test.go
@@ -109,3 +109,42 @@
 	require.Contains(t, d.Notices(in), Notice{To: member(2).Address, Use: noticeHeld, Flows: []cherviltide.FlowKey{flow}})
 	require.False(t, d.HasNotices(in))
 }
+
+// TestNoticesToSubstitutes guards against a flow that is lost behind a cut when its owner's substitute changes: the new one must
+// learn who holds the flow, also when the entry or the agent learns of the change first. Agents 3 and 6 are in domain a.
+func TestNoticesToSubstitutes(t *testing.T) {
+	table, closed := tableOf(6), []string{"b", "c"}
+	flow := ownedBy(t, table, member(2))
+	substitute, _ := table.PickOpen(flow, closed)
+	other := member(3)
+	if substitute.Name == other.Name {
+		other = member(6)
+	}
+	without := table.WithEvent(100, cherviltide.MemberEvent{Type: cherviltide.EventSuspected, Member: substitute})
+	for name, changes := range map[string]bool{"table changes later": true, "entry is behind": false} {
+		t.Run(name, func(t *testing.T) {
+			d, in, opening := newDecider(), inputAt(10, other, without), syn(flow, 0)
+			if !changes {
+				in.Table = table
+			}
+			in.Closed, opening.Header.Position = closed, framer.PositionOwnerClosed
+			decision := d.FromPeer(in, opening)
+			require.Equal(t, ReasonOpened, decision.Reason)
+			if !changes {
+				require.Equal(t, substitute.Address, decision.Notify)
+				return
+			}
+			require.False(t, decision.Notify.IsValid())
+			d.Notices(in)
+			in.Table = table
+			require.True(t, d.HasNotices(in))
+			require.Contains(t, d.Notices(in), Notice{To: substitute.Address, Use: noticeOpened, Flows: []cherviltide.FlowKey{flow}})
+			in.Table = without
+			d.Notices(in)
+			d.FromTarget(in, synAck(flow))
+			d.FromPeer(in, ack(flow, 501))
+			in.Table = table
+			require.Contains(t, d.Notices(in), Notice{To: substitute.Address, Use: noticeHeld, Flows: []cherviltide.FlowKey{flow}})
+		})
+	}
+}
--- a/relayer/recall.go
+++ b/relayer/recall.go
@@ -125,6 +125,9 @@
 	isReopened := func(owner cherviltide.Member) bool { return slices.Contains(reopened, owner.FailureDomain) }
 	for key, f := range d.flows {
 		owner, ok := in.Table.Pick(key)
+		if ok && in.isClosed(owner) {
+			d.addSubstituteNotice(in, b, key, f)
+		}
 		if !ok || !f.isOpen() {
 			continue
 		}
@@ -146,6 +149,22 @@
 	}
 }
 
+// addSubstituteNotice adds a notice of a flow whose owner is in a closed failure domain to the agent to which entries send the flow's
+// packets instead. After a change of the table that is another one, which does not find this agent among the candidates.
+func (d *Decider) addSubstituteNotice(in Input, b *noticeBatch, key cherviltide.FlowKey, f *flow) {
+	next, ok := in.Table.PickOpen(key, in.Closed)
+	switch {
+	case !ok || in.isClosed(next) || f.substitute == next.Address || f.endedAt != 0:
+		return
+	case isSelf(in, next):
+	case f.isOpen():
+		b.add(next.Address, netip.AddrPort{}, key)
+	default:
+		b.notices = append(b.notices, Notice{To: next.Address, Use: noticeOpened, Flows: []cherviltide.FlowKey{key}})
+	}
+	f.substitute = next.Address
+}
+
 // confirmHolder returns the notice that this agent holds a flow: to the agent that has searched for it, or to its owner.
 func (d *Decider) confirmHolder(in Input, a Arrival, f *flow) []Notice {
 	to := a.Sender
