--- a/reacher/reacher_test.go
+++ b/reacher/reacher_test.go
@@ -302,4 +302,14 @@
 	require.Greater(t, n.reacher.AnswersRevision(), revision)
 	n.run(6_000, 8_000)
 	require.True(t, n.reacher.Answers(dead))
+
+	// An agent that is silent is not probed any more and has to get another chance.
+	down = func(now cherviltide.Millis) bool { return now >= 9_000 }
+	n.run(8_000, 10_000)
+	require.False(t, n.reacher.Answers(dead))
+	n.reacher.domains[0].agents = n.reacher.domains[0].agents[1:]
+	n.run(10_000, 30_000)
+	require.False(t, n.reacher.Answers(dead))
+	n.run(30_000, 41_000)
+	require.True(t, n.reacher.Answers(dead))
 }
