--- a/relayer/grey.go
+++ b/relayer/grey.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/picker"
 	"cherviltide.example/cherviltide/quarantiner"
 )
 
@@ -11,12 +12,12 @@
 // earlier may have other reasons.
 const abandonTime cherviltide.Millis = 1_000
 
-// peers is what the table of a generation shows about the service to the agent of a target with a number of slots, so that the
-// table is read once for each change.
+// peers is what a table shows about the service to the agent of a target with a number of slots, so that it is read once for
+// each change.
 type peers struct {
-	generation uint64
-	slots      int
-	view       quarantiner.Peers
+	table *picker.Table
+	slots int
+	view  quarantiner.Peers
 }
 
 // tickQuarantine moves the decision about a grey target on.
@@ -26,8 +27,8 @@
 	if share <= 0 {
 		return
 	}
-	if g, slots := in.Table.Generation(), d.target.Slots; d.peers.generation != g || d.peers.slots != slots {
-		d.peers = peers{generation: g, slots: slots, view: d.peersOf(in)}
+	if slots := d.target.Slots; d.peers.table != in.Table || d.peers.slots != slots {
+		d.peers = peers{table: in.Table, slots: slots, view: d.peersOf(in)}
 	}
 	d.quarantine.Tick(in.Now, d.target.Slots, d.load.working, d.peers.view)
 }
