Share the event loop and the results of the replays

The replays of agents, links and cuts each had an event loop, and each counted outcomes in its own way, so that results over time could not be compared. There is one loop and one type of results now, by kind and second of arrival; cuts and links have results over time as well.

--- a/bench/replayer/cut.go
+++ b/bench/replayer/cut.go
@@ -22,6 +22,8 @@
 	openingInterval cherviltide.Millis = 20
 	requestInterval cherviltide.Millis = 100
 	cutAgents                          = 6
+	// openingGoal is the strictest goal of the requests of deployment A.
+	openingGoal cherviltide.Millis = 300
 )
 
 // cutDomains are the failure domains of the model, with one entry and two agents each.
@@ -59,23 +61,25 @@
 	Sent, Arrived, Late, LateArrived int
 	// Broken flows are open flows of which no late packet arrived.
 	Broken int
+	// PerSecond has all flows by the second in which they were begun: Timely ones were opened within openingGoal.
+	PerSecond []Result
 	// Misdelivered packets reached a target that does not hold their flow, or another one than the caller's.
 	Misdelivered int
 }
 
 // cutSystem is the state of a run.
 type cutSystem struct {
+	loop
 	cut    Cut
 	random *rand.Rand
-	now    cherviltide.Millis
 	table  *picker.Table
 	// decides is false for the earlier behaviour, without reachability.
 	decides         bool
 	entries, agents []*cutNode
 	byAddress       map[netip.AddrPort]*cutNode
-	events          map[cherviltide.Millis][]func()
 	flows           []*cutFlow
 	reports         map[string]*CutReport
+	results         Results
 }
 
 // cutNode is an entry, or an agent with its target.
@@ -105,26 +109,22 @@
 func RunCut(c Cut, decides bool, seed uint64) map[string]*CutReport {
 	s := &cutSystem{
 		cut: c, decides: decides, random: rand.New(rand.NewPCG(seed, 0)), byAddress: map[netip.AddrPort]*cutNode{},
-		events: map[cherviltide.Millis][]func(){}, reports: map[string]*CutReport{},
+		reports: map[string]*CutReport{}, results: Results{},
 		table: picker.New(cherviltide.Service{Name: serviceName, ID: cherviltide.ServiceIDOf(serviceName), Buckets: 64}),
 	}
 	s.addNodes()
 	for at := cutFrom - 500; at < cutUntil; at += openingInterval {
 		for _, e := range s.entries {
-			s.at(at, func() { s.open(e) })
-		}
-	}
-	for ; s.now < cutEnd; s.now++ {
-		for len(s.events[s.now]) > 0 {
-			due := s.events[s.now]
-			delete(s.events, s.now)
-			for _, f := range due {
-				f()
-			}
+			s.after(at, func() { s.open(e) })
 		}
 	}
+	s.run(cutEnd - 1)
 	for _, f := range s.flows {
 		report := s.reports[f.entry.domain]
+		report.PerSecond = s.results[f.entry.domain]
+		if f.holder == nil {
+			s.results.at(f.entry.domain, f.begunAt).Failed++
+		}
 		report.Arrived += len(f.received)
 		if f.holder != nil && !f.arrivedLate {
 			report.Broken++
@@ -165,21 +165,17 @@
 			probed[i].Agents = slices.DeleteFunc(slices.Clone(probed[i].Agents), func(a netip.AddrPort) bool { return a == n.address })
 		}
 		n.reacher.SetDomains(probed)
-		s.at(cherviltide.Millis(s.random.IntN(50)), func() { s.tick(n) })
+		s.after(cherviltide.Millis(s.random.IntN(50)), func() { s.tick(n) })
 	}
 }
 
-func (s *cutSystem) at(delay cherviltide.Millis, f func()) {
-	s.events[s.now+delay] = append(s.events[s.now+delay], f)
-}
-
 // transmit calls f for the receiver after the delay between processes, if the datagram arrives.
 func (s *cutSystem) transmit(from *cutNode, to netip.AddrPort, f func(to *cutNode)) {
 	receiver := s.byAddress[to]
 	if receiver == nil || s.now >= cutFrom && s.now < cutUntil && !s.cut.Delivers(s.random, from.domain, receiver.domain) {
 		return
 	}
-	s.at(agentDelay, func() { f(receiver) })
+	s.after(agentDelay, func() { f(receiver) })
 }
 
 // tick sends the probes and notices of a process that are due.
@@ -192,7 +188,7 @@
 	if n.decider != nil && n.decider.HasNotices(s.input(n)) {
 		s.sendNotices(n, n.decider.Notices(s.input(n)))
 	}
-	s.at(n.reacher.NextTick(s.now), func() { s.tick(n) })
+	s.after(n.reacher.NextTick(s.now), func() { s.tick(n) })
 }
 
 func (s *cutSystem) input(n *cutNode) relayer.Input {
@@ -270,7 +266,7 @@
 		n.held[key] = true
 		answer.Flags, answer.Length = cherviltide.PacketOpen|cherviltide.PacketAck, 0
 		answer.Sequence = uint32(n.address.Addr().As4()[3]) * 10_000_000
-		s.at(callerDelay, func() { s.acknowledge(f, n, answer.Sequence) })
+		s.after(callerDelay, func() { s.acknowledge(f, n, answer.Sequence) })
 	} else {
 		if !n.held[key] || f.holder != n {
 			s.reports[f.entry.domain].Misdelivered++
@@ -295,11 +291,12 @@
 		Virtual: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), 443),
 	}}
 	s.flows = append(s.flows, f)
+	s.results.at(entry.domain, s.now).Asked++
 	if s.now >= cutFrom {
 		s.reports[entry.domain].Flows++
 	}
 	for i, delay := range append([]cherviltide.Millis{0}, openingRetransmissions...) {
-		s.at(delay, func() {
+		s.after(delay, func() {
 			if f.holder == nil {
 				s.enter(f, cherviltide.Packet{Flags: cherviltide.PacketOpen, Retransmission: uint32(i)})
 			}
@@ -313,12 +310,13 @@
 		return
 	}
 	f.holder = n
+	s.countOpened(f)
 	report := s.reports[f.entry.domain]
 	if f.begunAt >= cutFrom {
 		report.Opened++
 	}
 	for delay := callerDelay; s.now+delay < cutEnd-requestInterval; delay += requestInterval {
-		s.at(delay, func() {
+		s.after(delay, func() {
 			p := cherviltide.Packet{Flags: cherviltide.PacketAck, Acknowledgement: sequence + 1, Length: 10, Sequence: uint32(s.now - f.begunAt)}
 			report.Sent++
 			if p.Sequence >= cutLateSequence(f) {
@@ -328,3 +326,13 @@
 		})
 	}
 }
+
+// countOpened counts a flow that a target has opened.
+func (s *cutSystem) countOpened(f *cutFlow) {
+	result := s.results.at(f.entry.domain, f.begunAt)
+	if s.now-f.begunAt <= openingGoal {
+		result.Timely++
+	} else {
+		result.Late++
+	}
+}
--- a/bench/replayer/linkflow.go
+++ b/bench/replayer/linkflow.go
@@ -14,6 +14,11 @@
 	entry int
 }
 
+// result returns the result that counts a request.
+func (r *linkReplay) result(q *linkRequest) *Result {
+	return r.report.PerSecond.at(q.kind.name, q.startedAt)
+}
+
 // linkFlow is one attempt of a request: the caller's end and the target's end of a flow.
 type linkFlow struct {
 	replay  *linkReplay
@@ -75,9 +80,9 @@
 		return
 	}
 	if reset {
-		r.report.Kinds[q.kind.name].Refused++
+		r.result(q).Refused++
 	} else {
-		r.report.Kinds[q.kind.name].Failed++
+		r.result(q).Failed++
 	}
 }
 
@@ -87,7 +92,7 @@
 		return
 	}
 	f.ended = true
-	f.replay.report.Kinds[f.request.kind.name].Failed++
+	f.replay.result(f.request).Failed++
 	f.send(cherviltide.Packet{Flags: cherviltide.PacketReset})
 }
 
@@ -166,8 +171,8 @@
 	q, r := f.request, f.replay
 	r.report.Goodput += float64(q.kind.bytes)
 	if r.now-q.startedAt <= q.kind.goal {
-		r.report.Kinds[q.kind.name].Timely++
+		r.result(q).Timely++
 	} else {
-		r.report.Kinds[q.kind.name].Late++
+		r.result(q).Late++
 	}
 }
--- a/bench/replayer/links.go
+++ b/bench/replayer/links.go
@@ -1,7 +1,7 @@
 package replayer
 
 import (
-	"container/heap"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 
@@ -42,8 +42,9 @@
 
 // LinkReport is the outcome of a load on links.
 type LinkReport struct {
-	// Kinds has the requests by kind and outcome.
-	Kinds map[string]*Result
+	// PerSecond has the results by kind and second of arrival, and Kinds those of the whole run.
+	PerSecond Results
+	Kinds     map[string]*Result
 	// Offered and Goodput are the payload of all requests and of those that were complete before their deadline, in bytes a second.
 	Offered, Goodput float64
 	// DataPackets counts the packets with data that targets received, and Copies those among them that they had already.
@@ -112,11 +113,9 @@
 
 // linkReplay is the state of a simulation of links.
 type linkReplay struct {
+	loop
 	pattern  LinkPattern
 	random   *rand.Rand
-	now      cherviltide.Millis
-	seq      int
-	events   eventHeap
 	entries  []*linkEntry
 	lastPort int
 	report   *LinkReport
@@ -124,7 +123,7 @@
 
 // RunLinks plays a load on links. Runs with the same seed are equal.
 func RunLinks(p LinkPattern, seed uint64) *LinkReport {
-	r := &linkReplay{pattern: p, random: rand.New(rand.NewPCG(seed, 0)), report: &LinkReport{Kinds: map[string]*Result{}}}
+	r := &linkReplay{pattern: p, random: rand.New(rand.NewPCG(seed, 0)), report: &LinkReport{PerSecond: Results{}, Kinds: map[string]*Result{}}}
 	for i := range p.Entries + p.FastEntries {
 		rate := p.Rate
 		if i >= p.Entries {
@@ -138,15 +137,14 @@
 	}
 	uploads := p.Load * float64(p.Entries+p.FastEntries) * float64(p.Rate) / perUpload
 	for i := range linkKinds {
-		r.report.Kinds[linkKinds[i].name] = &Result{}
 		// Each kind has its own random numbers, so that the requests arrive at the same times in all variants.
 		random := rand.New(rand.NewPCG(seed, uint64(i+1)))
 		r.scheduleRequests(&linkKinds[i], uploads*linkKinds[i].requestsPerUpload, random)
 	}
-	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(event)
-		r.now = e.at
-		e.call()
+	r.run(math.MaxInt64)
+	for kind := range r.report.PerSecond {
+		sum := r.report.PerSecond.Sum(0, r.report.PerSecond.Seconds(), kind)
+		r.report.Kinds[kind] = &sum
 	}
 	for _, e := range r.entries {
 		r.report.Lost += e.in.lost
@@ -175,11 +173,6 @@
 // packets returns the number of packets with data of a request.
 func (k linkKind) packets() int { return (k.bytes + fullPacketPayload - 1) / fullPacketPayload }
 
-func (r *linkReplay) after(delay cherviltide.Millis, call func()) {
-	r.seq++
-	heap.Push(&r.events, event{at: r.now + delay, seq: r.seq, call: call})
-}
-
 // scheduleRequests schedules the arrivals of a kind as a Poisson process.
 func (r *linkReplay) scheduleRequests(kind *linkKind, perSecond float64, random *rand.Rand) {
 	at := 0.0
@@ -188,7 +181,7 @@
 		if r.now >= r.pattern.Duration {
 			return
 		}
-		r.report.Kinds[kind.name].Asked++
+		r.report.PerSecond.at(kind.name, r.now).Asked++
 		r.report.Offered += float64(kind.bytes)
 		r.openLinkFlow(&linkRequest{kind: kind, startedAt: r.now, entry: -1})
 		at += random.ExpFloat64() * 1000 / perSecond
--- a/bench/replayer/replayer.go
+++ b/bench/replayer/replayer.go
@@ -3,7 +3,6 @@
 package replayer
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -85,17 +84,10 @@
 
 func (i Interval) contains(t cherviltide.Millis) bool { return t >= i.From && t < i.To }
 
-// Result has the counts of requests of one kind by their outcome, for the requests of one second.
-type Result struct {
-	// Timely requests met their goal, Late ones their deadline; Refused ones were reset in their last attempt, or rejected by
-	// a target, and Failed ones got no answer.
-	Asked, Timely, Late, Refused, Failed int
-}
-
 // Report is the outcome of a pattern.
 type Report struct {
 	// PerSecond has the results by kind and second of arrival.
-	PerSecond map[string][]Result
+	PerSecond Results
 	// Doubled counts attempts that two targets ran, FalseRefusals those that were reset and ran, Offers the offers between
 	// agents, and Attempts the flows that callers tried to open.
 	Doubled, FalseRefusals, Offers, Attempts int
@@ -116,27 +108,11 @@
 	ColdDeliveries int
 }
 
-// Sum returns the results of all kinds whose requests arrived in an interval of whole seconds.
+// Sum returns the results of the given kinds, or of all, whose requests arrived in an interval of whole seconds.
 func (r *Report) Sum(from, to int, kinds ...string) Result {
-	var sum Result
-	for name, seconds := range r.PerSecond {
-		if len(kinds) > 0 && name != kinds[0] {
-			continue
-		}
-		for s := from; s < min(to, len(seconds)); s++ {
-			sum.Asked += seconds[s].Asked
-			sum.Timely += seconds[s].Timely
-			sum.Late += seconds[s].Late
-			sum.Refused += seconds[s].Refused
-			sum.Failed += seconds[s].Failed
-		}
-	}
-	return sum
+	return r.PerSecond.Sum(from, to, kinds...)
 }
 
-// TimelyShare returns the share of timely requests.
-func (r Result) TimelyShare() float64 { return float64(r.Timely) / float64(max(r.Asked, 1)) }
-
 // request is a caller's request with its attempts.
 type request struct {
 	kind      *Kind
@@ -165,34 +141,11 @@
 	session *session
 }
 
-// event is a call at a point in time; events at the same time keep their order.
-type event struct {
-	at   cherviltide.Millis
-	seq  int
-	call func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 // replay is the state of a simulation.
 type replay struct {
+	loop
 	pattern  Pattern
 	random   *rand.Rand
-	now      cherviltide.Millis
-	seq      int
-	events   eventHeap
 	table    *picker.Table
 	targets  []*target
 	attempts map[cherviltide.FlowKey]*attempt
@@ -206,7 +159,7 @@
 	p.Kinds = slices.Clone(p.Kinds)
 	r := &replay{
 		pattern: p, random: rand.New(rand.NewPCG(seed, 0)), attempts: map[cherviltide.FlowKey]*attempt{},
-		routes: map[netip.AddrPort]cherviltide.Route{}, report: &Report{PerSecond: map[string][]Result{}},
+		routes: map[netip.AddrPort]cherviltide.Route{}, report: &Report{PerSecond: Results{}},
 	}
 	r.table = picker.New(cherviltide.Service{Name: serviceName, ID: cherviltide.ServiceIDOf(serviceName), Buckets: 512, WarmUp: p.WarmUp.rules()})
 	for i, speed := range p.Speeds {
@@ -219,12 +172,7 @@
 	r.scheduleFaults()
 	r.scheduleWarmUp()
 	r.after(0, r.tick)
-	end := p.Duration + 5_000
-	for len(r.events) > 0 && r.events[0].at <= end {
-		e := heap.Pop(&r.events).(event)
-		r.now = e.at
-		e.call()
-	}
+	r.run(p.Duration + 5_000)
 	for _, t := range r.targets {
 		r.report.LeftWaiting += t.decider.Waiting()
 	}
@@ -234,12 +182,6 @@
 	return r.report
 }
 
-// after schedules a call.
-func (r *replay) after(delay cherviltide.Millis, call func()) {
-	r.seq++
-	heap.Push(&r.events, event{at: r.now + delay, seq: r.seq, call: call})
-}
-
 // scheduleKind schedules the arrivals of a kind as a Poisson process.
 func (r *replay) scheduleKind(index int) {
 	kind := &r.pattern.Kinds[index]
@@ -248,7 +190,6 @@
 		kind.Route.Class = cherviltide.ClassNormal
 	}
 	r.routes[kind.Route.Address] = kind.Route
-	r.report.PerSecond[kind.Name] = make([]Result, r.pattern.Duration/1000+1)
 	sessions := make([]*session, kind.LongFlows.Callers)
 	for i := range sessions {
 		sessions[i] = &session{replay: r}
@@ -264,7 +205,7 @@
 		} else {
 			r.startAttempt(q)
 		}
-		r.report.PerSecond[kind.Name][r.now/1000].Asked++
+		r.report.PerSecond.at(kind.Name, r.now).Asked++
 		rate := kind.PerSecond * r.pattern.Wave.factor(r.now)
 		if r.pattern.Burst.contains(r.now) {
 			rate *= r.pattern.BurstFactor
@@ -463,7 +404,7 @@
 		return
 	}
 	q.done = true
-	count(&r.report.PerSecond[q.kind.Name][q.startedAt/1000])
+	count(r.report.PerSecond.at(q.kind.Name, q.startedAt))
 	if q.session != nil {
 		q.session.done(flow)
 	}
