--- a/bench/measurer/line.go
+++ b/bench/measurer/line.go
@@ -1,6 +1,8 @@
 // Package measurer runs the measurement cases and prints one JSON line for each result.
 package measurer
 
+import "cherviltide.example/cherviltide/bench/replayer"
+
 // Line is one result. Fields that do not apply to a case are omitted.
 type Line struct {
 	Case string
@@ -13,7 +15,7 @@
 	Imbalance   *float64 `json:",omitempty"` // Maximum load of a target over the mean load, each relative to its speed.
 	ExtraHops   *float64 `json:",omitempty"` // Per datagram.
 
-	TimelyShare *float64 `json:",omitempty"` // Of the requests that arrived while targets were cold.
+	TimelyShare *float64 `json:",omitempty"` // Of all requests; with warm-up, of those that arrived while targets were cold.
 	FullShareMs *int64   `json:",omitempty"` // From the start of cold targets until they serve 90% of what they served before.
 
 	Kind         string   `json:",omitempty"`
@@ -37,6 +39,10 @@
 
 	// Note describes the measurement and has further results, with units.
 	Note string `json:",omitempty"`
+
+	// pattern and results are those of a plot: the title of the load pattern and the outcomes over time, or nil.
+	pattern string
+	results replayer.Results
 }
 
 // Ptr returns a pointer to a value, for the optional fields of a Line.
--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -33,6 +33,7 @@
 	{"cuts", runCuts},
 	{"transfers", runTransfers},
 	{"grey", runGrey},
+	{"hard-load", runHardLoad},
 	{"at-most-once", runClaims},
 	{"placement-add", placementAdd},
 	{"placement-drain", placementDrain},
@@ -42,8 +43,8 @@
 	{"placement-lagging-entries", placementLaggingEntries},
 }
 
-// Run runs the case with the given name, or all cases when the name is empty.
-func Run(ctx context.Context, out io.Writer, name string, seed uint64) error {
+// Run runs the case with the given name, or all cases when the name is empty. The plot gets the results over time.
+func Run(ctx context.Context, out io.Writer, name string, seed uint64, plot *Plot) error {
 	encoder := json.NewEncoder(out)
 	var names []string
 	found := false
@@ -59,6 +60,7 @@
 				l.Variant = "Default"
 			}
 			_ = encoder.Encode(l)
+			plot.add(l)
 		}
 		if err := c.Run(ctx, seed, emit); err != nil {
 			return errors.Annotatef(err, "case %s", c.Name)
--- a/cmd/cherviltide-bench/main.go
+++ b/cmd/cherviltide-bench/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -79,10 +80,19 @@
 type measureCommand struct {
 	Case string `help:"run only this case"`
 	Seed uint64 `default:"1" help:"seed of all random choices"`
+	Plot string `help:"file for an SVG image of the share within the goal over time, with the case hard-load"`
 }
 
 func (c *measureCommand) run(ctx context.Context) error {
-	return measurer.Run(ctx, os.Stdout, c.Case, c.Seed)
+	var plot measurer.Plot
+	if err := measurer.Run(ctx, os.Stdout, c.Case, c.Seed, &plot); err != nil || c.Plot == "" {
+		return err
+	}
+	var image bytes.Buffer
+	if err := plot.Write(&image); err != nil {
+		return err
+	}
+	return os.WriteFile(c.Plot, image.Bytes(), 0o644)
 }
 
 type subscribeCommand struct {
