Replay links with the callers, agents and targets of the other patterns

Links had callers, flows, retries and targets of their own, so that thin links could not be combined with long flows, grey or cold targets or waves. Pattern.Links gives any pattern entries with links now; requests pass them in windows. The targets of thin links have slots and agents with deciders, two for each entry, where they had no bound before.

--- a/bench/replayer/links.go
+++ b/bench/replayer/links.go
@@ -1,14 +1,24 @@
 package replayer
 
 import (
-	"math"
-	"math/rand/v2"
-	"net/netip"
+	"slices"
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/shaper"
 )
 
+// Links are the links of the entries that callers' packets pass. Without links, packets reach the agents at once.
+type Links struct {
+	// Rates has the rate of each entry's link in bytes a second. Callers choose among all entries alike.
+	Rates []int64
+	// Separate is true when the links carry their rate in each direction at the same time.
+	Separate bool
+	// ArrivalOrder makes entries forward all packets in the order of their arrival. It is the baseline for comparison.
+	ArrivalOrder bool
+	// Directions is what the entries know of Separate.
+	Directions shaper.Directions
+}
+
 // LinkPattern is a load of uploads and small requests on the links of entries.
 type LinkPattern struct {
 	// Entries is the number of entries, each of them with a link of Rate bytes a second.
@@ -42,9 +52,14 @@
 
 // LinkReport is the outcome of a load on links.
 type LinkReport struct {
-	// PerSecond has the results by kind and second of arrival, and Kinds those of the whole run.
-	PerSecond Results
+	// Kinds has the requests of the whole run by kind.
 	Kinds     map[string]*Result
+	PerSecond Results
+	LinkCounts
+}
+
+// LinkCounts are the counts of a load on links.
+type LinkCounts struct {
 	// Offered and Goodput are the payload of all requests and of those that were complete before their deadline, in bytes a second.
 	Offered, Goodput float64
 	// DataPackets counts the packets with data that targets received, and Copies those among them that they had already.
@@ -56,20 +71,13 @@
 	Refusals      int
 }
 
-// linkKind is a kind of request that callers send over the links.
-type linkKind struct {
-	name              string
-	class             cherviltide.Class
-	bytes             int
-	work              cherviltide.Millis
-	goal, deadline    cherviltide.Millis
-	requestsPerUpload float64
-}
-
-// linkKinds has the uploads and the small requests of deployment A in their proportion.
-var linkKinds = []linkKind{
-	{name: "upload", class: cherviltide.ClassUpload, bytes: 40_000, work: 4, goal: 800, deadline: 6_000, requestsPerUpload: 1},
-	{name: "post", class: cherviltide.ClassNormal, bytes: 900, work: 33, goal: 300, deadline: 2_500, requestsPerUpload: 330.0 / 99},
+// linkKinds returns the uploads and the small requests of deployment A in their proportion.
+func linkKinds() []Kind {
+	upload := Kind{Name: "upload", Route: cherviltide.Route{Priority: 2, Goal: 800, Deadline: 6_000, Class: cherviltide.ClassUpload},
+		PerSecond: 99, ServiceTime: 4.2, Packets: 1, Upload: Upload{Packets: 34, LastPayload: 400}}
+	post := Kind{Name: "post", Route: cherviltide.Route{Priority: 2, Goal: 300, Deadline: 2_500, Class: cherviltide.ClassNormal},
+		PerSecond: 330, ServiceTime: 33, Packets: 1, Upload: Upload{Packets: 1, LastPayload: 900}}
+	return []Kind{upload, post}
 }
 
 // Sizes of packets, in bytes: the caller's header, the header between entry and agent, and the IPv4 and UDP headers.
@@ -93,6 +101,9 @@
 	lastRetransmission  cherviltide.Millis = 1_600
 )
 
+// targetsOfEntry is the number of targets for each entry, about that of deployment A.
+const targetsOfEntry = 2
+
 // wire is one direction of a link, or both: a queue that is served at a rate and loses what it cannot hold.
 type wire struct {
 	perMilli  float64
@@ -111,220 +122,42 @@
 	return cherviltide.Millis(w.busyUntil + 0.999), true
 }
 
-// linkReplay is the state of a simulation of links.
-type linkReplay struct {
-	loop
-	pattern  LinkPattern
-	random   *rand.Rand
-	entries  []*linkEntry
-	lastPort int
-	report   *LinkReport
+// pattern returns the load as a pattern for Run.
+func (p LinkPattern) pattern() Pattern {
+	entries := p.Entries + p.FastEntries
+	rates := append(slices.Repeat([]int64{p.Rate}, p.Entries), slices.Repeat([]int64{fastRate}, p.FastEntries)...)
+	kinds, perSecond := linkKinds(), 0.0
+	for _, k := range kinds {
+		perSecond += k.PerSecond * float64(k.linkBytes(p.Separate))
+	}
+	for i := range kinds {
+		kinds[i].PerSecond *= p.Load * float64(entries) * float64(p.Rate) / perSecond
+	}
+	return Pattern{
+		Slots: 2, Queue: 8, Speeds: slices.Repeat([]float64{1}, targetsOfEntry*entries), Kinds: kinds, Duration: p.Duration,
+		Links: Links{Rates: rates, Separate: p.Separate, ArrivalOrder: p.ArrivalOrder, Directions: p.Directions},
+	}
 }
 
 // RunLinks plays a load on links. Runs with the same seed are equal.
 func RunLinks(p LinkPattern, seed uint64) *LinkReport {
-	r := &linkReplay{pattern: p, random: rand.New(rand.NewPCG(seed, 0)), report: &LinkReport{PerSecond: Results{}, Kinds: map[string]*Result{}}}
-	for i := range p.Entries + p.FastEntries {
-		rate := p.Rate
-		if i >= p.Entries {
-			rate = fastRate
-		}
-		r.entries = append(r.entries, newLinkEntry(r, rate))
-	}
-	perUpload := 0.0
-	for _, k := range linkKinds {
-		perUpload += k.requestsPerUpload * float64(k.linkBytes(p.Separate))
-	}
-	uploads := p.Load * float64(p.Entries+p.FastEntries) * float64(p.Rate) / perUpload
-	for i := range linkKinds {
-		// Each kind has its own random numbers, so that the requests arrive at the same times in all variants.
-		random := rand.New(rand.NewPCG(seed, uint64(i+1)))
-		r.scheduleRequests(&linkKinds[i], uploads*linkKinds[i].requestsPerUpload, random)
+	report := Run(p.pattern(), seed)
+	r := &LinkReport{Kinds: map[string]*Result{}, PerSecond: report.PerSecond, LinkCounts: report.Links}
+	for kind := range r.PerSecond {
+		sum := r.PerSecond.Sum(0, r.PerSecond.Seconds(), kind)
+		r.Kinds[kind] = &sum
 	}
-	r.run(math.MaxInt64)
-	for kind := range r.report.PerSecond {
-		sum := r.report.PerSecond.Sum(0, r.report.PerSecond.Seconds(), kind)
-		r.report.Kinds[kind] = &sum
-	}
-	for _, e := range r.entries {
-		r.report.Lost += e.in.lost
-		if e.out != e.in {
-			r.report.Lost += e.out.lost
-		}
-	}
-	seconds := float64(p.Duration) / 1000
-	r.report.Offered /= seconds
-	r.report.Goodput /= seconds
-	return r.report
+	return r
 }
 
 // linkBytes returns the bytes that a request takes on a link when each packet is sent once. With two directions, those of the
 // busier one count.
-func (k linkKind) linkBytes(separate bool) int {
-	packets := k.packets() + controlPackets
-	in := k.bytes + packets*(linkPacketHeader+linkDatagramHeader)
+func (k *Kind) linkBytes(separate bool) int {
+	packets := k.Upload.Packets + controlPackets
+	in := k.Upload.bytes() + packets*(linkPacketHeader+linkDatagramHeader)
 	out := in + packets*linkForwardHeader
 	if separate {
 		return out
 	}
 	return in + out
 }
-
-// packets returns the number of packets with data of a request.
-func (k linkKind) packets() int { return (k.bytes + fullPacketPayload - 1) / fullPacketPayload }
-
-// scheduleRequests schedules the arrivals of a kind as a Poisson process.
-func (r *linkReplay) scheduleRequests(kind *linkKind, perSecond float64, random *rand.Rand) {
-	at := 0.0
-	var next func()
-	next = func() {
-		if r.now >= r.pattern.Duration {
-			return
-		}
-		r.report.PerSecond.at(kind.name, r.now).Asked++
-		r.report.Offered += float64(kind.bytes)
-		r.openLinkFlow(&linkRequest{kind: kind, startedAt: r.now, entry: -1})
-		at += random.ExpFloat64() * 1000 / perSecond
-		r.after(max(cherviltide.Millis(at)-r.now, 0), next)
-	}
-	r.after(0, next)
-}
-
-// linkEntry is an entry with its link.
-type linkEntry struct {
-	replay *linkReplay
-	// in and out are the same wire when both directions share the link.
-	in, out *wire
-	// shaper is nil with the baseline.
-	shaper *shaper.Shaper
-	// flows has the flows by their key, whose packets wait at the entry.
-	flows              map[cherviltide.FlowKey]*linkFlow
-	ticking, departing bool
-}
-
-func newLinkEntry(r *linkReplay, rate int64) *linkEntry {
-	e := &linkEntry{replay: r, in: &wire{perMilli: float64(rate) / 1000}, flows: map[cherviltide.FlowKey]*linkFlow{}}
-	e.out = e.in
-	if r.pattern.Separate {
-		e.out = &wire{perMilli: e.in.perMilli}
-	}
-	if r.pattern.ArrivalOrder {
-		return e
-	}
-	config := shaper.Config{
-		Rate: rate, Directions: r.pattern.Directions, PacketHeader: linkPacketHeader, ForwardHeader: linkForwardHeader,
-		MaxPayload: fullPacketPayload, OpeningRetransmissions: openingRetransmissions, OpeningTimeout: openingTimeout,
-	}
-	e.shaper = shaper.New(config)
-	return e
-}
-
-// receive handles a packet of a caller that has passed the link.
-func (e *linkEntry) receive(f *linkFlow, p cherviltide.Packet) {
-	if e.shaper == nil {
-		e.transmit(f, p)
-		return
-	}
-	now, size := e.replay.now, p.Length+linkPacketHeader
-	e.flows[f.key] = f
-	upload := f.request.kind.class == cherviltide.ClassUpload
-	switch {
-	case upload && p.OpensFlow():
-		e.open(f, p)
-		return
-	case upload:
-		e.shaper.Packet(now, f.key, p)
-	default:
-		e.shaper.CountOther(now, size)
-	}
-	e.depart(f, p)
-	e.release()
-}
-
-func (e *linkEntry) open(f *linkFlow, p cherviltide.Packet) {
-	k := f.request.kind
-	o := shaper.Opening{Flow: f.key, Priority: 3, Goal: k.goal, Retransmission: p.Retransmission, Datagram: make([]byte, linkPacketHeader+linkForwardHeader)}
-	switch e.shaper.Open(e.replay.now, o) {
-	case shaper.VerdictForward:
-		e.depart(f, p)
-	case shaper.VerdictRefuse:
-		e.refuse(f)
-	default:
-		e.tick()
-	}
-}
-
-// tick examines waiting opening packets at intervals.
-func (e *linkEntry) tick() {
-	if e.ticking {
-		return
-	}
-	e.ticking = true
-	e.replay.after(tickInterval, func() {
-		e.ticking = false
-		if e.release(); e.shaper.Waiting() > 0 {
-			e.tick()
-		}
-	})
-}
-
-// release forwards or refuses opening packets that wait no longer.
-func (e *linkEntry) release() {
-	for d, ok := e.shaper.Next(e.replay.now); ok; d, ok = e.shaper.Next(e.replay.now) {
-		f := e.flows[d.Flow]
-		if d.Refused {
-			e.refuse(f)
-			continue
-		}
-		e.replay.report.LongestWaitMs = max(e.replay.report.LongestWaitMs, d.Wait)
-		e.depart(f, cherviltide.Packet{Flags: cherviltide.PacketOpen, Sequence: openingSequence, Retransmission: d.Retransmission})
-	}
-}
-
-func (e *linkEntry) refuse(f *linkFlow) {
-	e.replay.report.Refusals++
-	e.replay.after(callerDelay, func() { f.fail(true) })
-}
-
-// depart sends a packet, or lets it wait for the link.
-func (e *linkEntry) depart(f *linkFlow, p cherviltide.Packet) {
-	size := p.Length + linkPacketHeader + linkForwardHeader
-	if e.shaper.Exit.Pass(e.replay.now, size) {
-		e.transmit(f, p)
-		return
-	}
-	upload := f.request.kind.class == cherviltide.ClassUpload
-	e.shaper.Exit.Add(e.replay.now, shaper.Outgoing{Packet: p, Flow: f.key, Upload: upload, Datagram: make([]byte, size)})
-	e.sendWaiting()
-}
-
-// sendWaiting sends the packets whose turn it is, and again when the link can take the next one.
-func (e *linkEntry) sendWaiting() {
-	for p, ok := e.shaper.Exit.Next(e.replay.now); ok; p, ok = e.shaper.Exit.Next(e.replay.now) {
-		e.transmit(e.flows[p.Flow], p.Packet)
-	}
-	wait, waits := e.shaper.Exit.Wait(e.replay.now)
-	if !waits || e.departing {
-		return
-	}
-	e.departing = true
-	e.replay.after(max(wait, 1), func() {
-		e.departing = false
-		e.sendWaiting()
-	})
-}
-
-// transmit sends a packet over the link to the target.
-func (e *linkEntry) transmit(f *linkFlow, p cherviltide.Packet) {
-	at, ok := e.out.carry(e.replay.now, p.Length+linkPacketHeader+linkForwardHeader+linkDatagramHeader)
-	if ok {
-		e.replay.after(at-e.replay.now+agentDelay, func() { f.arrive(p) })
-	}
-}
-
-// nextKey returns the key of a new flow.
-func (r *linkReplay) nextKey() cherviltide.FlowKey {
-	r.lastPort++
-	address := netip.AddrFrom4([4]byte{100, byte(r.lastPort >> 24), byte(r.lastPort >> 16), byte(r.lastPort >> 8)})
-	return cherviltide.FlowKey{Caller: netip.AddrPortFrom(address, uint16(1024+r.lastPort&255)), Virtual: virtualAddress(0)}
-}
--- a/bench/replayer/replayer.go
+++ b/bench/replayer/replayer.go
@@ -1,5 +1,6 @@
-// Package replayer plays load patterns against the decisions of agents in simulated time: callers that send copies of their
-// opening packets and come back after a refusal, agents with their deciders, and targets with slots, a queue and a cold start.
+// Package replayer plays load patterns against the decisions of entries and agents in simulated time: callers that send copies of
+// their opening packets and come back after a refusal, entries with their links, agents with their deciders, and targets with
+// slots, a queue and a cold start.
 package replayer
 
 import (
@@ -77,6 +78,7 @@
 	// baseline for comparison.
 	TargetQueues bool
 	WarmUp       WarmUp
+	Links        Links
 }
 
 // Interval is a time interval.
@@ -106,6 +108,8 @@
 	// ColdDeliveries the most opening packets that a cold target got in a second.
 	Served         []int
 	ColdDeliveries int
+	// Links has the counts of the links.
+	Links LinkCounts
 }
 
 // Sum returns the results of the given kinds, or of all, whose requests arrived in an interval of whole seconds.
@@ -121,6 +125,8 @@
 	done      bool
 	// session is the caller that keeps its flow open, or nil.
 	session *session
+	// entry is the entry of the last attempt, or nil.
+	entry *entry
 }
 
 // attempt is one flow of a request.
@@ -139,6 +145,11 @@
 	missing      int
 	// session is the caller that keeps the flow open, or nil.
 	session *session
+	// entry is the entry of the flow, or nil without links. window is the transfer of the request over its link, of which the
+	// caller sends no more than sendable packets.
+	entry    *entry
+	window   *window
+	sendable int
 }
 
 // replay is the state of a simulation.
@@ -148,6 +159,7 @@
 	random   *rand.Rand
 	table    *picker.Table
 	targets  []*target
+	entries  []*entry
 	attempts map[cherviltide.FlowKey]*attempt
 	routes   map[netip.AddrPort]cherviltide.Route
 	lastPort int
@@ -166,24 +178,40 @@
 		r.targets = append(r.targets, newTarget(r, i, speed))
 		r.addEvent(cherviltide.EventJoined, i)
 	}
+	r.addEntries()
 	for i := range p.Kinds {
-		r.scheduleKind(i)
+		r.scheduleKind(i, seed)
 	}
 	r.scheduleFaults()
 	r.scheduleWarmUp()
 	r.after(0, r.tick)
-	r.run(p.Duration + 5_000)
+	end := p.Duration + 5_000
+	for _, k := range p.Kinds {
+		end = max(end, p.Duration+k.Route.Deadline+1_000)
+	}
+	r.run(end)
 	for _, t := range r.targets {
 		r.report.LeftWaiting += t.decider.Waiting()
 	}
 	if slots := p.Slots * len(p.Speeds); slots > 0 {
 		r.report.Busy = float64(r.report.busyTime) / float64(p.Duration) / float64(slots)
 	}
+	r.countLinks()
 	return r.report
 }
 
+// countLinks completes the counts of the links.
+func (r *replay) countLinks() {
+	for _, e := range r.entries {
+		r.report.Links.Lost += e.lostPackets()
+	}
+	seconds := float64(r.pattern.Duration) / 1000
+	r.report.Links.Offered /= seconds
+	r.report.Links.Goodput /= seconds
+}
+
 // scheduleKind schedules the arrivals of a kind as a Poisson process.
-func (r *replay) scheduleKind(index int) {
+func (r *replay) scheduleKind(index int, seed uint64) {
 	kind := &r.pattern.Kinds[index]
 	kind.Route.Address = virtualAddress(index)
 	if r.pattern.WholeFlows && kind.Route.Class == cherviltide.ClassUpload {
@@ -194,6 +222,11 @@
 	for i := range sessions {
 		sessions[i] = &session{replay: r}
 	}
+	random := r.random
+	if len(r.entries) > 0 {
+		// Each kind has its own random numbers, so that the requests arrive at the same times in all variants.
+		random = rand.New(rand.NewPCG(seed, uint64(index+1)))
+	}
 	var next func()
 	next = func() {
 		if r.now >= r.pattern.Duration {
@@ -201,18 +234,19 @@
 		}
 		q := &request{kind: kind, startedAt: r.now}
 		if len(sessions) > 0 {
-			sessions[r.random.IntN(len(sessions))].ask(q)
+			sessions[random.IntN(len(sessions))].ask(q)
 		} else {
 			r.startAttempt(q)
 		}
 		r.report.PerSecond.at(kind.Name, r.now).Asked++
+		r.report.Links.Offered += float64(kind.Upload.bytes())
 		rate := kind.PerSecond * r.pattern.Wave.factor(r.now)
 		if r.pattern.Burst.contains(r.now) {
 			rate *= r.pattern.BurstFactor
 		}
-		r.after(cherviltide.Millis(r.random.ExpFloat64()*1000/rate+r.random.Float64()), next)
+		r.after(cherviltide.Millis(random.ExpFloat64()*1000/rate+random.Float64()), next)
 	}
-	r.after(cherviltide.Millis(r.random.IntN(10)), next)
+	r.after(cherviltide.Millis(random.IntN(10)), next)
 }
 
 // scheduleFaults schedules the outage and the loss of targets.
@@ -281,7 +315,8 @@
 	r.report.Attempts++
 	r.lastPort++
 	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(r.lastPort >> 14), byte(r.lastPort >> 22)}), uint16(1024+r.lastPort&(1<<14-1)))
-	a := &attempt{request: q, key: cherviltide.FlowKey{Caller: caller, Virtual: q.kind.Route.Address}, nextSequence: firstSequence, session: q.session}
+	a := &attempt{request: q, key: cherviltide.FlowKey{Caller: caller, Virtual: q.kind.Route.Address}, nextSequence: firstSequence, session: q.session,
+		entry: r.chooseEntry(q)}
 	r.attempts[a.key] = a
 	r.sendOpening(a, 0)
 	for i, delay := range openingRetransmissions {
@@ -292,18 +327,31 @@
 			r.endAttempt(a, false)
 		}
 	})
+	if a.entry != nil && a.session == nil {
+		// Packets may be lost on links, so that no answer comes.
+		r.after(q.startedAt+q.kind.Route.Deadline-r.now, func() { r.giveUp(a) })
+	}
 }
 
 func (r *replay) sendOpening(a *attempt, copyNumber uint32) {
 	if a.ended || a.openAt != nil {
 		return
 	}
-	r.send(a, cherviltide.Packet{Flags: cherviltide.PacketOpen, Sequence: 100, Retransmission: copyNumber})
+	r.send(a, cherviltide.Packet{Flags: cherviltide.PacketOpen, Sequence: openingSequence, Retransmission: copyNumber})
 }
 
-// send sends a caller's packet to the agent that owns the flow's bucket.
+// send sends a caller's packet, over the link of its entry if it has one.
 func (r *replay) send(a *attempt, p cherviltide.Packet) {
 	p.Source, p.Destination = a.key.Caller, a.key.Virtual
+	if a.entry != nil {
+		a.entry.enter(a, p)
+		return
+	}
+	r.forward(a, p, callerDelay)
+}
+
+// forward sends a caller's packet to the agent that owns the flow's bucket.
+func (r *replay) forward(a *attempt, p cherviltide.Packet, delay cherviltide.Millis) {
 	owner, ok := r.table.Pick(a.key)
 	if !ok {
 		return
@@ -312,7 +360,7 @@
 		Header: framer.Header{Type: framer.TypeForward, Flow: a.key, Revision: 1, ServiceCount: 1, Generation: r.table.Generation()},
 		Sender: netip.MustParseAddrPort("10.9.9.9:1"), Packet: p,
 	}
-	r.after(callerDelay, func() { r.deliver(owner.Address, arrival) })
+	r.after(delay, func() { r.deliver(owner.Address, arrival) })
 }
 
 // deliver gives a datagram to an agent.
@@ -359,14 +407,19 @@
 		if a.ranAt != nil {
 			r.report.FalseRefusals++
 		}
-		r.after(callerDelay, func() {
-			if a.openAt == nil {
-				r.endAttempt(a, true)
-			}
-		})
+		r.refuse(a)
 	}
 }
 
+// refuse sends a reset to a caller, which ends its attempt unless a target has answered.
+func (r *replay) refuse(a *attempt) {
+	r.after(callerDelay, func() {
+		if a.openAt == nil {
+			r.endAttempt(a, true)
+		}
+	})
+}
+
 // endAttempt ends an attempt without an answer. The caller opens another flow while its deadline allows it.
 func (r *replay) endAttempt(a *attempt, reset bool) {
 	if a.ended {
@@ -418,6 +471,13 @@
 	q := a.request
 	age := r.now - q.startedAt
 	a.ended = a.session == nil
+	if a.entry != nil && age <= q.kind.Route.Deadline {
+		r.report.Links.Goodput += float64(q.kind.Upload.bytes())
+		r.send(a, cherviltide.Packet{Flags: cherviltide.PacketAck, Sequence: a.nextSequence})
+		if a.ended {
+			r.send(a, cherviltide.Packet{Flags: cherviltide.PacketFinish | cherviltide.PacketAck, Sequence: a.nextSequence})
+		}
+	}
 	r.finishOn(a, q, func(result *Result) {
 		switch route := q.kind.Route; {
 		case age <= route.Goal:
--- a/bench/replayer/target.go
+++ b/bench/replayer/target.go
@@ -108,7 +108,7 @@
 	if !t.flows[a] || p.Length == 0 {
 		return
 	}
-	if a.missing--; a.missing > 0 {
+	if !t.completes(a, p) {
 		return
 	}
 	if t.receiveGrey(a) {
@@ -132,6 +132,15 @@
 	}
 }
 
+// completes handles a packet of a request, and reports whether it is the last one that was missing.
+func (t *target) completes(a *attempt, p cherviltide.Packet) bool {
+	if a.window != nil {
+		return t.receiveData(a, p)
+	}
+	a.missing--
+	return a.missing <= 0
+}
+
 // acknowledge lets the caller acknowledge the first target that answers, and send its request.
 func (t *target) acknowledge(a *attempt) {
 	if a.ended || a.openAt != nil {
