--- a/bench/replayer/cutmembers.go
+++ b/bench/replayer/cutmembers.go
@@ -25,9 +25,9 @@
 	for i, n := range s.agents {
 		if slices.Contains(s.cut.Expired, n.domain) {
 			offset := cutFrom + cherviltide.Millis(i)*announceSpread
-			s.at(offset+tracker.SuspectAfter, func() { s.addEvent(cherviltide.EventSuspected, n.member) })
-			s.at(offset+tracker.LeaseDuration, func() { s.addEvent(cherviltide.EventDied, n.member) })
-			s.at(s.until+200+cherviltide.Millis(i)*announceSpread, func() {
+			s.after(offset+tracker.SuspectAfter, func() { s.addEvent(cherviltide.EventSuspected, n.member) })
+			s.after(offset+tracker.LeaseDuration, func() { s.addEvent(cherviltide.EventDied, n.member) })
+			s.after(s.until+200+cherviltide.Millis(i)*announceSpread, func() {
 				if !n.killed {
 					n.member.Incarnation++
 					s.addEvent(cherviltide.EventJoined, n.member)
@@ -35,11 +35,11 @@
 			})
 		}
 		if n.member.Name == s.cut.Killed {
-			s.at(cutFrom+killedAfter, func() { n.killed = true })
+			s.after(cutFrom+killedAfter, func() { n.killed = true })
 		}
 	}
 	if s.cut.Evacuated != "" {
-		s.at(cutFrom+evacuatedAfter, func() {
+		s.after(cutFrom+evacuatedAfter, func() {
 			s.addEvent(cherviltide.EventEvacuated, cherviltide.Member{FailureDomain: s.cut.Evacuated})
 		})
 	}
