Shorten the headers of probes and echoes to 17 bytes

Probes and echoes used the full header of 98 bytes, most of which is empty in them. On a thin link of an entry, a probe with a name of 10 bytes took 136 bytes with IP and UDP headers and its echo 126; now 55 and 45 (calculated). Types 6 and 7 have the number and a tag over the whole datagram.

A full probe says that its sender knows them, and is answered with type 7. Only an agent whose last probe was answered with type 7 gets type 6, so earlier versions never get one, except once after an agent has gone back.

--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -64,6 +64,7 @@
 	{"any events of the membership during a cut", "choice of an agent during a cut", "I1, I6", "picker", "TestRetainAfterAnyEvents", "rapid", "", passes},
 	{"control loses the agents of the entry's domain", "opening a relayed flow", "I4", "forwarder", "TestRelayRetainsLostAgents", "", "", passes},
 	{"table changes during a cut", "open flows", "I1", "relayer", "TestNoticesToSubstitutes", "", "", passes},
+	{"agents of earlier versions, or that go back to one", "probes and echoes", "I1", "pinger", "TestShortForms", "", "", passes},
 	{"any sequence of cuts, losses and pauses", "closing a failure domain", "I1", "reacher", "TestAnyNetwork", "rapid", "", passes},
 	{"agents and entries close any domains, tables of different generations, restarts", "relayed flows", "I1", "relayer", "TestFlowsStayWhereTheyOpened", "rapid", "", passes},
 	{"agents of a failure domain leave probes unanswered", "entry", "I1", "forwarder", "TestRelayAvoidsClosedDomain", "", "", passes},
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -123,10 +123,11 @@
 	binary.BigEndian.PutUint64(b[authenticatedSize:], siphash.Hash(f.k0, f.k1, b[:authenticatedSize]))
 }
 
-// Decode checks a datagram and returns its header and its payload, which shares memory with b.
+// Decode checks a datagram with the full header, or a probe or an echo with the short one, and returns its header and its payload,
+// which shares memory with b.
 func (f Framer) Decode(b []byte) (Header, []byte, error) {
 	if len(b) < HeaderSize {
-		return Header{}, nil, ErrShort
+		return f.decodeReach(b)
 	}
 	if b[0]>>4 != Version {
 		return Header{}, nil, ErrVersion
--- a/pinger/pinger.go
+++ b/pinger/pinger.go
@@ -59,8 +59,10 @@
 	started time.Time
 	mu      sync.Mutex
 	reacher *reacher.Reacher
-	state   atomic.Pointer[state]
-	traffic atomic.Bool
+	// shortForms has the agents whose last echo had the short header.
+	shortForms map[netip.AddrPort]bool
+	state      atomic.Pointer[state]
+	traffic    atomic.Bool
 	// retainer decides which agents are used during a cut. view is the view whose agents are probed, collectedAt when they were
 	// collected, collections how often that was done with retained agents. lastTraffic is the time of the last traffic. Only Run uses these.
 	retainer                 follower.Retainer
@@ -85,7 +87,7 @@
 	}
 	return &Pinger{
 		config: config, started: time.Now(), reacher: reacher.New(config.Limits, config.FailureDomain),
-		collectedAt: -membersInterval, lastTraffic: -trafficHold,
+		shortForms: map[netip.AddrPort]bool{}, collectedAt: -membersInterval, lastTraffic: -trafficHold,
 	}
 }
 
@@ -138,25 +140,55 @@
 		p.mu.Lock()
 		p.reacher.Echo(p.now(), header.Generation)
 		p.reacher.Answered(sender)
+		p.learnForm(header, sender)
 		p.mu.Unlock()
 	default:
 		p.Counters.Answered.Add(1)
 		p.mu.Lock()
 		p.reacher.Received(p.now(), string(payload))
 		p.mu.Unlock()
-		p.send(view, framer.TypeReachEcho, header.Generation, nil, sender)
+		echo := framer.Header{Type: framer.TypeReachEcho, Generation: header.Generation}
+		p.send(view, echo, nil, sender, header.Position == framer.PositionShortReach)
 	}
 	return true
 }
 
 func (p *Pinger) now() cherviltide.Millis { return cherviltide.MillisOf(time.Since(p.started)) }
 
-func (p *Pinger) send(view *follower.View, kind framer.Type, number uint64, payload []byte, to netip.AddrPort) {
+// send sends a probe or an echo, with the short header if the receiver knows it.
+func (p *Pinger) send(view *follower.View, header framer.Header, payload []byte, to netip.AddrPort, short bool) {
+	f := framer.New(view.Key)
+	if short {
+		p.config.Send(f.AppendReach(make([]byte, 0, framer.ReachHeaderSize+maxNameSize), header, payload), to)
+		return
+	}
 	b := append(make([]byte, framer.HeaderSize, framer.HeaderSize+maxNameSize), payload...)
-	framer.New(view.Key).Encode(b, framer.Header{Type: kind, Generation: number}, len(payload))
+	f.Encode(b, header, len(payload))
 	p.config.Send(b, to)
 }
 
+// maxShortForms bounds the agents that are known to know the short header; beyond it all are forgotten.
+const maxShortForms = 4_096
+
+// learnForm records whether an agent has sent an echo with the short header. It requires p.mu.
+func (p *Pinger) learnForm(header framer.Header, agent netip.AddrPort) {
+	if header.Position != framer.PositionShortReach {
+		return
+	}
+	if len(p.shortForms) >= maxShortForms {
+		clear(p.shortForms)
+	}
+	p.shortForms[agent] = true
+}
+
+// takeForm reports whether the next probe to an agent has the short header. Its echo must show that again, so that an agent which
+// goes back to an earlier version leaves only one probe unanswered. It requires p.mu.
+func (p *Pinger) takeForm(agent netip.AddrPort) bool {
+	short := p.shortForms[agent]
+	delete(p.shortForms, agent)
+	return short
+}
+
 // Run sends probes until ctx ends.
 func (p *Pinger) Run(ctx context.Context) error {
 	if p == nil {
@@ -193,12 +225,17 @@
 	}
 	probes := p.reacher.Tick(now, now-p.lastTraffic < trafficHold)
 	next, changes := p.reacher.NextTick(now), p.reacher.TakeChanges()
+	forms := make([]bool, len(probes))
+	for i, x := range probes {
+		forms[i] = p.takeForm(x.To)
+	}
 	changed := p.publish(view, p.retain(view))
 	p.mu.Unlock()
 	name := []byte(p.config.FailureDomain)
-	for _, x := range probes {
+	for i, x := range probes {
 		p.Counters.Probes.Add(1)
-		p.send(view, framer.TypeReachProbe, x.Number, name[:min(len(name), maxNameSize)], x.To)
+		header := framer.Header{Type: framer.TypeReachProbe, Generation: x.Number, Position: framer.PositionShortReach}
+		p.send(view, header, name[:min(len(name), maxNameSize)], x.To, forms[i])
 	}
 	for _, c := range changes {
 		p.logChange(c)
--- a/pinger/pinger_test.go
+++ b/pinger/pinger_test.go
@@ -80,3 +80,51 @@
 	require.Empty(t, p.Domains())
 	require.True(t, p.Handle(follower.NewView(), framer.Header{Type: framer.TypeReachProbe}, nil, netip.AddrPort{}))
 }
+
+// TestShortForms guards against short probes to agents of earlier versions, which drop them, also after an agent has gone back to
+// one, short echoes to earlier versions, and full headers between processes that know the short one.
+func TestShortForms(t *testing.T) {
+	view, agent := viewOf(1), netip.MustParseAddrPort("10.0.0.1:7000")
+	key := framer.New(view.Key)
+	var sent [][]byte
+	p := New(Config{
+		FailureDomain: "a", Self: netip.MustParseAddrPort("10.0.0.0:7000"), Limits: EntryLimits, Log: zap.NewNop(),
+		View: func() *follower.View { return view }, Send: func(b []byte, _ netip.AddrPort) { sent = append(sent, b) },
+	})
+	// probe makes a probe due and reports whether it has the short header.
+	probe := func() (framer.Header, bool) {
+		sent = nil
+		for len(sent) == 0 {
+			p.mu.Lock()
+			p.reacher.Suspect(p.now(), "b")
+			p.mu.Unlock()
+			p.tick()
+		}
+		h, payload, err := key.Decode(sent[0])
+		require.NoError(t, err)
+		require.Equal(t, "a", string(payload))
+		return h, len(sent[0]) < framer.HeaderSize
+	}
+	echo := func(h framer.Header, position uint8) {
+		p.Handle(view, framer.Header{Type: framer.TypeReachEcho, Generation: h.Generation, Position: position}, nil, agent)
+	}
+	for i, step := range []struct {
+		short, answered bool
+		position        uint8
+	}{
+		{false, true, 0}, {false, true, framer.PositionShortReach}, {true, true, framer.PositionShortReach}, {true, false, 0},
+		{false, true, 0}, {false, true, framer.PositionShortReach}, {true, true, framer.PositionShortReach},
+	} {
+		h, short := probe()
+		require.Equal(t, step.short, short, i)
+		require.Equal(t, framer.PositionShortReach, h.Position)
+		if step.answered {
+			echo(h, step.position)
+		}
+	}
+	for position, size := range map[uint8]int{0: framer.HeaderSize, framer.PositionShortReach: framer.ReachHeaderSize} {
+		sent = nil
+		p.Handle(view, framer.Header{Type: framer.TypeReachProbe, Position: position}, []byte("b"), agent)
+		require.Len(t, sent[0], size)
+	}
+}
