Keep announced generations when an older table is used for a moment

While agents are retained, the data path may use a table that is up to one tick of the pinger older than the present one, and announced the generation of the present one. A flow that it opened then counted as older than what the agent had announced as released. The announcement now names the table in use, and a flow counts at least as new as the last released generation.

TestOlderTableAfterRelease fails without the change; go test ./relayer and TestCuts pass.

--- a/relayer/opening.go
+++ b/relayer/opening.go
@@ -146,7 +146,8 @@
 func (d *Decider) openFlow(in Input, a Arrival) Decision {
 	openingGeneration, ok := in.Table.OpeningGeneration(a.Header.Flow, in.Self)
 	if !ok || openingGeneration < d.releasedGeneration {
-		openingGeneration = in.Table.Generation()
+		// A table with retained agents may be older for a moment than the one that was announced.
+		openingGeneration = max(in.Table.Generation(), d.releasedGeneration)
 	}
 	revision := a.Header.RouteRevision
 	if in.Revision >= a.Header.Revision {
--- a/relayer/reach_test.go
+++ b/relayer/reach_test.go
@@ -148,3 +148,16 @@
 		})
 	}
 }
+
+// TestOlderTableAfterRelease guards against a flow that counts as older than what the agent has announced as released, when a table
+// with retained agents is older for a moment than the one before it.
+func TestOlderTableAfterRelease(t *testing.T) {
+	table := tableOf(6)
+	flow := ownedBy(t, table, member(2))
+	d, in := newDecider(), inputAt(10, member(2), table)
+	d.target.PredatesAgent = false
+	announced := table.Generation() + 5
+	require.Equal(t, announced, d.OldestGeneration(in.Now, announced))
+	require.Equal(t, ReasonOpened, d.FromPeer(in, syn(flow, 0)).Reason)
+	require.Equal(t, announced, d.OldestGeneration(in.Now, announced))
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -447,7 +447,7 @@
 // Generations returns the generation of the agent's table and the lowest generation at which a kept flow was opened, for
 // the agent's announcement. The agent opens no flow at a lower generation afterwards.
 func (r *Relayer) Generations() (current, oldest uint64) {
-	table, ok := r.config.View().Tables[r.config.Self().Service]
+	table, ok := r.view().Tables[r.config.Self().Service]
 	if !ok {
 		return 0, 0
 	}
