Send the second copy of a packet during a cut only when the entry's link has room

Cause: while a failure domain is closed, packets of its open flows go to the owner too; these copies passed the schedule of the link and could overrun a thin one. Change: the copy is counted, and left out while packets wait.

--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -126,15 +126,19 @@
 	}
 }
 
+// hasRoom reports whether a datagram may leave at once, and counts it if so.
+func (l *link) hasRoom(size int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shaper.Exit.Pass(cherviltide.Millis(l.receivedAt.Load()), size)
+}
+
 // depart reports whether a datagram with a packet leaves at once. If not, it waits for the link or is dropped.
 func (l *link) depart(route *follower.RouteTables, flow cherviltide.FlowKey, datagram, packet []byte, to netip.AddrPort) bool {
-	now := cherviltide.Millis(l.receivedAt.Load())
-	l.mu.Lock()
-	passed := l.shaper.Exit.Pass(now, len(datagram))
-	l.mu.Unlock()
-	if passed {
+	if l.hasRoom(len(datagram)) {
 		return true
 	}
+	now := cherviltide.Millis(l.receivedAt.Load())
 	p, err := l.relay.config.Codec.Decode(packet)
 	if err != nil {
 		l.relay.Counters.countDrop(ReasonMalformed)
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -38,15 +38,15 @@
 }
 
 // sendTo encodes the header and queues the datagram, which may wait for the link. A later packet of a flow whose owner is in a
-// closed domain goes to the owner too: it may hold the flow and be cut off in the other direction only, and the datagram may
-// arrive.
+// closed domain goes to the owner too, unless packets wait for the link: the owner may hold the flow and be cut off in the other
+// direction only, and the datagram may arrive.
 func (r *Relay) sendTo(view *follower.View, route *follower.RouteTables, datagram []byte, header framer.Header, next relayHop, opensFlow bool, out *sender) {
 	if next.closedOwner.IsValid() {
 		header.Position = framer.PositionOwnerClosed
 	}
 	packet := datagram[framer.HeaderSize:]
 	datagram = r.encode(view, datagram, header, opensFlow)
-	if next.closedOwner.IsValid() && !opensFlow {
+	if next.closedOwner.IsValid() && !opensFlow && (r.link == nil || r.link.hasRoom(len(datagram))) {
 		r.enqueue(out, datagram, next.closedOwner)
 	}
 	if r.link == nil || r.link.depart(route, header.Flow, datagram, packet, next.agent.Address) {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -90,7 +90,7 @@
 	stop := context.AfterFunc(ctx, r.close)
 	defer stop()
 	defer r.close()
-	group := runner.NewGroup(ctx, 4)
+	group := runner.NewGroup(ctx, 5)
 	group.Go("receive", func(context.Context) error { return r.receivePackets(r.public, r.forward) })
 	group.Go("return", func(context.Context) error { return r.receivePackets(r.internal, r.tryNextService) })
 	group.Go("reach", r.Reach.Run)
