Share limits, lossy and slow networks in the tests of reacher

The tests built the same reacher four times, and the same probe loop, lossy network and slow network two or three times. Each now stands once. No check was dropped, bounds and seeds are the same.

--- a/reacher/reacher_test.go
+++ b/reacher/reacher_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,6 +15,8 @@
 
 const cutAt cherviltide.Millis = 2_000
 
+var limits = Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}
+
 // network carries the probes of one process in domain a to the agents of domains a, b and c in simulated time.
 type network struct {
 	reacher *Reacher
@@ -33,7 +36,7 @@
 
 func newNetwork(agents int, seed uint64) *network {
 	n := &network{
-		reacher: New(Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}, "a"), random: rand.New(rand.NewPCG(seed, 0)), agents: map[netip.AddrPort]string{},
+		reacher: New(limits, "a"), random: rand.New(rand.NewPCG(seed, 0)), agents: map[netip.AddrPort]string{},
 		answers: func(cherviltide.Millis, string, netip.AddrPort) bool { return true },
 		delay:   func(cherviltide.Millis, string) cherviltide.Millis { return 2 },
 		echoes:  map[cherviltide.Millis][]uint64{}, lastEcho: map[string]cherviltide.Millis{}, silence: 1 << 40, closedAt: map[string]cherviltide.Millis{}, openedAt: map[string]cherviltide.Millis{},
@@ -52,6 +55,13 @@
 	return n
 }
 
+// loseEchoes makes a share of the echoes of domain b get lost.
+func (n *network) loseEchoes(share float64) {
+	n.answers = func(_ cherviltide.Millis, domain string, _ netip.AddrPort) bool {
+		return domain != "b" || n.random.Float64() >= share
+	}
+}
+
 // domainOf returns the failure domain that a probe was sent to.
 func (n *network) domainOf(number uint64) string {
 	for _, d := range n.reacher.domains {
@@ -99,19 +109,18 @@
 	cut := func(domains ...string) func(*network) {
 		return func(n *network) {
 			n.answers = func(now cherviltide.Millis, domain string, _ netip.AddrPort) bool {
-				for _, d := range domains {
-					if d == domain && now >= cutAt {
-						return false
-					}
-				}
-				return true
+				return now < cutAt || !slices.Contains(domains, domain)
 			}
 		}
 	}
-	lossy := func(loss float64) func(*network) {
+	lossy := func(loss float64) func(*network) { return func(n *network) { n.loseEchoes(loss) } }
+	slow := func(from, delay cherviltide.Millis) func(*network) {
 		return func(n *network) {
-			n.answers = func(_ cherviltide.Millis, domain string, _ netip.AddrPort) bool {
-				return domain != "b" || n.random.Float64() >= loss
+			n.delay = func(now cherviltide.Millis, domain string) cherviltide.Millis {
+				if now >= from && domain == "b" {
+					return delay
+				}
+				return 2
 			}
 		}
 	}
@@ -131,25 +140,9 @@
 				return now < cutAt || agent.Addr().As4()[3] != 1
 			}
 		}, nil},
-		"becomes slow": {4, func(n *network) {
-			n.delay = func(now cherviltide.Millis, domain string) cherviltide.Millis {
-				if now >= cutAt && domain == "b" {
-					return 200
-				}
-				return 2
-			}
-		}, nil},
-		"always very slow": {4, func(n *network) {
-			n.delay = func(_ cherviltide.Millis, domain string) cherviltide.Millis {
-				if domain == "b" {
-					return 600
-				}
-				return 2
-			}
-		}, nil},
-		"never answered, as with earlier versions": {4, func(n *network) {
-			n.answers = func(_ cherviltide.Millis, domain string, _ netip.AddrPort) bool { return domain != "b" }
-		}, nil},
+		"becomes slow":                             {4, slow(cutAt, 200), nil},
+		"always very slow":                         {4, slow(0, 600), nil},
+		"never answered, as with earlier versions": {4, lossy(1), nil},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -180,9 +173,7 @@
 	closed, times := cherviltide.Millis(0), 0
 	for seed := range uint64(20) {
 		n := newNetwork(4, seed)
-		n.answers = func(_ cherviltide.Millis, domain string, _ netip.AddrPort) bool {
-			return domain != "b" || n.random.Float64() >= 0.51
-		}
+		n.loseEchoes(0.51)
 		for now := cherviltide.Millis(0); now < 60_000; now += 50 {
 			before := len(n.reacher.Closed())
 			n.run(now, now+50)
@@ -224,33 +215,24 @@
 		n.run(0, 10_000)
 		require.InDelta(t, 400, n.probes, 10, "%d agents", agents)
 	}
-	many := New(Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}, "a")
+	probes := func(inUse bool, domains ...Domain) (sent int) {
+		r := New(limits, "a")
+		r.SetDomains(domains)
+		for now := cherviltide.Millis(0); now < 10_000; now += 50 {
+			for _, p := range r.Tick(now, inUse) {
+				sent++
+				r.Echo(now, p.Number)
+			}
+		}
+		return sent
+	}
 	var domains []Domain
 	for i := range 7 {
 		domains = append(domains, Domain{Name: string(rune('a' + i)), Agents: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}})
 	}
-	many.SetDomains(domains)
-	sent := 0
-	for now := cherviltide.Millis(0); now < 10_000; now += 50 {
-		for _, p := range many.Tick(now, true) {
-			sent++
-			many.Echo(now, p.Number)
-		}
-	}
-	require.InDelta(t, 400, sent, 10, "7 domains")
-	single := New(Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}, "a")
-	single.SetDomains([]Domain{{Name: "a", Agents: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}}})
-	idle := New(Limits{MinInterval: 50, AverageInterval: 25, OpenAfter: 6}, "a")
-	idle.SetDomains([]Domain{{Name: "a"}, {Name: "b", Agents: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}}})
-	probes := 0
-	for now := cherviltide.Millis(0); now < 10_000; now += 50 {
-		require.Empty(t, single.Tick(now, true))
-		for _, p := range idle.Tick(now, false) {
-			probes++
-			idle.Echo(now, p.Number)
-		}
-	}
-	require.LessOrEqual(t, probes, 10)
+	require.InDelta(t, 400, probes(true, domains...), 10, "7 domains")
+	require.Zero(t, probes(true, domains[0]), "only the own domain")
+	require.LessOrEqual(t, probes(false, Domain{Name: "a"}, domains[1]), 10, "not in use")
 }
 
 // TestAnyNetwork guards against decisions without evidence in any sequence of cuts, losses, delays, pauses and members: the own
