Share the preparations in relayer's tests of cuts and grey targets

Rows of TestPacketsBehindCut repeated the same closures, and each way of TestGreyTarget opened the flow itself. All rows and assertions stay, no check was dropped.

go test ./relayer: ok

--- a/relayer/grey_test.go
+++ b/relayer/grey_test.go
@@ -10,13 +10,15 @@
 	"cherviltide.example/cherviltide/quarantiner"
 )
 
-// failRequests makes the target fail six requests within half a second, in one way.
+// failRequests opens six flows with a request within half a second, which then fail in one way.
 func failRequests(d *Decider, in *Input, fail func(flow cherviltide.FlowKey)) {
 	for port := 3000; port < 3006; port++ {
 		a := syn(key(port), 0)
 		a.Header.Hops = 1
 		d.FromPeer(*in, a)
 		in.Now += 110
+		d.FromTarget(*in, synAck(key(port)))
+		d.FromPeer(*in, ack(key(port), 501))
 		fail(key(port))
 	}
 	d.Expire(*in)
@@ -46,29 +48,19 @@
 		grey bool
 	}{
 		"resets after the request": {func(d *Decider, in *Input, flow cherviltide.FlowKey) {
-			d.FromTarget(*in, synAck(flow))
-			d.FromPeer(*in, ack(flow, 501))
 			d.FromTarget(*in, targetPacket(flow, cherviltide.Packet{Flags: cherviltide.PacketReset}))
 		}, true},
 		"ends without an answer": {func(d *Decider, in *Input, flow cherviltide.FlowKey) {
-			d.FromTarget(*in, synAck(flow))
-			d.FromPeer(*in, ack(flow, 501))
 			d.FromTarget(*in, targetPacket(flow, cherviltide.Packet{Flags: cherviltide.PacketFinish | cherviltide.PacketAck}))
 		}, true},
 		"no answer before the caller gives up": {func(d *Decider, in *Input, flow cherviltide.FlowKey) {
-			d.FromTarget(*in, synAck(flow))
-			d.FromPeer(*in, ack(flow, 501))
 			in.Now += abandonTime
 			d.FromPeer(*in, arrival(flow, cherviltide.Packet{Flags: cherviltide.PacketReset}))
 		}, true},
 		"callers go away at once": {func(d *Decider, in *Input, flow cherviltide.FlowKey) {
-			d.FromTarget(*in, synAck(flow))
-			d.FromPeer(*in, ack(flow, 501))
 			d.FromPeer(*in, arrival(flow, cherviltide.Packet{Flags: cherviltide.PacketReset}))
 		}, false},
 		"ends after the answer": {func(d *Decider, in *Input, flow cherviltide.FlowKey) {
-			d.FromTarget(*in, synAck(flow))
-			d.FromPeer(*in, ack(flow, 501))
 			answer(d, *in, flow)
 			d.FromTarget(*in, targetPacket(flow, cherviltide.Packet{Flags: cherviltide.PacketReset}))
 		}, false},
--- a/relayer/reach_test.go
+++ b/relayer/reach_test.go
@@ -21,70 +21,50 @@
 	for _, m := range table.Active() {
 		domainOf[m.Address] = m.FailureDomain
 	}
-	cases := map[string]struct {
-		closed  []string
-		prepare func(d *Decider, in Input, a *Arrival)
-		reason  Reason
+	opening, copied := syn(flow, 0), syn(flow, 1)
+	ready := func(*Decider, Input, Arrival) {}
+	busy := func(d *Decider, _ Input, _ Arrival) { d.load.active = 2 }
+	held := func(d *Decider, in Input, _ Arrival) { d.recordHolder(in, flow, holder, true) }
+	searched := func(d *Decider, in Input, a Arrival) {
+		d.rememberSearch(in, a)
+		d.markSearched(flow)
+	}
+	for name, test := range map[string]struct {
+		closed   []string
+		packet   Arrival
+		position uint8
+		prepare  func(d *Decider, in Input, a Arrival)
+		reason   Reason
 		// to and copied are the failure domains of the receivers, or empty.
 		to, copied string
 	}{
-		"opening packet, nothing closed": {nil, func(_ *Decider, _ Input, a *Arrival) { *a = syn(flow, 0) }, ReasonNotOwner, "c", ""},
-		"opening packet, owner closed":   {[]string{"c"}, func(_ *Decider, _ Input, a *Arrival) { *a = syn(flow, 0) }, ReasonOpened, "", ""},
-		"opening packet, owner closed for the entry": {nil, func(_ *Decider, _ Input, a *Arrival) {
-			*a = syn(flow, 0)
-			a.Header.Position = framer.PositionOwnerClosed
-		}, ReasonOpened, "", ""},
-		"copy, owner closed for the entry": {nil, func(_ *Decider, _ Input, a *Arrival) {
-			*a = syn(flow, 1)
-			a.Header.Position = framer.PositionOwnerClosed
-		}, ReasonOpened, "", ""},
-		"copy, first one offered to an agent that is now closed": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
-			*a = syn(flow, 1)
+		"opening packet, nothing closed":             {nil, opening, 0, ready, ReasonNotOwner, "c", ""},
+		"opening packet, owner closed":               {[]string{"c"}, opening, 0, ready, ReasonOpened, "", ""},
+		"opening packet, owner closed for the entry": {nil, opening, framer.PositionOwnerClosed, ready, ReasonOpened, "", ""},
+		"copy, owner closed for the entry":           {nil, copied, framer.PositionOwnerClosed, ready, ReasonOpened, "", ""},
+		"copy, first one offered to an agent that is now closed": {[]string{"c"}, copied, 0, func(d *Decider, in Input, a Arrival) {
 			d.remoteFlows.set(flow, remoteFlow{state: remoteOffered, agent: holder, attempt: 2}, in.Now)
-			d.load.active = 2
+			busy(d, in, a)
 		}, ReasonOffered, "b", ""},
-		"copy, first one opened by an agent that is now closed": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
-			*a = syn(flow, 1)
+		"copy, first one opened by an agent that is now closed": {[]string{"c"}, copied, 0, func(d *Decider, in Input, _ Arrival) {
 			d.recordHolder(in, flow, holder, false)
 		}, ReasonOpened, "", ""},
-		"offer, all others closed": {[]string{"a", "c"}, func(d *Decider, _ Input, a *Arrival) {
-			*a = syn(flow, 0)
-			d.load.active = 2
-		}, ReasonOffered, "b", ""},
-		"holder known, open": {nil, func(d *Decider, in Input, _ *Arrival) { d.recordHolder(in, flow, holder, true) }, ReasonProbed, "c", ""},
-		"holder known, closed, a third domain open": {[]string{"c"}, func(d *Decider, in Input, _ *Arrival) {
-			d.recordHolder(in, flow, holder, true)
-		}, ReasonDetour, "a", "c"},
-		"holder known, all others closed": {[]string{"a", "c"}, func(d *Decider, in Input, _ *Arrival) {
-			d.recordHolder(in, flow, holder, true)
-		}, ReasonDetour, "c", ""},
-		"holder known, closed, on a detour": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
-			d.recordHolder(in, flow, holder, true)
-			a.Header.Position = framer.PositionDetour
-		}, ReasonDetour, "c", ""},
-		"searched, owner closed": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
-			d.rememberSearch(in, *a)
-			d.markSearched(flow)
-		}, ReasonDetour, "a", "c"},
-		"searched, owner closed, copied by the entry": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
-			a.Header.Position = framer.PositionOwnerClosed
-			d.rememberSearch(in, *a)
-			d.markSearched(flow)
-		}, ReasonDetour, "a", ""},
-		"searched, on a detour": {[]string{"c"}, func(d *Decider, in Input, a *Arrival) {
-			a.Header.Position = framer.PositionDetour
-			d.rememberSearch(in, *a)
-			d.markSearched(flow)
-		}, ReasonNoHolder, "", ""},
-	}
-	for name, test := range cases {
+		"offer, all others closed":                    {[]string{"a", "c"}, opening, 0, busy, ReasonOffered, "b", ""},
+		"holder known, open":                          {nil, later, 0, held, ReasonProbed, "c", ""},
+		"holder known, closed, a third domain open":   {[]string{"c"}, later, 0, held, ReasonDetour, "a", "c"},
+		"holder known, all others closed":             {[]string{"a", "c"}, later, 0, held, ReasonDetour, "c", ""},
+		"holder known, closed, on a detour":           {[]string{"c"}, later, framer.PositionDetour, held, ReasonDetour, "c", ""},
+		"searched, owner closed":                      {[]string{"c"}, later, 0, searched, ReasonDetour, "a", "c"},
+		"searched, owner closed, copied by the entry": {[]string{"c"}, later, framer.PositionOwnerClosed, searched, ReasonDetour, "a", ""},
+		"searched, on a detour":                       {[]string{"c"}, later, framer.PositionDetour, searched, ReasonNoHolder, "", ""},
+	} {
 		t.Run(name, func(t *testing.T) {
-			d, in, a := newDecider(), inputAt(10, member(4), table), later
+			d, in, a := newDecider(), inputAt(10, member(4), table), test.packet
 			d.target.PredatesAgent = false
-			in.Closed = test.closed
+			in.Closed, a.Header.Position = test.closed, test.position
 			d.observeTable(in)
 			d.tableChangedAt = -tableSettleTime
-			test.prepare(d, in, &a)
+			test.prepare(d, in, a)
 			decision := d.FromPeer(in, a)
 			require.Equal(t, test.reason, decision.Reason, decision.Reason.String())
 			require.Equal(t, test.to, domainOf[decision.To])
