Follow echoes by their probe in the tests of reacher

The network looked the domain of an echo up by the number of the probe. It now keeps the probe, whose receiver tells the domain. No check was dropped.

go test ./reacher: ok

--- a/reacher/reacher_test.go
+++ b/reacher/reacher_test.go
@@ -25,7 +25,8 @@
 	// answers reports whether an agent's echo arrives, delay is the time that it takes.
 	answers func(now cherviltide.Millis, domain string, agent netip.AddrPort) bool
 	delay   func(now cherviltide.Millis, domain string) cherviltide.Millis
-	echoes  map[cherviltide.Millis][]uint64
+	// echoes has the probes whose echo arrives at a time.
+	echoes map[cherviltide.Millis][]Probe
 	// lastEcho is when the last echo of a domain arrived, silence the shortest time after it at which a domain was closed.
 	lastEcho map[string]cherviltide.Millis
 	silence  cherviltide.Millis
@@ -39,7 +40,7 @@
 		reacher: New(limits, "a"), random: rand.New(rand.NewPCG(seed, 0)), agents: map[netip.AddrPort]string{},
 		answers: func(cherviltide.Millis, string, netip.AddrPort) bool { return true },
 		delay:   func(cherviltide.Millis, string) cherviltide.Millis { return 2 },
-		echoes:  map[cherviltide.Millis][]uint64{}, lastEcho: map[string]cherviltide.Millis{}, silence: 1 << 40, closedAt: map[string]cherviltide.Millis{}, openedAt: map[string]cherviltide.Millis{},
+		echoes:  map[cherviltide.Millis][]Probe{}, lastEcho: map[string]cherviltide.Millis{}, silence: 1 << 40, closedAt: map[string]cherviltide.Millis{}, openedAt: map[string]cherviltide.Millis{},
 	}
 	var domains []Domain
 	for i, name := range []string{"c", "a", "b"} {
@@ -62,23 +63,13 @@
 	}
 }
 
-// domainOf returns the failure domain that a probe was sent to.
-func (n *network) domainOf(number uint64) string {
-	for _, d := range n.reacher.domains {
-		if d.id == uint32(number>>32) {
-			return d.name
-		}
-	}
-	return ""
-}
-
 // run advances the time from the given one to the end.
 func (n *network) run(from, end cherviltide.Millis) {
 	nextTick := from
 	for now := from; now < end; now++ {
-		for _, number := range n.echoes[now] {
-			n.reacher.Echo(now, number)
-			n.lastEcho[n.domainOf(number)] = now
+		for _, p := range n.echoes[now] {
+			n.reacher.Echo(now, p.Number)
+			n.lastEcho[n.agents[p.To]] = now
 		}
 		delete(n.echoes, now)
 		if now < nextTick {
@@ -88,7 +79,7 @@
 			n.probes++
 			if domain := n.agents[p.To]; n.answers(now, domain, p.To) {
 				at := now + n.delay(now, domain)
-				n.echoes[at] = append(n.echoes[at], p.Number)
+				n.echoes[at] = append(n.echoes[at], p)
 			}
 		}
 		nextTick = now + n.reacher.NextTick(now)
@@ -124,7 +115,7 @@
 			}
 		}
 	}
-	cases := map[string]struct {
+	for name, test := range map[string]struct {
 		agents  int
 		prepare func(n *network)
 		closed  []string
@@ -140,11 +131,10 @@
 				return now < cutAt || agent.Addr().As4()[3] != 1
 			}
 		}, nil},
-		"becomes slow":                             {4, slow(cutAt, 200), nil},
-		"always very slow":                         {4, slow(0, 600), nil},
+		"becomes slow":     {4, slow(cutAt, 200), nil},
+		"always very slow": {4, slow(0, 600), nil},
 		"never answered, as with earlier versions": {4, lossy(1), nil},
-	}
-	for name, test := range cases {
+	} {
 		t.Run(name, func(t *testing.T) {
 			n := newNetwork(test.agents, 1)
 			test.prepare(n)
