Share the runner, the caller and the socket in the tests of forwarder

The tests of the link and of cuts each ran their subject until the end of the test, and dialled their caller twice. The end of a relay must now be without an error too, which was not checked before. No check was dropped.

--- a/forwarder/link_test.go
+++ b/forwarder/link_test.go
@@ -48,12 +48,12 @@
 	return x, now
 }
 
-// runLink releases waiting packets until the end of the test.
-func (x *relayFixture) runLink() {
+// runUntilEnd calls run, which must return no error when the test ends.
+func runUntilEnd(t testing.TB, run func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- x.relay.link.run(ctx) }()
-	x.t.Cleanup(func() { cancel(); require.NoError(x.t, <-ended) })
+	go func() { ended <- run(ctx) }()
+	t.Cleanup(func() { cancel(); require.NoError(t, <-ended) })
 }
 
 // requireNothingReceived fails if a datagram has arrived at the agent of a service.
@@ -68,7 +68,7 @@
 // forwarded twice or never, and against admission control of packets of open flows.
 func TestLinkReleasesOpenings(t *testing.T) {
 	x, _ := newLinkFixture(t, cherviltide.ClassUpload)
-	x.runLink()
+	runUntilEnd(t, x.relay.link.run)
 	x.send("\x01\x01")
 	_, payload := x.receivedBy("a")
 	require.Equal(t, "\x01\x01", payload)
@@ -76,8 +76,7 @@
 	x.send("\x01\x02")
 	x.requireNothingReceived("a")
 	x.send("\x02\x03data of a flow that is open")
-	_, payload = x.receivedBy("a")
-	require.Equal(t, byte(3), payload[1])
+	x.requireSent("a", 3)
 
 	x.send("\x08\x01")
 	_, first := x.receivedBy("a")
@@ -111,14 +110,13 @@
 				x.relay.config.Link.Rate = 0
 				x.relay.link = newLink(x.relay)
 			} else {
-				x.runLink()
+				runUntilEnd(t, x.relay.link.run)
 			}
 			for port := byte(1); port < 100; port++ {
 				// The link carries 200 bytes, which is more than a packet has.
 				now.Advance(1)
 				x.send(string([]byte{byte(cherviltide.PacketOpen), port}))
-				_, payload := x.receivedBy("a")
-				require.Equal(t, port, payload[1])
+				x.requireSent("a", port)
 			}
 		})
 	}
@@ -135,7 +133,7 @@
 	x.send("\x02\x01")
 	x.requireSent("a", 10)
 	x.requireNothingReceived("a")
-	x.runLink()
+	runUntilEnd(t, x.relay.link.run)
 	for _, departure := range []struct {
 		after cherviltide.Millis
 		port  byte
--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -24,16 +23,14 @@
 }
 
 func newDomainAgent(t *testing.T, key [16]byte) *domainAgent {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
-	a := &domainAgent{conn: conn, forwarded: make(chan framer.Header, 4*batchSize)}
+	a := &domainAgent{conn: listenLoopback(t), forwarded: make(chan framer.Header, 4*batchSize)}
 	done := make(chan struct{})
-	t.Cleanup(func() { _ = conn.Close(); <-done })
+	t.Cleanup(func() { _ = a.conn.Close(); <-done })
 	go func() {
 		defer close(done)
 		buffer := make([]byte, 2048)
 		for {
-			n, sender, err := conn.ReadFromUDPAddrPort(buffer)
+			n, sender, err := a.conn.ReadFromUDPAddrPort(buffer)
 			if err != nil {
 				return
 			}
@@ -43,7 +40,7 @@
 			case h.Type == framer.TypeReachProbe:
 				h.Type = framer.TypeReachEcho
 				framer.New(key).Encode(buffer[:framer.HeaderSize], h, 0)
-				_, _ = conn.WriteToUDPAddrPort(buffer[:framer.HeaderSize], sender)
+				_, _ = a.conn.WriteToUDPAddrPort(buffer[:framer.HeaderSize], sender)
 			case len(a.forwarded) < cap(a.forwarded):
 				a.forwarded <- h
 			}
@@ -59,7 +56,7 @@
 		events = append(events, cherviltide.PositionedEvent{Position: uint64(len(events) + 1), Event: cherviltide.MemberEvent{
 			Type: cherviltide.EventJoined, Member: cherviltide.Member{
 				Name: "agent-" + name, Role: cherviltide.RoleAgent, Service: "s", Incarnation: 1, Weight: 1, FailureDomain: name,
-				Address: a.conn.LocalAddr().(*net.UDPAddr).AddrPort(),
+				Address: localAddress(a.conn),
 			},
 		}})
 	}
@@ -69,22 +66,18 @@
 	}).WithEvents(events)
 }
 
-// runRelay runs an entry in a failure domain until the test ends.
-func runRelay(t *testing.T, view *follower.View, domain string) *Relay {
-	return runRelayWith(t, func() *follower.View { return view }, domain)
-}
-
-func runRelayWith(t *testing.T, view func() *follower.View, domain string) *Relay {
+// runRelay runs an entry in a failure domain until the test ends, and returns it with a caller.
+func runRelay(t *testing.T, view func() *follower.View, domain string) (*Relay, *net.UDPConn) {
 	local := netip.MustParseAddrPort("127.0.0.1:0")
 	relay, err := ListenRelay(RelayConfig{
 		Public: local, Internal: local, Codec: textCodec{}, View: view, Log: zap.NewNop(), FailureDomain: domain,
 	})
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- relay.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
-	return relay
+	runUntilEnd(t, relay.Run)
+	caller, err := net.DialUDP("udp4", nil, relay.public.LocalAddr().(*net.UDPAddr))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	return relay, caller
 }
 
 // TestRelayAvoidsClosedDomain guards against new flows that an entry sends into a cut, later packets that reach neither the owner
@@ -94,14 +87,8 @@
 	view := viewOfDomains(agents)
 	owner, ok := view.Tables["s"].Pick(relayFlow)
 	require.True(t, ok)
-	other := "a"
-	if owner.FailureDomain == "a" {
-		other = "b"
-	}
-	relay := runRelay(t, view, other)
-	caller, err := net.DialUDP("udp4", nil, relay.public.LocalAddr().(*net.UDPAddr))
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = caller.Close() })
+	other := map[string]string{"a": "b", "b": "a"}[owner.FailureDomain]
+	relay, caller := runRelay(t, func() *follower.View { return view }, other)
 	send := func(packet string) {
 		_, err := caller.Write([]byte(packet))
 		require.NoError(t, err)
@@ -149,10 +136,7 @@
 	agents := map[string]*domainAgent{"a": newDomainAgent(t, [16]byte{}), "b": newDomainAgent(t, [16]byte{})}
 	var view atomic.Pointer[follower.View]
 	view.Store(viewOfDomains(agents))
-	relay := runRelayWith(t, view.Load, "a")
-	caller, err := net.DialUDP("udp4", nil, relay.public.LocalAddr().(*net.UDPAddr))
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = caller.Close() })
+	relay, caller := runRelay(t, view.Load, "a")
 	// receives opens flows until one arrives in a domain and none in the other for a while.
 	receives := func(domain, other string) {
 		require.Eventually(t, func() bool {
