Use the packet of the row in TestPacketsBehindCut

The packet of an open flow is named with the others; the row of TestHeldBackFlows about the last resort is wrapped again. No check was dropped.

--- a/relayer/pacing_test.go
+++ b/relayer/pacing_test.go
@@ -91,7 +91,9 @@
 		"copy of an open flow is dropped": {3, func(_ *Decider, _ *Input, a *Arrival) { *a = syn(key(3_000), 1) }, ReasonPaced, false},
 		"offer is declined":               {3, func(_ *Decider, _ *Input, a *Arrival) { a.Header.Flags = framer.FlagOffered }, ReasonDeclined, false},
 		"opens after the second":          {1, func(_ *Decider, in *Input, _ *Arrival) { in.Now += 1_100 }, ReasonOpened, false},
-		"target that is the last resort":  {1, func(d *Decider, _ *Input, _ *Arrival) { d.target.AcceptsNewFlows = false }, ReasonUnavailable, false},
+		"target that is the last resort": {1, func(d *Decider, _ *Input, _ *Arrival) {
+			d.target.AcceptsNewFlows = false
+		}, ReasonUnavailable, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d, in := coldDecider(test.agents)
--- a/relayer/reach_test.go
+++ b/relayer/reach_test.go
@@ -15,13 +15,12 @@
 func TestPacketsBehindCut(t *testing.T) {
 	table := tableOf(6)
 	flow := ownedBy(t, table, member(2))
-	later := ack(flow, 501)
 	holder := member(5).Address
 	domainOf := map[netip.AddrPort]string{}
 	for _, m := range table.Active() {
 		domainOf[m.Address] = m.FailureDomain
 	}
-	opening, copied := syn(flow, 0), syn(flow, 1)
+	opening, copied, later := syn(flow, 0), syn(flow, 1), ack(flow, 501)
 	ready := func(*Decider, Input, Arrival) {}
 	busy := func(d *Decider, _ Input, _ Arrival) { d.load.active = 2 }
 	held := func(d *Decider, in Input, _ Arrival) { d.recordHolder(in, flow, holder, true) }
