Shorten the set-up in the tests of shaper

link takes the directions instead of a flag that stands for them, and the urgent packets of TestExitOrder are a list, as only one row uses them. No check was dropped.

go test ./shaper: ok

--- a/shaper/exit_test.go
+++ b/shaper/exit_test.go
@@ -41,13 +41,10 @@
 // starved uploads, and dropped opening packets.
 func TestExitOrder(t *testing.T) {
 	open, ack := cherviltide.PacketOpen, cherviltide.PacketAck
-	urgent := func(n int) (packets []Outgoing) {
-		for i := range n {
-			p := small(9, ack, 1_200, false)
-			p.Packet.Sequence = uint32(i)
-			packets = append(packets, p)
-		}
-		return packets
+	var urgent []Outgoing
+	for i := range uint32(11) {
+		urgent = append(urgent, small(9, ack, 1_200, false))
+		urgent[i].Packet.Sequence = i
 	}
 	for name, c := range map[string]struct {
 		packets []Outgoing
@@ -59,7 +56,7 @@
 		"copy of waiting data":     {[]Outgoing{outgoing(1, 1), outgoing(1, 1), outgoing(1, 1201)}, []int{1, 1}},
 		"copies of an opening":     {[]Outgoing{small(1, open, 0, true), small(1, open, 0, true)}, []int{1, 1}},
 		"acknowledgements":         {[]Outgoing{small(1, ack, 0, false), small(1, ack, 0, false)}, []int{1, 1}},
-		"uploads keep an 8th part": {append(urgent(11), outgoing(1, 1)), []int{9, 9, 9, 9, 9, 9, 9, 9, 9, 1, 9, 9}},
+		"uploads keep an 8th part": {append(urgent, outgoing(1, 1)), []int{9, 9, 9, 9, 9, 9, 9, 9, 9, 1, 9, 9}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := busyExit(t, thinLink)
@@ -96,7 +93,7 @@
 // packets that wait for an idle link.
 func TestExitRate(t *testing.T) {
 	for name, interval := range map[string]cherviltide.Millis{"each millisecond": 1, "each 15 ms": 15, "each 80 ms": 80} {
-		for shared, config := range map[string]Config{"shared": thinLink, "separate": link(thinRate, true)} {
+		for shared, config := range map[string]Config{"shared": thinLink, "separate": link(thinRate, DirectionsSeparate)} {
 			t.Run(name+", "+shared, func(t *testing.T) {
 				e, sent := busyExit(t, config), 0
 				for now := cherviltide.Millis(0); now < 4_000; now += interval {
--- a/shaper/shaper_test.go
+++ b/shaper/shaper_test.go
@@ -16,18 +16,14 @@
 const thinRate = 487_500
 
 // halfLink has a place for one transfer only, also when that is about to end.
-var thinLink, halfLink = link(thinRate, false), link(thinRate/2, false)
+var thinLink, halfLink = link(thinRate, DirectionsShared), link(thinRate/2, DirectionsShared)
 
 const (
 	fullPayload                      = 1_200
 	callerTimeout cherviltide.Millis = 1_400
 )
 
-func link(rate int64, separate bool) Config {
-	directions := DirectionsShared
-	if separate {
-		directions = DirectionsSeparate
-	}
+func link(rate int64, directions Directions) Config {
 	return Config{
 		Rate: rate, Directions: directions, PacketHeader: 36, ForwardHeader: 98, MaxPayload: fullPayload,
 		OpeningRetransmissions: []cherviltide.Millis{200, 600}, OpeningTimeout: callerTimeout,
@@ -63,11 +59,11 @@
 		want           int
 	}{
 		"both directions share a thin link": {thinLink, 0, 0, 1},
-		"a thin link with two directions":   {link(thinRate, true), 0, 0, 3},
-		"with other traffic":                {link(thinRate, true), 2_000, 0, 2},
-		"with packets that wait":            {link(thinRate, true), 0, 40_000, 1},
-		"a fast link":                       {link(12_500_000, false), 0, 0, 50},
-		"a link below one window":           {link(1_000, false), 0, 0, 1},
+		"a thin link with two directions":   {link(thinRate, DirectionsSeparate), 0, 0, 3},
+		"with other traffic":                {link(thinRate, DirectionsSeparate), 2_000, 0, 2},
+		"with packets that wait":            {link(thinRate, DirectionsSeparate), 0, 40_000, 1},
+		"a fast link":                       {link(12_500_000, DirectionsShared), 0, 0, 50},
+		"a link below one window":           {link(1_000, DirectionsShared), 0, 0, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := New(c.config)
