--- a/pacer/pace_test.go
+++ b/pacer/pace_test.go
@@ -87,31 +87,28 @@
 
 // TestPaceBegins guards against targets that get all their slots although they may be cold, and against a pace for warm ones.
 func TestPaceBegins(t *testing.T) {
-	warm := State{Slots: 4, Available: true, HasAge: true, Age: 60_000}
+	warm, warmUp := State{Slots: 4, Available: true, HasAge: true, Age: 60_000}, cherviltide.WarmUp{Duration: warmUpTime}
+	observe := func(p *Pacer, requests int, serviceTime cherviltide.Millis) {
+		for range requests {
+			p.Observe(1, serviceTime)
+		}
+	}
 	for name, test := range map[string]struct {
 		warmUp cherviltide.WarmUp
 		change func(p *Pacer)
 		want   int
 	}{
-		"warm target, agent has started":   {cherviltide.WarmUp{Duration: warmUpTime}, func(*Pacer) {}, 4},
+		"warm target, agent has started":   {warmUp, func(*Pacer) {}, 4},
 		"service without warm-up":          {cherviltide.WarmUp{}, func(p *Pacer) { p.SetTarget(1, State{Slots: 4, Available: true, Started: true}); p.Unanswered(2) }, 4},
-		"start seen":                       {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) { p.SetTarget(1, State{Slots: 4, Available: true, Started: true}) }, 1},
-		"report says cold":                 {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) { p.SetTarget(1, State{Slots: 4, Available: true, WarmUpLeft: 10}) }, 1},
-		"silent, then back":                {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) { p.SetTarget(1, State{Slots: 4}); p.SetTarget(2, warm) }, 1},
-		"silent":                           {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) { p.SetTarget(1, State{Slots: 4}) }, 4},
-		"request without an answer":        {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) { p.Unanswered(1) }, 2},
-		"three requests without an answer": {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) { p.Unanswered(1); p.Unanswered(2); p.Unanswered(3) }, 1},
-		"much slower than before": {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) {
-			for i := range 4 * warmRound {
-				p.Observe(1, cherviltide.Millis(20+100*(i/(3*warmRound))))
-			}
-		}, 2},
-		"one request that took very long": {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) {
-			for i := range 4 * warmRound {
-				p.Observe(1, cherviltide.Millis(20+10_000*(i/(4*warmRound-1))))
-			}
-		}, 4},
-		"evacuation withdrawn": {cherviltide.WarmUp{Duration: warmUpTime}, func(p *Pacer) { p.Restart(1) }, 1},
+		"start seen":                       {warmUp, func(p *Pacer) { p.SetTarget(1, State{Slots: 4, Available: true, Started: true}) }, 1},
+		"report says cold":                 {warmUp, func(p *Pacer) { p.SetTarget(1, State{Slots: 4, Available: true, WarmUpLeft: 10}) }, 1},
+		"silent, then back":                {warmUp, func(p *Pacer) { p.SetTarget(1, State{Slots: 4}); p.SetTarget(2, warm) }, 1},
+		"silent":                           {warmUp, func(p *Pacer) { p.SetTarget(1, State{Slots: 4}) }, 4},
+		"request without an answer":        {warmUp, func(p *Pacer) { p.Unanswered(1) }, 2},
+		"three requests without an answer": {warmUp, func(p *Pacer) { p.Unanswered(1); p.Unanswered(2); p.Unanswered(3) }, 1},
+		"much slower than before":          {warmUp, func(p *Pacer) { observe(p, 3*warmRound, 20); observe(p, warmRound, 120) }, 2},
+		"one request that took very long":  {warmUp, func(p *Pacer) { observe(p, 4*warmRound-1, 20); observe(p, 1, 10_020) }, 4},
+		"evacuation withdrawn":             {warmUp, func(p *Pacer) { p.Restart(1) }, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := New(Bound{}, 0)
