Share the lookup of patterns in the tests of replayer

pattern takes the list, so that patterns of transfers and of warm-ups need no lookup of their own; a missing warm-up pattern now fails with its name. No check was dropped.

go test ./bench/replayer: ok

--- a/bench/replayer/grey_test.go
+++ b/bench/replayer/grey_test.go
@@ -37,7 +37,8 @@
 	uneven.Name, uneven.Grey, uneven.Duration = "uneven", Grey{}, 25_000
 	uneven.Speeds = append([]float64{0.12, 0.4}, uneven.Speeds[2:]...)
 	uneven.Burst, uneven.BurstFactor = Interval{10_000, 20_000}, 2.5
-	for _, p := range []Pattern{uneven, pattern(t, "overload"), pattern(t, "outage"), transferPattern(t, "stalled-uploads")} {
+	stalled := pattern(t, TransferPatterns(), "stalled-uploads")
+	for _, p := range []Pattern{uneven, pattern(t, Patterns(), "overload"), pattern(t, Patterns(), "outage"), stalled} {
 		t.Run(p.Name, func(t *testing.T) {
 			p.QuarantineShare = 0.2
 			require.Zero(t, Run(p, 0).Paused)
--- a/bench/replayer/links_test.go
+++ b/bench/replayer/links_test.go
@@ -9,12 +9,8 @@
 	"cherviltide.example/cherviltide/shaper"
 )
 
-func knownDirections(separate bool) shaper.Directions {
-	if separate {
-		return shaper.DirectionsSeparate
-	}
-	return shaper.DirectionsShared
-}
+// knownDirections has the setting of an entry that knows whether the directions of its link are separate.
+var knownDirections = map[bool]shaper.Directions{false: shaper.DirectionsShared, true: shaper.DirectionsSeparate}
 
 // TestThinLinks guards against links that deliver less the more uploads there are, against uploads that miss their goal although
 // the link could carry them, and against small requests behind uploads. Entries that forward in the order of arrival miss the
@@ -34,7 +30,7 @@
 			t.Run(fmt.Sprintf("%s, %.1f", name, load), func(t *testing.T) {
 				for seed := range uint64(2) {
 					p := ThinLinks(load, separate)
-					p.Duration, p.Directions = 10_000, knownDirections(separate)
+					p.Duration, p.Directions = 10_000, knownDirections[separate]
 					r := RunLinks(p, seed)
 					require.GreaterOrEqual(t, r.Goodput/r.Offered*load, bounds.goodput, "goodput, seed %d", seed)
 					require.GreaterOrEqual(t, r.Kinds["upload"].TimelyShare(), bounds.upload, "uploads, seed %d", seed)
@@ -68,7 +64,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := ThinLinks(test.load, test.separate)
 			measured := RunLinks(p, 1).Kinds["upload"].Timely
-			p.Directions = knownDirections(test.separate)
+			p.Directions = knownDirections[test.separate]
 			require.GreaterOrEqual(t, float64(measured), test.lowest*float64(RunLinks(p, 1).Kinds["upload"].Timely))
 			p.ArrivalOrder = true
 			require.GreaterOrEqual(t, measured, RunLinks(p, 1).Kinds["upload"].Timely)
--- a/bench/replayer/replayer_test.go
+++ b/bench/replayer/replayer_test.go
@@ -8,9 +8,8 @@
 )
 
 // pattern returns the pattern with a name.
-func pattern(t *testing.T, name string) Pattern {
+func pattern(t *testing.T, patterns []Pattern, name string) Pattern {
 	t.Helper()
-	patterns := Patterns()
 	i := slices.IndexFunc(patterns, func(p Pattern) bool { return p.Name == name })
 	require.NotEqual(t, -1, i, "no pattern %s", name)
 	return patterns[i]
@@ -36,7 +35,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(2) {
-				p := pattern(t, name)
+				p := pattern(t, Patterns(), name)
 				r := Run(p, seed)
 				require.GreaterOrEqual(t, r.Sum(test.from, test.to, "edit").TimelyShare(), test.edit, "edit, seed %d", seed)
 				require.GreaterOrEqual(t, r.Sum(test.from, test.to, "view").TimelyShare(), test.view, "view, seed %d", seed)
--- a/bench/replayer/transfer_test.go
+++ b/bench/replayer/transfer_test.go
@@ -1,21 +1,11 @@
 package replayer
 
 import (
-	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 )
 
-// transferPattern returns the pattern of transfers with a name.
-func transferPattern(t *testing.T, name string) Pattern {
-	t.Helper()
-	patterns := TransferPatterns()
-	i := slices.IndexFunc(patterns, func(p Pattern) bool { return p.Name == name })
-	require.NotEqual(t, -1, i, "no pattern %s", name)
-	return patterns[i]
-}
-
 // TestTransfers guards against uploads and downloads that take the slots of idle targets while their bytes are under way, so
 // that they and small requests are refused or late; against too many downloads at a target that holds a slot until the end of
 // an answer; and against new flows that wait at targets whose open flows have brought more requests than there are slots.
@@ -39,7 +29,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(2) {
-				p := transferPattern(t, name)
+				p := pattern(t, TransferPatterns(), name)
 				missed := func(r *Report) (kinds []string) {
 					for kind, lowest := range test.lowest {
 						if r.Sum(test.from, test.to, kind).TimelyShare() < lowest {
--- a/bench/replayer/warmup_test.go
+++ b/bench/replayer/warmup_test.go
@@ -1,7 +1,6 @@
 package replayer
 
 import (
-	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -30,8 +29,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			run := func(ramp Ramp) (timely float64, fullShare cherviltide.Millis) {
-				patterns := WarmUpPatterns(ramp)
-				p := patterns[slices.IndexFunc(patterns, func(p Pattern) bool { return p.Name == name })]
+				p := pattern(t, WarmUpPatterns(ramp), name)
 				for seed := range uint64(seeds) {
 					r := RunWarmUp(p, seed)
 					require.GreaterOrEqual(t, r.ToFullShare, cherviltide.Millis(0), "no full share, seed %d", seed)
