--- a/bench/measurer/hardload_test.go
+++ b/bench/measurer/hardload_test.go
@@ -22,13 +22,11 @@
 		"second without request": {[]int{50, -1, 100, 75}, `points="130.0,150.0 410.0,0.0 550.0,75.0"`},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var seconds []replayer.Result
-			for _, percent := range test.shares {
-				result := replayer.Result{Asked: 100, Timely: percent}
-				if percent < 0 {
-					result = replayer.Result{}
+			seconds := make([]replayer.Result, len(test.shares))
+			for i, percent := range test.shares {
+				if percent >= 0 {
+					seconds[i] = replayer.Result{Asked: 100, Timely: percent}
 				}
-				seconds = append(seconds, result)
 			}
 			var p Plot
 			p.add(Line{Variant: "Default", pattern: "a < b & c", results: replayer.Results{"view": seconds}})
