Share the server in the tests of commands

serveInForce repeated the end of startControlTLS. TestCheckPage looks for the code among the findings directly, and the failure shows them. No check was dropped.

--- a/commands/check_test.go
+++ b/commands/check_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -90,13 +90,7 @@
 			{Member: agent, OpenFlows: 17, State: cherviltide.StateActive}, {Member: agent, OpenFlows: 5, State: cherviltide.StateDead},
 		}}, failed("Status")
 	})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	server := messenger.NewServer(mux, nil)
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close(); <-done })
-	return listener.Addr().String()
+	return serve(t, mux, nil)
 }
 
 // TestCheckAgainstControl guards against a check that hides what it could not compare, or that shows no local findings then.
@@ -104,11 +98,8 @@
 	inForce := messenger.CurrentResponse{Revision: 4, Text: validRules, Confirmed: true}
 	changed := strings.Replace(validRules, ":443", ":444", 1)
 	other := strings.Replace(validRules, "desk", "other", 1)
-	with := func(change func(*messenger.CurrentResponse)) messenger.CurrentResponse {
-		c := inForce
-		change(&c)
-		return c
-	}
+	unconfirmed, unreadable, newer := inForce, inForce, inForce
+	unconfirmed.Confirmed, unreadable.Text, newer.Revision = false, "{}", 3
 	for name, c := range map[string]struct {
 		current       messenger.CurrentResponse
 		failure, file string
@@ -117,12 +108,12 @@
 		"changed":     {inForce, "", changed, "", "~ Service desk: Address 203.0.113.7:443 -> 203.0.113.7:444\n    line 1 in force: vroni in revision 2 at 1970-01-01T00:00:00Z, asked by Rita\n"},
 		"removed":     {inForce, "", other, "", "revision 4 of emre at 1970-01-01T00:00:00Z: 2 entries differ\n- Service desk\n    line 1 in force: vroni in revision 2 at 1970-01-01T00:00:00Z, asked by Rita\n    17 open flows at 1 agents\n+ Service other\n"},
 		"first":       {messenger.CurrentResponse{Confirmed: true}, "", changed, "OriginsUnknown", "+ Service desk"},
-		"unconfirmed": {with(func(c *messenger.CurrentResponse) { c.Confirmed = false }), "", changed, "ControlNotConfirmed", "~ Service desk"},
-		"unreadable":  {with(func(c *messenger.CurrentResponse) { c.Text = "{}" }), "", changed, "VersionInForceUnreadable", "1 services"},
+		"unconfirmed": {unconfirmed, "", changed, "ControlNotConfirmed", "~ Service desk"},
+		"unreadable":  {unreadable, "", changed, "VersionInForceUnreadable", "1 services"},
 		"no current":  {inForce, "Current", changed, "ControlNotReached", "1 services"},
 		"no history":  {inForce, "History", changed, "OriginsUnknown", "~ Service desk"},
 		"no origins":  {inForce, "Rules", changed, "OriginsUnknown", "~ Service desk"},
-		"newer":       {with(func(c *messenger.CurrentResponse) { c.Revision = 3 }), "", changed, "OriginsUnknown", "~ Service desk"},
+		"newer":       {newer, "", changed, "OriginsUnknown", "~ Service desk"},
 		"no status":   {inForce, "Status", other, "OpenFlowsUnknown", "- Service desk"},
 		"not valid":   {inForce, "", "Knd", "NotCompared", "UnknownKeyword"},
 	} {
@@ -161,10 +152,7 @@
 			format = platformFormat
 		}
 		_, findings := format.check(example, format.limits)
-		var codes []checker.Code
-		for _, f := range findings {
-			codes = append(codes, f.Code)
-		}
-		require.Contains(t, codes, checker.Code(s[1]), example)
+		hasCode := slices.ContainsFunc(findings, func(f checker.Finding) bool { return f.Code == checker.Code(s[1]) })
+		require.True(t, hasCode, "%s is not in %+v of %s", s[1], findings, example)
 	}
 }
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -54,6 +54,11 @@
 		}
 		return &messenger.EvacuateResponse{Position: 7}, nil
 	})
+	return serve(t, mux, config)
+}
+
+// serve runs a server until the end of the test, and returns its address.
+func serve(t *testing.T, mux *http.ServeMux, config *tls.Config) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := messenger.NewServer(mux, config)
