--- a/controller/evacuate_test.go
+++ b/controller/evacuate_test.go
@@ -54,13 +54,8 @@
 
 func (x *orderFixture) inLoop(f func()) { require.NoError(x.t, x.runInLoop(x.ctx, f)) }
 
-// order sends an order and returns the position of its acknowledgement.
-func (x *orderFixture) order(domain string, withdraw bool, operator string) (uint64, error) {
-	res, err := x.Evacuate(x.ctx, &messenger.EvacuateRequest{FailureDomain: domain, Withdraw: withdraw, Operator: operator})
-	if err != nil {
-		return 0, err
-	}
-	return res.Position, nil
+func (x *orderFixture) order(domain string, withdraw bool, operator string) (*messenger.EvacuateResponse, error) {
+	return x.Evacuate(x.ctx, &messenger.EvacuateRequest{FailureDomain: domain, Withdraw: withdraw, Operator: operator})
 }
 
 func (x *orderFixture) requireRefused(kind cherviltide.ErrorKind, domain string, withdraw bool) error {
@@ -90,7 +85,7 @@
 	require.NoError(t, err)
 	again, err := x.order("z1", false, "three")
 	require.NoError(t, err)
-	require.Greater(t, again, first)
+	require.Greater(t, again.Position, first.Position)
 	require.Equal(t, want, x.evacuations())
 	status, err := x.status(x.ctx, &messenger.StatusRequest{})
 	require.NoError(t, err)
