--- a/follower/evacuation_test.go
+++ b/follower/evacuation_test.go
@@ -1,7 +1,6 @@
 package follower_test
 
 import (
-	"context"
 	"net/http"
 	"testing"
 
@@ -29,6 +28,7 @@
 		x.commit(order(cherviltide.EventEvacuated, "z1"))
 	}
 	evacuate := func(x *testControl) { x.commit(order(cherviltide.EventEvacuated, "z1")) }
+	withdraw := func(x *testControl) { x.commit(order(cherviltide.EventRestored, "z1")) }
 	for name, test := range map[string]struct {
 		service string
 		// before is done before the process starts, missed while it is without control, and then while it is connected.
@@ -44,10 +44,7 @@
 		"missed":           {missed: evacuate, want: []string{"z1"}, lines: []string{"OwnDomainEvacuated"}},
 		"many missed":      {service: "desk", missed: manyOrders, want: []string{"z1"}, lines: []string{"OwnDomainEvacuated"}},
 		"another domain":   {then: func(x *testControl) { x.commit(order(cherviltide.EventEvacuated, "z2")) }, want: []string{"z2"}},
-		"withdrawn": {
-			before: evacuate, then: func(x *testControl) { x.commit(order(cherviltide.EventRestored, "z1")) },
-			lines: []string{"OwnDomainEvacuated", "OwnDomainRestored"},
-		},
+		"withdrawn":        {before: evacuate, then: withdraw, lines: []string{"OwnDomainEvacuated", "OwnDomainRestored"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := newTestControl(t, 1_000)
@@ -79,10 +76,7 @@
 			if test.missed != nil {
 				stop()
 				test.missed(x)
-				ctx, cancel := context.WithCancel(context.Background())
-				ended := make(chan error, 1)
-				go func() { ended <- f.Run(ctx) }()
-				defer func() { cancel(); require.NoError(t, <-ended) }()
+				start(t, f)
 			}
 			run(test.then)
 			eventually(t, "last state", current)
