--- a/framer/reach_test.go
+++ b/framer/reach_test.go
@@ -24,15 +24,13 @@
 			require.Equal(t, want, h)
 			require.Equal(t, payload, got)
 			for i := range b {
+				_, _, err := f.Decode(b[:i])
+				require.Error(t, err, i)
 				b[i]++
-				_, _, err := f.Decode(b)
+				_, _, err = f.Decode(b)
 				require.Error(t, err, i)
 				b[i]--
 			}
-			for i := range b {
-				_, _, err := f.Decode(b[:i])
-				require.Error(t, err, i)
-			}
 			_, _, err = framer.New([16]byte{9}).Decode(b)
 			require.ErrorIs(t, err, framer.ErrTag)
 			require.Len(t, f.AppendReach(nil, want, nil), framer.ReachHeaderSize)
--- a/framer/short_test.go
+++ b/framer/short_test.go
@@ -45,7 +45,7 @@
 	f := framer.New([16]byte{1, 2, 3})
 	other := testHeader.Flow
 	other.Caller = netip.MustParseAddrPort("10.1.2.3:4568")
-	cases := map[string]struct {
+	for name, c := range map[string]struct {
 		datagram []byte
 		flow     cherviltide.FlowKey
 		want     error
@@ -56,8 +56,7 @@
 		"longer":        {append(encodedShort(f, "datagram"), 0), testHeader.Flow, framer.ErrTag},
 		"other key":     {encodedShort(framer.New([16]byte{9}), "datagram"), testHeader.Flow, framer.ErrTag},
 		"other service": {func() []byte { b := encodedShort(f, "x"); b[3]++; return b }(), testHeader.Flow, framer.ErrTag},
-	}
-	for name, c := range cases {
+	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := f.DecodeShort(c.datagram, c.flow, testHeader.Entry)
 			require.ErrorIs(t, err, c.want)
@@ -67,14 +66,13 @@
 
 // Guards against the short form for datagrams that need fields which it lacks.
 func TestHasShortForm(t *testing.T) {
-	cases := map[string]func(*framer.Header){
+	require.True(t, shortHeader().HasShortForm())
+	for name, change := range map[string]func(*framer.Header){
 		"reply":    func(h *framer.Header) { h.Type = framer.TypeReply },
 		"probe":    func(h *framer.Header) { h.Flags = framer.FlagProbe },
 		"position": func(h *framer.Header) { h.Position = 1 },
 		"hop":      func(h *framer.Header) { h.Hops = 1 },
-	}
-	require.True(t, shortHeader().HasShortForm())
-	for name, change := range cases {
+	} {
 		h := shortHeader()
 		change(&h)
 		require.False(t, h.HasShortForm(), name)
