--- a/pinger/pinger_test.go
+++ b/pinger/pinger_test.go
@@ -55,9 +55,7 @@
 			},
 		})
 		for range 200 {
-			p.mu.Lock()
-			p.reacher.Suspect(p.now(), "b")
-			p.mu.Unlock()
+			p.Suspect("b")
 			p.tick()
 		}
 		require.Equal(t, p.Counters.Probes.Load(), p.Counters.Echoes.Load())
@@ -95,9 +93,7 @@
 	probe := func() (framer.Header, bool) {
 		sent = nil
 		for len(sent) == 0 {
-			p.mu.Lock()
-			p.reacher.Suspect(p.now(), "b")
-			p.mu.Unlock()
+			p.Suspect("b")
 			p.tick()
 		}
 		h, payload, err := key.Decode(sent[0])
