--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -152,9 +152,7 @@
 // table or beyond the share, with a share of 0, or with more flows in probation than the step allows.
 func TestStates(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := New(rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "share"))
-		now := cherviltide.Millis(0)
-		var peers Peers
+		q, now, peers := New(rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "share")), cherviltide.Millis(0), Peers{}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now += cherviltide.Millis(rapid.IntRange(0, 400).Draw(t, "pause"))
 			before := q.State()
