--- a/bench/replayer/cut_test.go
+++ b/bench/replayer/cut_test.go
@@ -22,6 +22,7 @@
 	}
 	for _, c := range replayer.Cuts() {
 		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
 			baseline, seed := replayer.CutWithoutReach, uint64(1)
 			if len(c.Expired) > 0 {
 				// With this seed, a flow is opened while the substitute of its owner changes.
--- a/bench/replayer/links_test.go
+++ b/bench/replayer/links_test.go
@@ -28,6 +28,7 @@
 	} {
 		for name, separate := range map[string]bool{"shared": false, "separate": true} {
 			t.Run(fmt.Sprintf("%s, %.1f", name, load), func(t *testing.T) {
+				t.Parallel()
 				for seed := range uint64(2) {
 					p := ThinLinks(load, separate)
 					p.Duration, p.Directions = 10_000, knownDirections[separate]
--- a/bench/replayer/replayer_test.go
+++ b/bench/replayer/replayer_test.go
@@ -34,6 +34,7 @@
 		"slow-target":  {5, 8, 0.9, 0.9, false},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(2) {
 				p := pattern(t, Patterns(), name)
 				r := Run(p, seed)
--- a/bench/replayer/transfer_test.go
+++ b/bench/replayer/transfer_test.go
@@ -28,6 +28,7 @@
 		"long-flows":      {3, 34, map[string]float64{"small": 0.995, "long": 0.999}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(2) {
 				p := pattern(t, TransferPatterns(), name)
 				missed := func(r *Report) (kinds []string) {
--- a/bench/replayer/warmup_test.go
+++ b/bench/replayer/warmup_test.go
@@ -28,6 +28,7 @@
 		"claimed-warm-up":         {0.998, 6_000, RampLinear},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			run := func(ramp Ramp) (timely float64, fullShare cherviltide.Millis) {
 				p := pattern(t, WarmUpPatterns(ramp), name)
 				for seed := range uint64(seeds) {
