--- a/framer/short_test.go
+++ b/framer/short_test.go
@@ -33,7 +33,6 @@
 	h, err := f.DecodeShort(b, testHeader.Flow, testHeader.Entry)
 	require.NoError(t, err)
 	require.Equal(t, shortHeader(), h)
-
 	_, _, err = f.Decode(append(b, make([]byte, framer.HeaderSize)...))
 	require.Error(t, err)
 	_, ok = framer.ShortPayload(encoded(f, "datagram"))
