--- a/shaper/shaper_test.go
+++ b/shaper/shaper_test.go
@@ -108,14 +108,14 @@
 		// freeAt is the time after the last packet, which comes 50 ms after the one before, at which the place is free.
 		freeAt cherviltide.Millis
 	}{
-		"no data after the opening":           {nil, openingTimeout},
-		"acknowledgements only":               {[]cherviltide.Packet{data(1, 0)}, openingTimeout - 50},
-		"silence":                             {[]cherviltide.Packet{data(1, fullPayload)}, silenceTimeout},
-		"the last packet of the request":      {[]cherviltide.Packet{data(1, fullPayload), data(1201, 400)}, 0},
-		"a copy after the last packet":        {[]cherviltide.Packet{data(1, fullPayload), data(1201, 400), data(1, fullPayload)}, 0},
-		"a second request":                    {[]cherviltide.Packet{data(1, 400), data(401, fullPayload)}, silenceTimeout},
-		"finished by the caller":              {[]cherviltide.Packet{data(1, fullPayload), finish}, 0},
-		"reset by the caller":                 {[]cherviltide.Packet{data(1, fullPayload), {Flags: cherviltide.PacketReset}}, 0},
+		"no data after the opening":      {nil, openingTimeout},
+		"acknowledgements only":          {[]cherviltide.Packet{data(1, 0)}, openingTimeout - 50},
+		"silence":                        {[]cherviltide.Packet{data(1, fullPayload)}, silenceTimeout},
+		"the last packet of the request": {[]cherviltide.Packet{data(1, fullPayload), data(1201, 400)}, 0},
+		"a copy after the last packet":   {[]cherviltide.Packet{data(1, fullPayload), data(1201, 400), data(1, fullPayload)}, 0},
+		"a second request":               {[]cherviltide.Packet{data(1, 400), data(401, fullPayload)}, silenceTimeout},
+		"finished by the caller":         {[]cherviltide.Packet{data(1, fullPayload), finish}, 0},
+		"reset by the caller":            {[]cherviltide.Packet{data(1, fullPayload), {Flags: cherviltide.PacketReset}}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, now := New(halfLink), cherviltide.Millis(5)
