--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -102,11 +102,9 @@
 			return framer.Header{}
 		}
 	}
-
 	send("\x01new")
 	require.Zero(t, receive(owner.FailureDomain).Position)
 	require.Eventually(t, func() bool { return relay.Reach.Counters.Echoes.Load() > 2 }, 10*time.Second, time.Millisecond)
-
 	agents[owner.FailureDomain].cut.Store(true)
 	require.Eventually(t, func() bool { return len(relay.Reach.Closed()) == 1 }, 10*time.Second, time.Millisecond)
 	send("\x01new")
@@ -123,7 +121,6 @@
 		receive(other)
 		receive(owner.FailureDomain)
 	}
-
 	require.Eventually(t, func() bool { return len(relay.Reach.Closed()) == 0 }, 10*time.Second, time.Millisecond)
 	send("\x02data")
 	require.Zero(t, receive(owner.FailureDomain).Position)
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -205,7 +205,6 @@
 	h, packet := x.receivedBy("a")
 	require.EqualValues(t, 7, h.Revision)
 	require.Equal(t, string(rune(cherviltide.PacketOpen))+"opening", packet)
-
 	x.send(string(rune(cherviltide.PacketAck)) + "data")
 	buffer := make([]byte, 2048)
 	require.NoError(t, x.agents["a"].SetReadDeadline(time.Now().Add(10*time.Second)))
