--- a/forwarder/link_test.go
+++ b/forwarder/link_test.go
@@ -77,7 +77,6 @@
 	x.requireNothingReceived("a")
 	x.send("\x02\x03data of a flow that is open")
 	x.requireSent("a", 3)
-
 	x.send("\x08\x01")
 	_, first := x.receivedBy("a")
 	_, second := x.receivedBy("a")
