Send queued datagrams of an entry in one place

The flush with its log line and count stood three times, and senders of the link tested for a full batch although enqueue does. One flush in forwarder.Relay serves all; a full batch is sent before the next datagram, as before for packets that leave at once.

--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -173,7 +173,7 @@
 		l.release(out)
 		for l.sendNext(out) {
 		}
-		l.flush(out)
+		l.relay.flush(out)
 		l.logDirections()
 		if wait, ok := l.nextRelease(); ok {
 			timer.Reset(wait)
@@ -212,9 +212,6 @@
 		l.relay.LinkCounters.Admitted.Add(1)
 		l.relay.LinkWaits.Record(d.Wait)
 		l.relay.send(view, d.Datagram, l.relay.header(view, d.Flow), true, out)
-		if out.queued == batchSize {
-			l.flush(out)
-		}
 	}
 }
 
@@ -226,23 +223,10 @@
 	if !ok {
 		return false
 	}
-	out.enqueue(p.Datagram, p.To, netip.Addr{})
-	if out.queued == batchSize {
-		l.flush(out)
-	}
+	l.relay.enqueue(out, p.Datagram, p.To)
 	return true
 }
 
-func (l *link) flush(out *sender) {
-	if out.queued == 0 {
-		return
-	}
-	if err := out.flush(); err != nil {
-		l.relay.config.Log.Warn("SendFailed", zap.Error(err))
-	}
-	l.relay.Counters.countBatch(&l.relay.Counters.Forwarded, out)
-}
-
 // refuse sends a reset to the caller of a flow that is not admitted.
 func (l *link) refuse(o shaper.Opening, waited cherviltide.Millis) {
 	l.relay.LinkCounters.Refused.Add(1)
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -53,14 +53,3 @@
 		r.enqueue(out, datagram, next.agent.Address)
 	}
 }
-
-// enqueue queues a datagram. It sends the queued ones first when there is no room.
-func (r *Relay) enqueue(out *sender, datagram []byte, to netip.AddrPort) {
-	if out.queued == batchSize {
-		if err := out.flush(); err != nil {
-			r.config.Log.Warn("SendFailed", zap.Error(err))
-		}
-		r.Counters.countBatch(&r.Counters.Forwarded, out)
-	}
-	out.enqueue(datagram, to, netip.Addr{})
-}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -140,10 +140,7 @@
 		for i := range n {
 			handle(view, in, i, out)
 		}
-		if err := out.flush(); err != nil {
-			r.config.Log.Warn("SendFailed", zap.Error(err))
-		}
-		r.Counters.countBatch(&r.Counters.Forwarded, out)
+		r.flush(out)
 	}
 }
 
@@ -229,6 +226,22 @@
 	return datagram
 }
 
+// enqueue queues a datagram. It sends the queued ones first when there is no room.
+func (r *Relay) enqueue(out *sender, datagram []byte, to netip.AddrPort) {
+	if out.queued == batchSize {
+		r.flush(out)
+	}
+	out.enqueue(datagram, to, netip.Addr{})
+}
+
+// flush sends the queued datagrams and counts them.
+func (r *Relay) flush(out *sender) {
+	if err := out.flush(); err != nil {
+		r.config.Log.Warn("SendFailed", zap.Error(err))
+	}
+	r.Counters.countBatch(&r.Counters.Forwarded, out)
+}
+
 // relayHop is the agent that a packet is sent to next.
 type relayHop struct {
 	table *picker.Table
