review: disk lost after a replaced instance has crashed

Cause: a control instance that crashes for good after its successor has joined stays one of four voters for 2 s, in which the loss of one more disk leaves no majority for good.

--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -15,7 +15,7 @@
 var errBroken = errors.New("the rule was broken")
 
 func main() {
-	cases := map[string]func(*record, bool) error{"start": runStart, "power": runPower, "wipe": runWipe, "highest": runHighest}
+	cases := map[string]func(*record, bool) error{"start": runStart, "power": runPower, "wipe": runWipe, "highest": runHighest, "crash": runCrash}
 	if len(os.Args) < 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE FOLDER")
 		os.Exit(2)
