--- a/review/_rig2/start.go
+++ b/review/_rig2/start.go
@@ -25,10 +25,10 @@
 	freezeTime  = 2 * time.Second
 	// settleTime is the time from the end of the freeze to the first read.
 	settleTime = 2500 * time.Millisecond
-	// readTime is how long the configuration is read back in vain before the rule counts as broken. The pages ask for ContactMs.
-	readTime = 12 * time.Second
+	// readTime is how long the configuration is read back in vain before the rule counts as broken. RecoveryS is 15 at most.
+	readTime = 30 * time.Second
 	// lastRound is when no further round begins.
-	lastRound = 80 * time.Second
+	lastRound = 65 * time.Second
 	// systems is the number of systems that run at the same time, each with addresses of its own.
 	systems = 3
 )
