review: loopback address for the route of the cases

Cause: the configuration that the scripts send named a virtual address that is not loopback; nothing connected to it. Change: 127.8.0.1 in its place.

--- a/review/_rig2/start.go
+++ b/review/_rig2/start.go
@@ -10,7 +10,7 @@
 
 // configuration returns a configuration with one route to a service.
 func configuration(version uint64, service string) []byte {
-	return []byte(fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"r-1","Host":"198.18.0.1","Prefix":"/8443/","Kind":"idempotent",`+
+	return []byte(fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"r-1","Host":"127.8.0.1","Prefix":"/8443/","Kind":"idempotent",`+
 		`"TimeoutMs":%d,"GoalMs":100,"Priority":2,"Service":%q,"Attempts":2}],"Services":[{"Name":%q,"HealthPath":"/healthz",`+
 		`"MaxConns":2000,"Proto":"h1","Tls":false}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,`+
 		`"IdleTimeoutMs":15000}}`, version, 1000+version%1000, service, service))
