Tell a torn write by what a sync has covered

Two of three ended at each start with "log is damaged: checksum does not match", and no instance ever returned the version that had been acknowledged before.

Cause: a record was two writes and a sync, and a power failure leaves each write since the last sync whole, missing or torn. The start judged by the form of the bytes: a header of zeros before its payload, a torn header or a hole in the payload counted as damage. The file could not tell what a sync had covered. The trace shows all bytes before the record intact.

Change: a file has a header with a random ID and the length that was synced before it got its name; a record is one write, followed after its sync by a mark of 12 bytes that needs no sync. An intact record or mark proves that all before it was synced. So a bad record before one is damage, and all else is a torn write in whatever form. Close syncs the last mark and sets one byte of the header, so TestDamage passes as it is. Checksums depend on ID and offset: old contents of the disk are no records.

Related paths: the first record of a file and the rewrite (the length in the header covers them), the rename, a full disk between the writes (there is one now), both groups (same package). Nothing else is stored on disks.

Tests: on the code before, TestTornWriteShapes fails for a missing header, a torn header and a hole in the payload, and TestPowerLoss with "damaged at offset 30". TestPowerLoss fails with each of six parts of the rule switched off but the ID, for which TestOldRecordsAreNotTaken does. memoryDisk can now leave any part of the unsynced writes. writeEntries returns the error of Close, which has steps of its own that can fail.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	$(GO) tool revive -config revive.toml -set_exit_status ./...
 
 fuzz:
+	$(GO) test ./journaler -run '^$$' -fuzz FuzzOpen -fuzztime 3s
 	$(GO) test ./proxier -run '^$$' -fuzz FuzzMetadata -fuzztime 3s
 	$(GO) test ./framer -run '^$$' -fuzz FuzzDecode -fuzztime 3s
 	$(GO) test ./platform -run '^$$' -fuzz FuzzPacket -fuzztime 3s
--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -150,6 +150,7 @@
 	{"hundreds of versions, with large or small changes, of any size", "edits and restart", "I8", "controller", "TestLogIsBoundedInBytes", "", "", passes},
 	{"edits sent again while no majority stores them", "edit", "I8", "voter", "TestUncommittedBytesAreBounded", "", "", passes},
 	{"flipped bit, torn write at the end of the log", "start", "I8", "journaler", "TestDamage", "", "", passes},
+	{"power failure that leaves any part of the writes since the last sync, flipped bit", "each step of a write", "I8", "journaler", "TestPowerLoss", "", "", passes},
 	{"leader killed", "edit", "I8", processTests, "TestLeaderKilledDuringEdits", "1", "", passes},
 	{"leader frozen and continued", "edit", "I8", processTests, "TestFrozenLeader", "1", "", passes},
 	{"two of three instances killed", "edit", "I8", processTests, "TestMinorityRejectsEdits", "1", "", passes},
--- a/controller/group.go
+++ b/controller/group.go
@@ -97,7 +97,7 @@
 	}
 	g.voter = voter.New(voter.Config{Self: self, Names: names, DynamicVoters: config.DynamicVoters, MinVoters: config.MinVoters, Bootstrap: config.Bootstrap, Seed: rand.Uint64()}, stored, 0)
 	config.Log.Info("GroupOpened", zap.String("Group", name), zap.Uint64("Identity", self.Number),
-		zap.Uint64("Snapshot", stored.Snapshot.Index), zap.Int("Entries", len(stored.Entries)))
+		zap.Uint64("Snapshot", stored.Snapshot.Index), zap.Int("Entries", len(stored.Entries)), zap.Int("TornBytes", journal.DroppedBytes()))
 	return g, nil
 }
 
@@ -293,6 +293,16 @@
 			case <-ctx.Done():
 				return nil
 			}
+			if err == nil {
+				g.markSynced()
+			}
 		}
 	}
 }
+
+// markSynced marks the end of a write whose result was reported. Without the mark nothing is lost.
+func (g *group) markSynced() {
+	if err := g.journal.MarkSynced(); err != nil {
+		g.log.Warn("WriteNotMarked", zap.String("Group", g.name), zap.Error(err))
+	}
+}
--- a/filesystem.go
+++ b/filesystem.go
@@ -23,6 +23,7 @@
 // File is a file that is open for writing.
 type File interface {
 	io.WriteCloser
+	io.Seeker
 	// Sync returns once all written data is durable.
 	Sync() error
 }
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"math/rand/v2"
 	"path/filepath"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/voter"
 )
@@ -34,6 +37,13 @@
 	lock      io.Closer
 	self      voter.ID
 	file      cherviltide.File
+	layout    layout
+	// size is the length of the file in bytes; all of it was synced but a mark at its end.
+	size int
+	// isMarked is true when nothing was synced since the last mark, or since the file was created.
+	isMarked bool
+	// droppedBytes is the length of the torn write that Open left out.
+	droppedBytes int
 	// failure is the error of the first failed write; nothing is written after it.
 	failure error
 }
@@ -67,7 +77,7 @@
 	if contents.self.Name != newIdentity.Name {
 		return contents, fault("journaler.Open", cherviltide.KindInvalid, fmt.Errorf("%w: %s", errForeignDirectory, contents.self.Name))
 	}
-	j.self = contents.self
+	j.self, j.droppedBytes = contents.self, contents.tornBytes
 	if err := j.files.SyncDir(filepath.Dir(j.directory)); err != nil {
 		return contents, internalError("journaler.Open", err)
 	}
@@ -122,36 +132,66 @@
 	return fmt.Errorf("%w: %w", ErrNotCompacted, err)
 }
 
-// writeNewFile writes the identity and a state to a new file. It leaves no file after an error.
-func (j *Journal) writeNewFile(w voter.Write) (cherviltide.File, error) {
+// writeNewFile writes the identity and a state to a new file, and its header last, which has the length of all of it. It leaves no
+// file after an error.
+func (j *Journal) writeNewFile(w voter.Write) (*newFile, error) {
 	path := filepath.Join(j.directory, newLogFileName)
 	file, err := j.files.Create(path)
 	if err != nil {
 		return nil, err
 	}
-	err = writeRecord(file, record{Self: &j.self, Hard: w.Hard, Snapshot: w.Snapshot})
-	for rest := w.Entries; len(rest) > 0 && err == nil; {
+	f := &newFile{File: file, layout: layout{id: rand.Uint64(), state: stateOpen, created: fileHeaderSize}}
+	if err := f.fill(record{Self: &j.self, Hard: w.Hard, Snapshot: w.Snapshot}, w.Entries); err != nil {
+		_ = file.Close()
+		_ = j.files.Remove(path)
+		return nil, err
+	}
+	return f, nil
+}
+
+// newFile is a file that has not replaced the old one yet.
+type newFile struct {
+	cherviltide.File
+	// layout.created is the length so far.
+	layout layout
+}
+
+// fill writes and syncs a record and entries.
+func (f *newFile) fill(first record, entries []voter.Entry) error {
+	if err := writeAll(f.File, make([]byte, fileHeaderSize)); err != nil {
+		return err
+	}
+	if err := f.append(first); err != nil {
+		return err
+	}
+	for rest := entries; len(rest) > 0; {
 		n := batchLength(rest)
-		err = writeRecord(file, record{Hard: w.Hard, Entries: rest[:n]})
+		if err := f.append(record{Hard: first.Hard, Entries: rest[:n]}); err != nil {
+			return err
+		}
 		rest = rest[n:]
 	}
-	if err == nil {
-		err = file.Sync()
+	if err := overwrite(f.File, 0, f.layout.encode()); err != nil {
+		return err
 	}
-	if err != nil {
-		_ = file.Close()
-		_ = j.files.Remove(path)
-		return nil, err
+	if _, err := f.Seek(int64(f.layout.created), io.SeekStart); err != nil {
+		return err
 	}
-	return file, nil
+	return f.Sync()
+}
+
+func (f *newFile) append(r record) error {
+	n, err := writeRecord(f.File, f.layout, f.layout.created, r)
+	f.layout.created += n
+	return err
 }
 
 // replaceFile renames the new file over the old one. After an error it is not known which of them a restart finds.
-func (j *Journal) replaceFile(file cherviltide.File) error {
+func (j *Journal) replaceFile(f *newFile) error {
 	if j.file != nil {
 		_ = j.file.Close()
 	}
-	j.file = file
+	j.file, j.layout, j.size, j.isMarked = f.File, f.layout, f.layout.created, true
 	if err := j.files.Rename(filepath.Join(j.directory, newLogFileName), filepath.Join(j.directory, logFileName)); err != nil {
 		return err
 	}
@@ -159,10 +199,37 @@
 }
 
 func (j *Journal) appendEntries(hard voter.HardState, entries []voter.Entry) error {
-	if err := writeRecord(j.file, record{Hard: hard, Entries: entries}); err != nil {
+	n, err := writeRecord(j.file, j.layout, j.size, record{Hard: hard, Entries: entries})
+	if err != nil {
 		return err
 	}
-	return j.file.Sync()
+	if err := j.file.Sync(); err != nil {
+		return err
+	}
+	j.size, j.isMarked = j.size+n, false
+	return nil
+}
+
+// MarkSynced writes a mark behind the last write, unless there is one. It proves to the next Open that the write was durable, so
+// that damage of it is not taken for a torn write. It needs no sync, and a write does not need it to be durable: call it when
+// the result of the write has been reported.
+func (j *Journal) MarkSynced() error {
+	if j.failure != nil || j.file == nil || j.isMarked {
+		return j.failure
+	}
+	mark := j.layout.frame(j.size, nil)
+	if err := writeAll(j.file, mark); err != nil {
+		// The next record would follow a part of the mark.
+		j.failure = internalError("journaler.MarkSynced", err)
+		return j.failure
+	}
+	j.size, j.isMarked = j.size+len(mark), true
+	return nil
+}
+
+// DroppedBytes returns the length of the torn write that Open found at the end of the file and left out.
+func (j *Journal) DroppedBytes() int {
+	return j.droppedBytes
 }
 
 // maxBatchBytes bounds the entries of one record of a new file, so that encoding it takes little memory.
@@ -179,29 +246,38 @@
 	return len(entries)
 }
 
-// writeRecord writes a record without waiting until it is durable.
-func writeRecord(file cherviltide.File, r record) error {
-	header, payload, err := encodeRecord(r)
+// writeRecord writes a record at the end of a file with one write, without waiting until it is durable. It returns its length.
+func writeRecord(file io.Writer, l layout, offset int, r record) (int, error) {
+	payload, err := cbor.Marshal(r)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	for _, b := range [][]byte{header, payload} {
-		n, err := file.Write(b)
-		if err != nil {
-			return err
-		}
-		if n < len(b) {
-			return io.ErrShortWrite
-		}
+	b := l.frame(offset, payload)
+	return len(b), writeAll(file, b)
+}
+
+func writeAll(file io.Writer, b []byte) error {
+	n, err := file.Write(b)
+	if err == nil && n < len(b) {
+		err = io.ErrShortWrite
 	}
-	return nil
+	return err
 }
 
-// Close closes the file and releases the lock on the directory.
+// overwrite replaces bytes of a file. The position in the file is then behind them.
+func overwrite(file io.WriteSeeker, offset int64, b []byte) error {
+	if _, err := file.Seek(offset, io.SeekStart); err != nil {
+		return err
+	}
+	return writeAll(file, b)
+}
+
+// Close closes the file and releases the lock on the directory. Unless a write failed, it leaves the file marked as closed, so that
+// the next Open finds any damage.
 func (j *Journal) Close() error {
 	var first error
 	if j.file != nil {
-		first = j.file.Close()
+		first = errors.Join(j.markClosed(), j.file.Close())
 	}
 	if j.lock != nil {
 		first = errors.Join(first, j.lock.Close())
@@ -209,6 +285,19 @@
 	return first
 }
 
+func (j *Journal) markClosed() error {
+	if j.failure != nil {
+		return nil
+	}
+	if err := j.MarkSynced(); err != nil {
+		return err
+	}
+	if err := j.file.Sync(); err != nil {
+		return err
+	}
+	return overwrite(j.file, stateOffset, []byte{byte(stateClosed)})
+}
+
 // Discard removes the state in a directory that no journal has open. The next Open starts with a new identity.
 func Discard(files cherviltide.FileSystem, directory string) error {
 	for _, name := range []string{logFileName, newLogFileName} {
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -19,7 +19,7 @@
 
 var errInjected = errors.New("injected")
 
-// memoryDisk is a file system in memory. One operation fails, and a crash loses everything that was not synced.
+// memoryDisk is a file system in memory. One operation fails, and a crash loses what was not synced, or a part of it.
 type memoryDisk struct {
 	files, syncedFiles map[string]*memoryFile
 	// failAt is the number of the operation that fails; 0 means none. operations counts them.
@@ -30,6 +30,14 @@
 type memoryFile struct {
 	disk                   *memoryDisk
 	content, syncedContent []byte
+	position               int
+	// unsynced has the writes since the last sync.
+	unsynced []unsyncedWrite
+}
+
+type unsyncedWrite struct {
+	offset int
+	data   []byte
 }
 
 func newMemoryDisk() *memoryDisk {
@@ -43,16 +51,41 @@
 	return nil
 }
 
-// crash returns the disk as it is after a power failure.
+// crash returns the disk as it is after a power failure at which all that was not synced is lost.
 func (d *memoryDisk) crash() *memoryDisk {
-	after := newMemoryDisk()
-	for name, f := range d.syncedFiles {
-		survivor := &memoryFile{disk: after, content: f.syncedContent, syncedContent: f.syncedContent}
+	return d.crashWith(func(unsyncedWrite) []byte { return nil }, false)
+}
+
+// crashWith returns the disk as it is after a power failure that left of each write since the last sync what survives returns: nil
+// for a missing write, or the write with any part of it torn. With keepNames the renamed and removed names are durable already.
+func (d *memoryDisk) crashWith(survives func(unsyncedWrite) []byte, keepNames bool) *memoryDisk {
+	after, names := newMemoryDisk(), d.syncedFiles
+	if keepNames {
+		names = d.files
+	}
+	for name, f := range names {
+		content := bytes.Clone(f.syncedContent)
+		for _, w := range f.unsynced {
+			content = overwriteAt(content, w.offset, survives(w))
+		}
+		survivor := &memoryFile{disk: after, content: content, syncedContent: content}
 		after.files[name], after.syncedFiles[name] = survivor, survivor
 	}
 	return after
 }
 
+// overwriteAt writes b into the content at an offset; a gap before it reads as zeros.
+func overwriteAt(content []byte, offset int, b []byte) []byte {
+	if len(b) == 0 {
+		return content
+	}
+	if missing := offset + len(b) - len(content); missing > 0 {
+		content = append(content, make([]byte, missing)...)
+	}
+	copy(content[offset:], b)
+	return content
+}
+
 func (d *memoryDisk) MkdirAll(string) error          { return d.beginOperation() }
 func (d *memoryDisk) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
 func (d *memoryDisk) Create(p string) (cherviltide.File, error) {
@@ -106,15 +139,22 @@
 			err = nil
 		}
 	}
-	f.content = append(f.content, b...)
+	f.content = overwriteAt(f.content, f.position, b)
+	f.unsynced = append(f.unsynced, unsyncedWrite{f.position, bytes.Clone(b)})
+	f.position += len(b)
 	return len(b), err
 }
 
+func (f *memoryFile) Seek(offset int64, _ int) (int64, error) {
+	f.position = int(offset)
+	return offset, nil
+}
+
 func (f *memoryFile) Sync() error {
 	if err := f.disk.beginOperation(); err != nil {
 		return err
 	}
-	f.syncedContent = append([]byte(nil), f.content...)
+	f.syncedContent, f.unsynced = bytes.Clone(f.content), nil
 	return nil
 }
 
@@ -124,14 +164,14 @@
 	return voter.Entry{Index: i, Term: 1, Data: fmt.Appendf(nil, "entry %d", i)}
 }
 
-// writeEntries makes ten writes, two of them with snapshots, and returns the index of the last acknowledged entry.
-func writeEntries(files cherviltide.FileSystem) (uint64, error) {
+// writeEntries makes ten writes, two of them with snapshots, closes the journal, and returns the index of the last acknowledged
+// entry.
+func writeEntries(files cherviltide.FileSystem) (acknowledged uint64, err error) {
 	j, _, _, err := journaler.Open(files, "data", voter.ID{Name: "c1", Number: 7})
 	if err != nil {
 		return 0, err
 	}
-	defer func() { _ = j.Close() }()
-	var acknowledged uint64
+	defer func() { err = errors.Join(err, j.Close()) }()
 	for i := uint64(1); i <= 10; i++ {
 		w := voter.Write{Hard: voter.HardState{Term: i}, Entries: []voter.Entry{newEntry(i)}}
 		if i%5 == 0 {
@@ -144,6 +184,9 @@
 			return acknowledged, err
 		}
 		acknowledged = i
+		if err := j.MarkSynced(); err != nil {
+			return acknowledged, err
+		}
 	}
 	return acknowledged, nil
 }
--- a/journaler/record.go
+++ b/journaler/record.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,11 +13,7 @@
 	"cherviltide.example/cherviltide/voter"
 )
 
-// headerSize is the size of a record's header: length of the payload, CRC32C of the length, CRC32C of the payload.
-const headerSize = 12
-
 var (
-	castagnoli    = crc32.MakeTable(crc32.Castagnoli)
 	errChecksum   = errors.New("checksum does not match")
 	errEntryOrder = errors.New("entries are out of order")
 )
@@ -42,17 +37,6 @@
 	return mode
 }()
 
-func encodeRecord(r record) (header, payload []byte, err error) {
-	if payload, err = cbor.Marshal(r); err != nil {
-		return nil, nil, err
-	}
-	header = make([]byte, headerSize)
-	binary.BigEndian.PutUint32(header, uint32(len(payload)))
-	binary.BigEndian.PutUint32(header[4:], crc32.Checksum(header[:4], castagnoli))
-	binary.BigEndian.PutUint32(header[8:], crc32.Checksum(payload, castagnoli))
-	return header, payload, nil
-}
-
 // fileContents is what a file holds.
 type fileContents struct {
 	self   voter.ID
@@ -65,30 +49,37 @@
 // write; any other damage is an error with its offset.
 func decodeFile(path string, file io.Reader) (fileContents, error) {
 	var contents fileContents
-	for offset := 0; ; {
-		data, err := readRecord(file)
+	start := make([]byte, fileHeaderSize)
+	n, err := io.ReadFull(file, start)
+	if ignoreEOF(err) != nil {
+		return contents, internalError("journaler.Open", err)
+	}
+	l, err := decodeLayout(start[:n])
+	if err != nil {
+		return contents, damagedError(path, 0, err)
+	}
+	file = io.MultiReader(bytes.NewReader(start[l.size():n]), file)
+	offset := l.size()
+	for {
+		data, err := l.readRecord(offset, file)
 		if err != nil {
 			return contents, internalError("journaler.Open", err)
 		}
-		if len(data) == 0 {
+		if len(data) == 0 && offset >= l.created {
 			break
 		}
-		if !isIntact(data) {
+		if !l.startsWithRecord(offset, data) {
 			rest, err := io.ReadAll(file)
 			if err != nil {
 				return contents, internalError("journaler.Open", err)
 			}
-			if data = append(data, rest...); offset > 0 && isTornWrite(data) {
-				contents.tornBytes = len(data)
-				return contents, nil
+			if data = append(data, rest...); !l.isTorn(offset, data) {
+				return contents, damagedError(path, offset, errChecksum)
 			}
-			return contents, damagedError(path, offset, errChecksum)
-		}
-		var r record
-		if err := recordDecoder.Unmarshal(data[headerSize:], &r); err != nil {
-			return contents, damagedError(path, offset, err)
+			contents.tornBytes = len(data)
+			break
 		}
-		if err := contents.addRecord(r); err != nil {
+		if err := contents.addPayload(data[headerSize:]); err != nil {
 			return contents, damagedError(path, offset, err)
 		}
 		offset += len(data)
@@ -100,13 +91,13 @@
 }
 
 // readRecord returns the bytes of the next record with its header, or fewer where the file ends or the header is damaged.
-func readRecord(file io.Reader) ([]byte, error) {
+func (l layout) readRecord(offset int, file io.Reader) ([]byte, error) {
 	data := make([]byte, headerSize)
 	n, err := io.ReadFull(file, data)
 	if n < headerSize {
 		return data[:n], ignoreEOF(err)
 	}
-	if !hasValidLength(data) {
+	if !l.hasValidLength(offset, data) {
 		return data, nil
 	}
 	payload := io.LimitReader(file, int64(binary.BigEndian.Uint32(data)))
@@ -124,29 +115,16 @@
 	return err
 }
 
-func hasValidLength(header []byte) bool {
-	return crc32.Checksum(header[:4], castagnoli) == binary.BigEndian.Uint32(header[4:])
-}
-
-// isIntact reports whether data is a complete record with correct checksums.
-func isIntact(data []byte) bool {
-	return len(data) >= headerSize && hasValidLength(data) && len(data)-headerSize == int(binary.BigEndian.Uint32(data)) &&
-		crc32.Checksum(data[headerSize:], castagnoli) == binary.BigEndian.Uint32(data[8:])
-}
-
-// isTornWrite reports whether the rest of a file is a write that was interrupted: the file ends within a record, or
-// with blocks that were never written and read as zeros. A complete record with a wrong checksum is damage instead,
-// since it may have been acknowledged. A damaged length is not taken for a torn write because the length has a checksum
-// of its own.
-func isTornWrite(rest []byte) bool {
-	nonZero := bytes.TrimRight(rest, "\x00")
-	if len(nonZero) < headerSize {
-		return true
+// addPayload adds what a record holds; a mark holds nothing.
+func (c *fileContents) addPayload(payload []byte) error {
+	if len(payload) == 0 {
+		return nil
 	}
-	if !hasValidLength(rest) {
-		return false
+	var r record
+	if err := recordDecoder.Unmarshal(payload, &r); err != nil {
+		return err
 	}
-	return len(nonZero) < headerSize+int(binary.BigEndian.Uint32(rest))
+	return c.addRecord(r)
 }
 
 func (c *fileContents) addRecord(r record) error {
