Keep the number of an edit apart from its absence

Cause: an edit carried its version plus 1, and 0 meant that it has no number. The sum of the highest version overflows to 0, so it was accepted without a number, above which any number is higher.

The encoding stays number plus 1, 0 for none, with 65 bits where it needs them, so other numbers are read by the previous release and from its files.

Sequence numbers and start times of targets have bounds below the largest value already.

--- a/controller/edits.go
+++ b/controller/edits.go
@@ -35,7 +35,7 @@
 	term   uint64
 	id     string
 	base   uint64
-	number uint64
+	number cherviltide.EditNumber
 	text   string
 }
 
@@ -73,13 +73,13 @@
 		switch {
 		case !r.isSelf:
 			return c.forwardEdit(ctx, r.url, req)
-		case req.Number > 0:
+		case req.Number.IsSet():
 			return c.acceptNumberedEdit(ctx, req)
 		}
 		return c.acceptEdit(ctx, req)
 	})
 	if errors.Is(err, coalescer.ErrAbandoned) {
-		c.config.Log.Info("EditAbandoned", zap.String("EditID", req.EditID), zap.Uint64("Number", req.Number), zap.String("Leader", r.url))
+		c.config.Log.Info("EditAbandoned", zap.String("EditID", req.EditID), numberField("Number", req.Number), zap.String("Leader", r.url))
 	}
 	return res, err
 }
@@ -91,13 +91,13 @@
 	loopErr := c.runInLoop(ctx, func() {
 		current := c.registrar.Current()
 		switch {
-		case req.Number > 0 && current.Edit.Number >= req.Number:
+		case req.Number.IsSet() && !req.Number.IsAbove(current.Edit.Number):
 			accepted, res.Revision = true, current.Number
-		case req.Number == 0 && c.registrar.HasEdit(req.EditID):
+		case !req.Number.IsSet() && c.registrar.HasEdit(req.EditID):
 			accepted = true
 			res.Revision, err = c.registrar.EditResult(registrar.Edit{ID: req.EditID, Base: req.Base, Text: req.Text})
 		}
-		if accepted && req.Number > 0 {
+		if accepted && req.Number.IsSet() {
 			c.logOvertaken(req, current)
 		}
 	})
@@ -156,7 +156,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if base.Edit.Number >= req.Number {
+		if !req.Number.IsAbove(base.Edit.Number) {
 			c.logOvertaken(req, base)
 			return &messenger.ApplyResponse{Revision: base.Number}, nil
 		}
@@ -166,7 +166,7 @@
 		if err == nil {
 			return &messenger.ApplyResponse{Revision: number}, nil
 		}
-		c.config.Log.Info("EditRepeated", zap.Uint64("Number", req.Number), zap.Error(err))
+		c.config.Log.Info("EditRepeated", numberField("Number", req.Number), zap.Error(err))
 		_ = runner.Sleep(ctx, retryDelay)
 	}
 	return nil, fault("controller.apply", cherviltide.KindUnavailable, errOutcomeUnknown)
@@ -174,12 +174,21 @@
 
 // logOvertaken logs that a file with a higher number than that of an edit is accepted.
 func (c *Controller) logOvertaken(req *messenger.ApplyRequest, current registrar.Revision) {
-	if current.Edit.Number > req.Number {
-		c.config.Log.Info("EditOvertaken", zap.Uint64("Number", req.Number), zap.Uint64("Accepted", current.Edit.Number),
+	if current.Edit.Number.IsAbove(req.Number) {
+		c.config.Log.Info("EditOvertaken", numberField("Number", req.Number), numberField("Accepted", current.Edit.Number),
 			zap.Uint64("Revision", current.Number))
 	}
 }
 
+// numberField returns the log field of a number, which is left out if there is none.
+func numberField(key string, n cherviltide.EditNumber) zap.Field {
+	value, isSet := n.Value()
+	if !isSet {
+		return zap.Skip()
+	}
+	return zap.Uint64(key, value)
+}
+
 // currentRevision returns the newest accepted revision.
 func (c *Controller) currentRevision(ctx context.Context) (registrar.Revision, error) {
 	var current registrar.Revision
@@ -246,7 +255,7 @@
 	}
 	isCurrent := edit.Base == c.registrar.Current().Number && entry != nil
 	switch {
-	case c.registrar.HasEdit(edit.ID) || (!isCurrent && edit.Number == 0):
+	case c.registrar.HasEdit(edit.ID) || (!isCurrent && !edit.Number.IsSet()):
 		sendResult()
 		return nil
 	case !isCurrent:
--- a/controller/edits_test.go
+++ b/controller/edits_test.go
@@ -100,9 +100,9 @@
 // after a second. On a slow machine no attempt would ever end, and the edit would never be accepted.
 func TestEditOutlivesItsCaller(t *testing.T) {
 	tests := map[string]*messenger.ApplyRequest{
-		"numbered":          {Number: 7, Text: "seven"},
+		"numbered":          {Number: cherviltide.NewEditNumber(7), Text: "seven"},
 		"with an ID":        {EditID: "a", Text: "a"},
-		"forwarded to self": {Number: 7, Text: "seven", Forwarded: true},
+		"forwarded to self": {Number: cherviltide.NewEditNumber(7), Text: "seven", Forwarded: true},
 	}
 	for name, req := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -141,7 +141,7 @@
 	}
 	withController(t, t.TempDir(), parse, func(ctx context.Context, c *Controller, _ uint64) {
 		for i, text := range []string{"a", "b", "c"} {
-			_, err := c.apply(ctx, &messenger.ApplyRequest{Number: uint64(i) + 1, Text: text})
+			_, err := c.apply(ctx, &messenger.ApplyRequest{Number: cherviltide.NewEditNumber(uint64(i) + 1), Text: text})
 			require.NoError(t, err)
 		}
 		var published string
@@ -194,7 +194,7 @@
 		}))
 		before := entries()
 		ended := make(chan error, 2)
-		for _, req := range []*messenger.ApplyRequest{{Number: 7, Text: "seven"}, {EditID: "a", Text: "a"}} {
+		for _, req := range []*messenger.ApplyRequest{{Number: cherviltide.NewEditNumber(7), Text: "seven"}, {EditID: "a", Text: "a"}} {
 			go func() {
 				_, err := c.apply(ctx, req)
 				ended <- err
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -64,9 +64,9 @@
 	// Base is the revision that the edit is based on.
 	Base     uint64
 	Operator string
-	// Number is the operator's own number of the file, or 0. An edit whose number is not higher than that of the accepted
-	// file changes nothing; the response has the accepted revision.
-	Number uint64
+	// Number is the operator's own number of the file, if it has one. An edit whose number is not higher than that of the
+	// accepted file changes nothing; the response has the accepted revision.
+	Number cherviltide.EditNumber
 	Text   string
 	// Forwarded is true when another control instance has forwarded the request to the leader.
 	Forwarded bool
@@ -86,8 +86,8 @@
 // CurrentResponse is the accepted rules file.
 type CurrentResponse struct {
 	Revision uint64
-	// Number is the operator's own number of the file, or 0.
-	Number uint64
+	// Number is the operator's own number of the file, if it has one.
+	Number cherviltide.EditNumber
 	Text   string
 	// Confirmed is false when the instance could not reach a majority, so that the response may be outdated.
 	Confirmed bool
--- a/registrar/packed.go
+++ b/registrar/packed.go
@@ -22,7 +22,7 @@
 	Base     uint64
 	Time     cherviltide.Millis
 	Sum      uint64
-	Number   uint64
+	Number   cherviltide.EditNumber
 	// Size is the size of the edit in bytes before compression.
 	Size int
 	// Lines is the encoding of the hunks. It is compressed if Packed is true.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -47,10 +47,9 @@
 	Operator string
 	// Base is the revision that the operator edited.
 	Base uint64
-	// Number is the operator's own version number of the content, for operators that number their files; otherwise it is
-	// 0. Of numbered edits the one with the highest number takes effect; Base then only tells which text the diff refers
-	// to.
-	Number uint64
+	// Number is the operator's own version number of the content, for operators that number their files. Of numbered edits the
+	// one with the highest number takes effect; Base then only tells which text the diff refers to.
+	Number cherviltide.EditNumber
 	Text   string
 	Time   cherviltide.Millis
 	// Former has the former services of all routes after this edit, as known to the leader.
@@ -73,7 +72,7 @@
 	Time     cherviltide.Millis
 	Sum      uint64
 	Lines    []Hunk
-	Number   uint64
+	Number   cherviltide.EditNumber
 	// Former has the former services of the routes that the edit changes in that respect.
 	Former []cherviltide.FormerServices
 }
@@ -171,7 +170,7 @@
 	if _, accepted := r.byID[e.ID]; accepted || e.Base != r.currentNumber() {
 		return
 	}
-	if e.Number > 0 && e.Number <= r.Current().Edit.Number {
+	if e.Number.IsSet() && !e.Number.IsAbove(r.Current().Edit.Number) {
 		return
 	}
 	before := strings.Split(r.state.text, "\n")
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
+
+	"cherviltide.example/cherviltide"
 )
 
 // TestDeltasReproduceEveryText guards against a text that changes on its way through the log, and against edits that
@@ -64,7 +67,7 @@
 func TestNumberedEdits(t *testing.T) {
 	r := New()
 	propose := func(number uint64, text string) []byte {
-		entry, err := r.Encode(Edit{ID: text, Base: r.Current().Number, Number: number, Text: text})
+		entry, err := r.Encode(Edit{ID: text, Base: r.Current().Number, Number: cherviltide.NewEditNumber(number), Text: text})
 		require.NoError(t, err)
 		return entry
 	}
@@ -74,7 +77,7 @@
 	require.Equal(t, "nine", r.Current().Edit.Text)
 	for _, number := range []uint64{1, 8, 9} {
 		r.Apply(3, propose(number, "late"))
-		require.EqualValues(t, 9, r.Current().Edit.Number)
+		require.Equal(t, cherviltide.NewEditNumber(9), r.Current().Edit.Number)
 		require.Equal(t, "nine", r.Current().Edit.Text)
 	}
 	snapshot, err := r.Snapshot()
@@ -85,6 +88,17 @@
 	require.Equal(t, "nine", r.Current().Edit.Text)
 	r.Apply(5, propose(12, "twelve"))
 	require.Equal(t, "twelve", r.Current().Edit.Text)
+	highest := propose(math.MaxUint64, "highest")
+	r.Apply(5, highest)
+	for _, number := range []uint64{0, 5, 9, math.MaxInt64, math.MaxUint64 - 1, math.MaxUint64} {
+		r.Apply(6, propose(number, fmt.Sprint("after the highest ", number)))
+		require.Equal(t, "highest", r.Current().Edit.Text, "number %d", number)
+	}
+	snapshot, err = r.Snapshot()
+	require.NoError(t, err)
+	r = New()
+	require.NoError(t, r.Restore(6, snapshot))
+	require.Equal(t, cherviltide.NewEditNumber(math.MaxUint64), r.Current().Edit.Number)
 }
 
 // TestRestoreOfSnapshotWithoutHistory guards against a control instance that loses edits of a snapshot in which all kept
@@ -92,8 +106,8 @@
 func TestRestoreOfSnapshotWithoutHistory(t *testing.T) {
 	lines := func(list ...string) []string { return list }
 	data, err := cbor.Marshal(snapshot{First: 4, Text: "a\nc", Kept: []editRecord{
-		{ID: "five", Number: 7, Lines: diffLines(lines("a"), lines(""))},
-		{ID: "six", Number: 8, Lines: diffLines(lines("a", "c"), lines("a"))},
+		{ID: "five", Number: cherviltide.NewEditNumber(7), Lines: diffLines(lines("a"), lines(""))},
+		{ID: "six", Number: cherviltide.NewEditNumber(8), Lines: diffLines(lines("a", "c"), lines("a"))},
 	}})
 	require.NoError(t, err)
 	r := New()
@@ -104,7 +118,7 @@
 		return true
 	})
 	require.Equal(t, []string{"6 six a", "5 five "}, texts)
-	require.EqualValues(t, 8, r.Current().Edit.Number)
+	require.Equal(t, cherviltide.NewEditNumber(8), r.Current().Edit.Number)
 	again, err := r.Snapshot()
 	require.NoError(t, err)
 	restored := New()
