Let half of an even voter set decide once a voter has lost its disk

Half a second later a version was acknowledged, and the instance that had acknowledged it lost its disk. No instance ever returned that version or any other.

Cause: the killed instance stays one of four voters for 2 s, until it counts as unresponsive. Two of four with intact disks can't elect a leader, and without one the lost voters can't be removed or admitted. It is not the early acknowledgement: what was acknowledged before the crash was gone too, and voter.TestDiskLossAfterCrash loses both at the same moment. So neither a later acknowledgement nor a shorter time to removal ends it; docs/design/voter-sets.md has what was weighed.

Change: an instance that gets a message for a former identity of its name replies that this one is lost, which stays true for good. A set of even size decides by half of its voters while one of them is lost. Half and any majority of it overlap. Only losses known before the term began count, a set that is not known to be committed decides together with the one before it, and a leader repeats a new set once it is committed, so that a restart knows that. A lost voter is removed or replaced at once.

Elections, commits, reads and the check of the majority all ask the same function.

--- a/controller/group.go
+++ b/controller/group.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -70,6 +71,8 @@
 	// lastLedTerm is the newest term in which this instance was leader.
 	lastLedTerm uint64
 	admitted    bool
+	// lostVoters are the voters known to have lost their disks, as they were last logged.
+	lostVoters []voter.ID
 	// leaving is true after a call of Leave.
 	leaving bool
 	// applyTimes records how long the application of entries takes; nil records nothing.
@@ -158,6 +161,7 @@
 			done(r.Confirmed)
 		}
 		g.logAdmission()
+		g.logLostVoters()
 		g.logLeadership()
 		if len(out.Committed)+len(out.Reads) == 0 && out.Restore == nil && !(g.synchronousWrites && out.Write != nil) {
 			return nil
@@ -182,6 +186,17 @@
 	}
 }
 
+// logLostVoters logs voters whose disks are known to be lost.
+func (g *group) logLostVoters() {
+	lost := g.voter.LostVoters()
+	for _, id := range lost {
+		if !slices.Contains(g.lostVoters, id) {
+			g.log.Warn("VoterLost", zap.String("Group", g.name), zap.String("Peer", id.Name), zap.Uint64("Identity", id.Number))
+		}
+	}
+	g.lostVoters = lost
+}
+
 func (g *group) logLeadership() {
 	term, leads := g.voter.IsLeader()
 	if leads && term != g.lastLedTerm {
--- a/voter/admission.go
+++ b/voter/admission.go
@@ -197,11 +197,13 @@
 		v.addOrReplaceVoter(id)
 		return
 	}
-	v.removeGoneVoter()
+	if !v.removeGoneVoter() {
+		v.confirmSet()
+	}
 }
 
 // addOrReplaceVoter proposes to add a voter. If an older identity of its name is a voter, it proposes to remove that one
-// first, unless the leader had contact with it recently.
+// first, unless the leader had contact with it recently and its disk is not known to be lost.
 func (v *Voter) addOrReplaceVoter(id ID) {
 	ids := v.Voters()
 	position := slices.IndexFunc(ids, func(x ID) bool { return x.Name == id.Name })
@@ -210,7 +212,7 @@
 		return
 	}
 	p := v.peers[ids[position]]
-	if ids[position] == v.config.Self || (p != nil && v.now-p.lastContact < 2*ElectionTimeout) {
+	if ids[position] == v.config.Self || (p != nil && !v.lost[ids[position]] && v.now-p.lastContact < 2*ElectionTimeout) {
 		return
 	}
 	v.proposeVoters(slices.Delete(ids, position, position+1))
--- a/voter/election.go
+++ b/voter/election.go
@@ -1,6 +1,8 @@
 package voter
 
 import (
+	"maps"
+
 	"cherviltide.example/cherviltide"
 )
 
@@ -54,6 +56,7 @@
 
 func (v *Voter) startElection() {
 	v.becomeFollower(v.hardState.Term+1, ID{})
+	v.lostBeforeTerm = maps.Clone(v.lost)
 	v.elections++
 	v.hardState.Vote = v.config.Self
 	v.role = candidate
@@ -64,7 +67,7 @@
 // durable.
 func (v *Voter) requestVotes(kind MessageType, term uint64) {
 	v.votes = map[ID]bool{v.config.Self: true}
-	for _, id := range v.log.currentVoters().ids {
+	for _, id := range v.decidingVoters() {
 		if id == v.config.Self {
 			continue
 		}
@@ -98,7 +101,11 @@
 		v.handleJoin(m)
 		return
 	}
-	if m.To != v.config.Self || v.removed {
+	if m.To != v.config.Self {
+		v.replyGone(m)
+		return
+	}
+	if v.removed {
 		return
 	}
 	switch {
@@ -111,6 +118,9 @@
 	case m.Type == MessageLeave:
 		v.handleLeave(m)
 		return
+	case m.Type == MessageGone:
+		v.handleGone(m)
+		return
 	case m.Type == MessageMayStop:
 		v.mayStop = v.leaving
 		return
--- a/voter/leader.go
+++ b/voter/leader.go
@@ -61,7 +61,7 @@
 
 // addVoterPeers adds a peer for each voter that has none.
 func (v *Voter) addVoterPeers() {
-	for _, id := range v.log.currentVoters().ids {
+	for _, id := range v.decidingVoters() {
 		if _, known := v.peers[id]; !known && id != v.config.Self {
 			v.peers[id] = &peer{nextIndex: v.log.lastIndex(), lastContact: v.now}
 		}
--- a/voter/leave.go
+++ b/voter/leave.go
@@ -81,12 +81,12 @@
 	return v.commitIndex >= v.termStart && v.log.currentVoters().index <= v.commitIndex
 }
 
-// goneVoters returns the other voters that leave or are unresponsive, the one that was silent for longest first, and this
+// goneVoters returns the other voters that leave, are lost or are unresponsive, the one that was silent for longest first, and this
 // voter last if it leaves. One that leaves goes on until it is removed, so those that have stopped already come before it.
 func (v *Voter) goneVoters() []ID {
 	var gone []ID
 	for _, id := range v.log.currentVoters().ids {
-		if p := v.peers[id]; p != nil && (p.isLeaving() || v.now-p.lastContact > unresponsiveTimeout) {
+		if p := v.peers[id]; p != nil && (p.isLeaving() || v.lost[id] || v.now-p.lastContact > unresponsiveTimeout) {
 			gone = append(gone, id)
 		}
 	}
@@ -113,9 +113,12 @@
 	return nil
 }
 
-// removeGoneVoter proposes to remove one of the removable voters.
-func (v *Voter) removeGoneVoter() {
-	if gone := v.removableVoters(); len(gone) > 0 {
-		v.proposeVoters(slices.DeleteFunc(v.Voters(), func(id ID) bool { return id == gone[0] }))
+// removeGoneVoter proposes to remove one of the removable voters. It reports whether there is one.
+func (v *Voter) removeGoneVoter() bool {
+	gone := v.removableVoters()
+	if len(gone) == 0 {
+		return false
 	}
+	v.proposeVoters(slices.DeleteFunc(v.Voters(), func(id ID) bool { return id == gone[0] }))
+	return true
 }
--- a/voter/log.go
+++ b/voter/log.go
@@ -95,6 +95,15 @@
 	return m.voterSets[len(m.voterSets)-1]
 }
 
+// votersBefore returns the voter set before the newest one, and false if it is not in memory or there is none.
+func (m *memoryLog) votersBefore() (voterSet, bool) {
+	if len(m.voterSets) < 2 {
+		return voterSet{}, false
+	}
+	before := m.voterSets[len(m.voterSets)-2]
+	return before, len(before.ids) > 0
+}
+
 // votersAt returns the voter set that applies at an index, which must not be below baseIndex.
 func (m *memoryLog) votersAt(index uint64) voterSet {
 	set := m.voterSets[0]
--- a/voter/message.go
+++ b/voter/message.go
@@ -73,12 +73,13 @@
 	MessageVoters   // Answers Join: the sender does not lead and returns the voters that it knows.
 	MessageLeave    // Tells the leader that the sender is about to stop for good or for a restart.
 	MessageMayStop  // Answers Leave: the sender stays a voter, and the group does not need it to stay.
+	MessageGone     // Answers a message to a former identity of the sender: Voters has it, and its disk was emptied.
 )
 
 // hasTerm reports whether a message of this type belongs to a term of its sender.
 func (t MessageType) hasTerm() bool {
 	switch t {
-	case MessageJoin, MessageEmptyLog, MessageVoters, MessageLeave, MessageMayStop:
+	case MessageJoin, MessageEmptyLog, MessageVoters, MessageLeave, MessageMayStop, MessageGone:
 		return false
 	}
 	return true
@@ -101,7 +102,7 @@
 	// Reject denies the request; in a Join it means that the sender is or was a voter and does not ask for admission.
 	Reject bool
 	Chunk  *SnapshotChunk
-	// Voters is set in MessageVoters, and in MessageEmptyLog if the sender knows other instances that have a disk.
+	// Voters is set in MessageVoters and MessageGone, and in MessageEmptyLog if the sender knows other instances that have a disk.
 	Voters []ID
 }
 
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -80,7 +80,7 @@
 
 // disabledProtections has the parts of the protocol that are turned off in a test.
 type disabledProtections struct {
-	preVote, syncBeforeSend, readConfirmation, ownTermCommit, checkQuorum, oneChangeAtATime bool
+	preVote, syncBeforeSend, readConfirmation, ownTermCommit, checkQuorum, oneChangeAtATime, jointQuorum, lostBeforeTerm bool
 }
 
 type role uint8
@@ -122,6 +122,9 @@
 	leaving, mayStop bool
 	// nextLeave is when the next Leave message is due.
 	nextLeave cherviltide.Millis
+	// lost has the voters whose disks are known to have been emptied, and lostBeforeTerm those that were known when this voter
+	// last started an election. Neither map is changed for a voter set that does not decide any more.
+	lost, lostBeforeTerm map[ID]bool
 	// votes are the votes granted in the current election.
 	votes map[ID]bool
 	// emptyVoters are the voters, by instance name, that reported an empty log to this identity.
@@ -162,6 +165,7 @@
 		commitIndex:   stored.Snapshot.Index,
 		emptyVoters:   map[string]ID{},
 		withoutDisk:   map[string]bool{},
+		lost:          map[ID]bool{},
 	}
 	v.disk.durableIndex, v.disk.durableTerm = v.log.lastIndex(), stored.Hard.Term
 	if v.snapshot.Index > 0 {
@@ -265,17 +269,6 @@
 	return slices.Contains(v.log.currentVoters().ids, id)
 }
 
-func (v *Voter) hasQuorum(has func(ID) bool) bool {
-	ids := v.log.currentVoters().ids
-	n := 0
-	for _, id := range ids {
-		if has(id) {
-			n++
-		}
-	}
-	return n > len(ids)/2
-}
-
 // emitCommitted moves entries that are committed and durable on this voter to the output.
 func (v *Voter) emitCommitted() {
 	if set := v.log.votersAt(v.commitIndex); v.commitIndex > 0 && len(set.ids) > 0 {
