Keep a leaving voter until the others know the smaller set

The leader had removed itself and stopped as soon as that was committed, before the others knew. Of the set before, one was down and one was gone.

Change: a leader that was removed goes on until the set is repeated in the log, which proves it to the others, and a voter that stays in the set may stop only then.

TestDiskLossAfterCrash now also waits for three voters.

--- a/voter/leave.go
+++ b/voter/leave.go
@@ -60,9 +60,10 @@
 }
 
 // keepsVoter reports whether a voter that leaves stays in the voter set. While a set of odd size has a silent voter that may
-// turn out to be gone too, this is not decided yet.
+// turn out to be gone too, this is not decided yet. Until the voters know for sure that the set is committed, they may need those
+// of the set before it.
 func (v *Voter) keepsVoter(id ID) bool {
-	if !v.isVoterChangeSettled() || len(v.removableVoters()) > 0 {
+	if !v.isVoterChangeSettled() || v.needsConfirmation() || len(v.removableVoters()) > 0 {
 		return false
 	}
 	return !v.mayRemovePair() || !slices.ContainsFunc(v.log.currentVoters().ids, func(other ID) bool {
--- a/voter/leave_test.go
+++ b/voter/leave_test.go
@@ -119,6 +119,26 @@
 		c.start(lost)
 		lost.voter.AddSeeds(c.names)
 		c.requireProgress(t)
+		settled := func() bool { return len(c.voters) == 3 && slices.Contains(c.voters, lost.id) }
+		for step := 0; step < 4000 && !settled(); step++ {
+			c.step()
+		}
+		require.True(t, settled(), "seed %d: voters %v", *firstSeed+uint64(i), c.voters)
+	}
+}
+
+// TestLeaderLeavesBesideCrash guards against a group without a majority after its leader has left it as planned while another voter
+// was down: the others must know that the smaller set is committed.
+func TestLeaderLeavesBesideCrash(t *testing.T) {
+	for i := range scheduleCount(100) {
+		seed := *firstSeed + uint64(i)
+		c := newSettledCluster(t, seed, 4, 3)
+		leader := c.leader()
+		require.NotNil(t, leader, "seed %d", seed)
+		at := slices.Index(c.instances, leader)
+		c.crash(c.instances[(at+1)%4])
+		c.stopAsPlanned(t, leader)
+		c.requireProgress(t)
 	}
 }
 
--- a/voter/quorum.go
+++ b/voter/quorum.go
@@ -77,9 +77,15 @@
 	return ids
 }
 
+// needsConfirmation reports whether the newest voter set does not repeat the one before it.
+func (v *Voter) needsConfirmation() bool {
+	before, ok := v.log.votersBefore()
+	return ok && !slices.Equal(before.ids, v.log.currentVoters().ids)
+}
+
 // confirmSet repeats the newest voter set once it is committed, so that voters know it after a restart.
 func (v *Voter) confirmSet() {
-	if before, ok := v.log.votersBefore(); ok && !slices.Equal(before.ids, v.log.currentVoters().ids) {
+	if v.needsConfirmation() {
 		v.propose(EntryVoters, encodeVoters(v.Voters()))
 	}
 }
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -295,8 +295,9 @@
 		v.hardState.Admitted = true
 		v.disk.hardStateDirty = true
 	}
-	// After a restart the commit index lags, so an older voter set does not tell whether this identity was removed.
-	if !member && v.hardState.Admitted && set.index == v.log.currentVoters().index {
+	// After a restart the commit index lags, so an older voter set does not tell whether this identity was removed. A leader that was
+	// removed goes on until the others know for sure that its removal is committed.
+	if !member && v.hardState.Admitted && set.index == v.log.currentVoters().index && !(v.role == leader && v.needsConfirmation()) {
 		v.removed = true
 		if v.role == leader {
 			v.becomeFollower(v.hardState.Term, ID{})
