Found a group only with promises to one founder

An acknowledged version was gone from all disks when it woke, and others ended with "leader sent an entry that conflicts with a committed one".

Cause: an instance founded a group when each instance that it knew had once reported an empty log. Two that are no seeds did not learn of each other, and the answers never expired, so a frozen instance founded with those from before while the others had committed entries.

Change: each instance promises to let one founder found the group and stores the promise with the attempt, the known instances and its term before it answers. A founder needs all seeds of its settings and those of the other known instances that answer. Instances tell each other whom they know. A founder with a lower name, a log that is seen, or the founder's lost disk ends an attempt or a promise.

The stored state has one more field. The format of files without it is read as before.

Tests: voter.TestFirstStart draws first starts of three to eight instances with any seeds, freezes, restarts, late and lost messages and lost disks. TestFirstStartNeedsPromises shows two founders without the promises.

--- a/auditor/matrix_test.go
+++ b/auditor/matrix_test.go
@@ -121,6 +121,7 @@
 	{"concurrent and repeated edits of operators, instances lost, replaced, without a disk or a majority", "edit", "I8", "platform", "TestOperatorAPI", "", "", passes},
 	{"control instances replaced, and another one loses its disk before or after the stop", "planned stop of a voter", "I8", "platform", "TestDiskLossAroundReplacement", "", "", passes},
 	{"instances stop as planned among crashes, cuts and lost disks", "voters leave and join", "I8", "voter", "TestLeaveSchedules", "seeds 1 to 100", "", passes},
+	{"freezes, restarts, lost messages, lost disks, any seeds", "first start", "I8", "voter", "TestFirstStart", "1 to 200", "TestFirstStartNeedsPromises", passes + "; 12,000 run manually"},
 	{"a replaced voter killed, as many disks lost as must be borne, freezes, cuts, restarts", "any", "I8", "voter", "TestLossSchedules", "1 to 100", "", passes + "; 4,000 run manually"},
 	{"a replaced voter crashes, another one loses its disk", "after an edit", "I8", "platform", "TestDiskLossAfterCrash", "", "", passes},
 	{"any one change of the voters, any voters lost", "decisions of a group", "I8", "voter", "TestQuorumsOverlap", "", "the set before a change left out, in the same test", passes},
--- a/journaler/record.go
+++ b/journaler/record.go
@@ -27,6 +27,20 @@
 	Entries  []voter.Entry
 }
 
+// earlierRecord is a record of a version that wrote files without a header.
+type earlierRecord struct {
+	_    struct{} `cbor:",toarray"`
+	Self *voter.ID
+	Hard struct {
+		_        struct{} `cbor:",toarray"`
+		Term     uint64
+		Vote     voter.ID
+		Admitted bool
+	}
+	Snapshot *voter.Snapshot
+	Entries  []voter.Entry
+}
+
 // recordDecoder accepts arrays of any length, since a record may hold many entries; the checksum protects against
 // damaged input.
 var recordDecoder = func() cbor.DecMode {
@@ -79,7 +93,7 @@
 			contents.tornBytes = len(data)
 			break
 		}
-		if err := contents.addPayload(data[headerSize:]); err != nil {
+		if err := contents.addPayload(l, data[headerSize:]); err != nil {
 			return contents, damagedError(path, offset, err)
 		}
 		offset += len(data)
@@ -116,14 +130,23 @@
 }
 
 // addPayload adds what a record holds; a mark holds nothing.
-func (c *fileContents) addPayload(payload []byte) error {
+func (c *fileContents) addPayload(l layout, payload []byte) error {
 	if len(payload) == 0 {
 		return nil
 	}
 	var r record
-	if err := recordDecoder.Unmarshal(payload, &r); err != nil {
+	if l.state != stateUnmarked {
+		if err := recordDecoder.Unmarshal(payload, &r); err != nil {
+			return err
+		}
+		return c.addRecord(r)
+	}
+	var e earlierRecord
+	if err := recordDecoder.Unmarshal(payload, &e); err != nil {
 		return err
 	}
+	r = record{Self: e.Self, Snapshot: e.Snapshot, Entries: e.Entries}
+	r.Hard = voter.HardState{Term: e.Hard.Term, Vote: e.Hard.Vote, Admitted: e.Hard.Admitted}
 	return c.addRecord(r)
 }
 
--- a/voter/admission.go
+++ b/voter/admission.go
@@ -8,9 +8,6 @@
 	"cherviltide.example/cherviltide"
 )
 
-// bootstrapTermRange is the number of terms from which a bootstrapping voter chooses the first one at random.
-const bootstrapTermRange = 1 << 20
-
 func compareIDs(a, b ID) int {
 	if c := strings.Compare(a.Name, b.Name); c != 0 {
 		return c
@@ -18,7 +15,7 @@
 	return cmp.Compare(a.Number, b.Number)
 }
 
-// requestAdmission asks the other instances for admission, or bootstraps a new group, as long as this identity has never
+// requestAdmission asks the other instances for admission, or founds a new group, as long as this identity has never
 // been a voter. Until it is admitted its votes do not count, because candidates count identities, not names. An identity
 // that was a voter only asks in order to learn that it was removed, and a voter contacts other instances instead.
 func (v *Voter) requestAdmission() {
@@ -33,10 +30,10 @@
 		return
 	}
 	v.nextJoin = v.now + HeartbeatInterval
-	if v.mayBootstrap() {
-		v.bootstrap()
+	if v.tryFounding() {
 		return
 	}
+	v.renewPromise()
 	for _, name := range v.otherInstances() {
 		v.sendWhenDurable(Message{Type: MessageJoin, To: ID{Name: name}, Reject: v.hardState.Admitted})
 	}
@@ -99,44 +96,6 @@
 	return v.log.lastIndex() == 0
 }
 
-// mayBootstrap reports whether this voter may bootstrap a new group: every other configured instance must have reported
-// an empty log to this identity. So a voter that lost its disk never bootstraps a second group beside the first. Without
-// dynamic voters only the first configured instance bootstraps. With dynamic voters the bootstrapping voter is the one
-// with the lowest name of all known instances that have a disk, all others of which must have reported an empty log, and
-// it waits until no new instance has appeared for bootstrapDelay.
-func (v *Voter) mayBootstrap() bool {
-	if !v.config.Bootstrap || !v.hasEmptyLog() {
-		return false
-	}
-	if !v.config.DynamicVoters {
-		return v.config.Names[0] == v.config.Self.Name && len(v.emptyVoters) == len(v.config.Names)-1
-	}
-	for _, name := range v.otherInstances() {
-		_, empty := v.emptyVoters[name]
-		if !v.withoutDisk[name] && (!empty || name < v.config.Self.Name) {
-			return false
-		}
-	}
-	return v.now-v.lastNewSeed >= bootstrapDelay
-}
-
-// bootstrapDelay is how long the bootstrapping voter of a group with dynamic voters waits for further instances. All
-// instances of a new system start at about the same time.
-const bootstrapDelay cherviltide.Millis = 500
-
-func (v *Voter) bootstrap() {
-	ids := []ID{v.config.Self}
-	for _, id := range v.emptyVoters {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, compareIDs)
-	// A voter that lost its disk and bootstraps again must not use the same term, so that the first entries of the two
-	// attempts are never taken for the same entry.
-	v.becomeFollower(v.hardState.Term+1+v.random.Uint64N(bootstrapTermRange), ID{})
-	v.appendEntries(Entry{Index: 1, Term: v.hardState.Term, Type: EntryVoters, Data: encodeVoters(ids)})
-	v.electionDeadline = v.now
-}
-
 // handleJoin answers a Join with an empty log or the known voters. The leader adds the sender as a peer, so that it
 // receives the log and can be admitted.
 func (v *Voter) handleJoin(m Message) {
@@ -144,7 +103,7 @@
 		v.addSeedIDs([]ID{{Name: m.From.Name}})
 	}
 	if v.hasEmptyLog() {
-		v.sendWhenDurable(Message{Type: MessageEmptyLog, To: m.From})
+		v.replyEmptyLog(m.From)
 		return
 	}
 	if v.role != leader && v.config.DynamicVoters && !v.isVoter(m.From) {
@@ -165,16 +124,6 @@
 	v.replicateTo(m.From, p)
 }
 
-func (v *Voter) handleEmptyLog(m Message) {
-	v.addSeedIDs(m.Voters)
-	switch {
-	case m.Reject:
-		v.withoutDisk[m.From.Name] = true
-	case v.hasEmptyLog() && v.mayJoin(m.From.Name):
-		v.emptyVoters[m.From.Name] = m.From
-	}
-}
-
 // admitPeers makes a voter of a peer that has caught up. An older identity with the same name is removed first, in a
 // separate change: the majorities of two voter sets that differ by one voter always overlap. If there is no such peer, it
 // removes a voter that is gone. It drops peers that are not voters and are unresponsive.
--- a/voter/election.go
+++ b/voter/election.go
@@ -113,6 +113,7 @@
 		v.handleEmptyLog(m)
 		return
 	case m.Type == MessageVoters:
+		v.groupExists = true
 		v.addSeedIDs(m.Voters)
 		return
 	case m.Type == MessageLeave:
@@ -121,6 +122,15 @@
 	case m.Type == MessageGone:
 		v.handleGone(m)
 		return
+	case m.Type == MessageFound:
+		v.handleFound(m)
+		return
+	case m.Type == MessageFoundReply:
+		v.handleFoundReply(m)
+		return
+	case m.Type == MessageFoundingEnded:
+		v.handleFoundingEnded(m)
+		return
 	case m.Type == MessageMayStop:
 		v.mayStop = v.leaving
 		return
--- a/voter/follower.go
+++ b/voter/follower.go
@@ -17,6 +17,7 @@
 		v.becomeFollower(v.hardState.Term, m.From)
 	}
 	v.leaderContact, v.formerLeader, v.elections = v.now, m.From, 0
+	v.groupExists = v.groupExists || m.From != v.hardState.Promise.Founder
 	v.resetElectionTimer()
 	if m.Type == MessageSnapshotChunk {
 		v.handleSnapshotChunk(m)
--- a/voter/message.go
+++ b/voter/message.go
@@ -36,6 +36,23 @@
 	// Admitted is true once this identity has been in a committed voter set. An admitted identity that is removed never
 	// becomes a voter again.
 	Admitted bool
+	// Promise has no meaning once the log has entries.
+	Promise Promise
+}
+
+// Promise lets one instance found the group.
+type Promise struct {
+	_ struct{} `cbor:",toarray"`
+	// Founder is the zero ID if there is no promise, or if it was taken back.
+	Founder ID
+	// Attempt is the attempt that the promise was given to. The attempts of a founder are numbered from 1 on.
+	Attempt uint64
+	// Instances are the names of the instances that the founder knew. Any of them may have the log of the group.
+	Instances []string
+	// Term is the voter's term when it promised. A later one shows that there is a group.
+	Term uint64
+	// OwnAttempts counts the attempts of this voter to found a group.
+	OwnAttempts uint64
 }
 
 // Snapshot is the state of the state machine that replaces the log up to Index.
@@ -74,12 +91,17 @@
 	MessageLeave    // Tells the leader that the sender is about to stop for good or for a restart.
 	MessageMayStop  // Answers Leave: the sender stays a voter, and the group does not need it to stay.
 	MessageGone     // Answers a message to a former identity of the sender: Voters has it, and its disk was emptied.
+	// MessageFound asks for the promise to let the sender found a group in the attempt Round. MessageFoundReply gives it, or refuses it
+	// with Reject; Index is above 0 if the sender has a log. MessageFoundingEnded ends the attempt.
+	MessageFound
+	MessageFoundReply
+	MessageFoundingEnded
 )
 
 // hasTerm reports whether a message of this type belongs to a term of its sender.
 func (t MessageType) hasTerm() bool {
 	switch t {
-	case MessageJoin, MessageEmptyLog, MessageVoters, MessageLeave, MessageMayStop, MessageGone:
+	case MessageJoin, MessageEmptyLog, MessageVoters, MessageLeave, MessageMayStop, MessageFound, MessageFoundReply, MessageFoundingEnded, MessageGone:
 		return false
 	}
 	return true
@@ -102,7 +124,8 @@
 	// Reject denies the request; in a Join it means that the sender is or was a voter and does not ask for admission.
 	Reject bool
 	Chunk  *SnapshotChunk
-	// Voters is set in MessageVoters and MessageGone, and in MessageEmptyLog if the sender knows other instances that have a disk.
+	// Voters is set in MessageVoters and MessageGone. In MessageEmptyLog, MessageFound and MessageFoundReply it has the names of the
+	// instances that the sender knows.
 	Voters []ID
 }
 
--- a/voter/quorum.go
+++ b/voter/quorum.go
@@ -23,8 +23,8 @@
 	if len(newest)%2 == 0 && v.hasQuorumOf(newest, false, has) {
 		return true
 	}
-	before, ok := v.log.votersBefore()
-	return v.hasQuorumOf(newest, ok, has) && (!ok || v.hasQuorumOf(before.ids, true, has))
+	before, _ := v.log.votersBefore()
+	return v.hasQuorumOf(newest, true, has) && v.hasQuorumOf(before.ids, true, has)
 }
 
 // hasQuorumOf reports the same for one voter set. With mayHalve half of the set is enough if one of its identities is lost.
@@ -56,12 +56,11 @@
 	return v.lostBeforeTerm
 }
 
-// isSetCommitted reports whether the newest voter set is known to be committed. A set that repeats the one before it proves that it
-// was, also after a restart, since a leader proposes a set only when the one before it is committed.
+// isSetCommitted reports whether the newest voter set is known to be committed, or is the one that the group was founded with. A set that
+// repeats the one before it proves that it was, also after a restart, since a leader proposes a set only when the one before it
+// is committed.
 func (v *Voter) isSetCommitted() bool {
-	newest := v.log.currentVoters()
-	before, ok := v.log.votersBefore()
-	return newest.index <= v.commitIndex || (ok && slices.Equal(before.ids, newest.ids))
+	return v.log.currentVoters().index <= v.commitIndex || !v.needsConfirmation()
 }
 
 // decidingVoters returns the voters of the newest set, and of the one before it while both decide.
@@ -94,14 +93,14 @@
 // however late the reply arrives.
 func (v *Voter) replyGone(m Message) {
 	switch m.Type {
-	case MessagePreVote, MessageVote, MessageAppend, MessageSnapshotChunk:
+	case MessagePreVote, MessageVote, MessageAppend, MessageSnapshotChunk, MessageFound, MessageFoundReply:
 		v.send(Message{Type: MessageGone, To: m.From, Voters: []ID{m.To}})
 	}
 }
 
-// handleGone records identities that are lost, of the voters that decide.
+// handleGone records identities that are lost, of the voters that decide and the founder that this voter has promised to.
 func (v *Voter) handleGone(m Message) {
-	deciding := v.decidingVoters()
+	deciding := append(v.decidingVoters(), v.hardState.Promise.Founder)
 	maps.DeleteFunc(v.lost, func(id ID, _ bool) bool { return !slices.Contains(deciding, id) })
 	for _, id := range m.Voters {
 		if id.Name == m.From.Name && id != m.From && slices.Contains(deciding, id) {
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -80,7 +80,7 @@
 
 // disabledProtections has the parts of the protocol that are turned off in a test.
 type disabledProtections struct {
-	preVote, syncBeforeSend, readConfirmation, ownTermCommit, checkQuorum, oneChangeAtATime, jointQuorum, lostBeforeTerm bool
+	preVote, syncBeforeSend, readConfirmation, ownTermCommit, checkQuorum, oneChangeAtATime, jointQuorum, lostBeforeTerm, foundingPromise bool
 }
 
 type role uint8
@@ -127,16 +127,22 @@
 	lost, lostBeforeTerm map[ID]bool
 	// votes are the votes granted in the current election.
 	votes map[ID]bool
+	// attempt is the attempt of this voter to found a group.
+	attempt attempt
+	// founderLost is true when this voter has promised to another founder before, whose disk is lost. groupExists is true when
+	// another instance was seen to have a log.
+	founderLost, groupExists bool
 	// emptyVoters are the voters, by instance name, that reported an empty log to this identity.
 	emptyVoters map[string]ID
 	// nextJoin is when the next Join messages are due.
 	nextJoin cherviltide.Millis
 	// seeds are further instances to ask for admission, named by other instances or by AddSeeds; lastNewSeed is when one
-	// was last added. withoutDisk are the instances that cannot be voters because they have no disk.
-	seeds       []ID
-	lastNewSeed cherviltide.Millis
-	withoutDisk map[string]bool
-	incoming    *incomingSnapshot
+	// was last added. foundsNothing are the instances that take no part in a
+	// founding, because they have no disk or may have lost it.
+	seeds         []ID
+	lastNewSeed   cherviltide.Millis
+	foundsNothing map[string]bool
+	incoming      *incomingSnapshot
 
 	// The following fields are used only by the leader.
 	peers map[ID]*peer
@@ -164,7 +170,7 @@
 		leaderContact: -2 * ElectionTimeout,
 		commitIndex:   stored.Snapshot.Index,
 		emptyVoters:   map[string]ID{},
-		withoutDisk:   map[string]bool{},
+		foundsNothing: map[string]bool{},
 		lost:          map[ID]bool{},
 	}
 	v.disk.durableIndex, v.disk.durableTerm = v.log.lastIndex(), stored.Hard.Term
@@ -173,6 +179,7 @@
 		v.output.Restore = &restore
 		v.appliedIndex = v.snapshot.Index
 	}
+	v.restorePromise()
 	v.resetElectionTimer()
 	return v
 }
