Count only promises of present identities, and dispatch messages without a term in one place

A founder counted the promise of an instance that has lost its disk since; the group would have begun with an identity that is gone. Found by reading.

--- a/voter/election.go
+++ b/voter/election.go
@@ -108,32 +108,11 @@
 	if v.removed {
 		return
 	}
-	switch {
-	case m.Type == MessageEmptyLog:
-		v.handleEmptyLog(m)
-		return
-	case m.Type == MessageVoters:
-		v.groupExists = true
-		v.addSeedIDs(m.Voters)
-		return
-	case m.Type == MessageLeave:
-		v.handleLeave(m)
-		return
-	case m.Type == MessageGone:
-		v.handleGone(m)
-		return
-	case m.Type == MessageFound:
-		v.handleFound(m)
-		return
-	case m.Type == MessageFoundReply:
-		v.handleFoundReply(m)
-		return
-	case m.Type == MessageFoundingEnded:
-		v.handleFoundingEnded(m)
-		return
-	case m.Type == MessageMayStop:
-		v.mayStop = v.leaving
+	if !m.Type.hasTerm() {
+		v.handleTermless(m)
 		return
+	}
+	switch {
 	case m.Term < v.hardState.Term:
 		v.rejectStaleTerm(m)
 		return
@@ -148,6 +127,29 @@
 	v.handleCurrentTerm(m)
 }
 
+// handleTermless handles a message that belongs to no term of its sender.
+func (v *Voter) handleTermless(m Message) {
+	switch m.Type {
+	case MessageEmptyLog:
+		v.handleEmptyLog(m)
+	case MessageVoters:
+		v.groupExists = true
+		v.addSeedIDs(m.Voters)
+	case MessageLeave:
+		v.handleLeave(m)
+	case MessageMayStop:
+		v.mayStop = v.leaving
+	case MessageGone:
+		v.handleGone(m)
+	case MessageFound:
+		v.handleFound(m)
+	case MessageFoundReply:
+		v.handleFoundReply(m)
+	case MessageFoundingEnded:
+		v.handleFoundingEnded(m)
+	}
+}
+
 func (v *Voter) handleCurrentTerm(m Message) {
 	switch m.Type {
 	case MessagePreVoteReply:
--- a/voter/founding.go
+++ b/voter/founding.go
@@ -35,7 +35,7 @@
 	promised map[string]ID
 }
 
-// tryFounding continues an attempt to found a group, or starts one. It reports whether a group was founded.
+// tryFounding continues an attempt to found a group, or starts one. It reports whether it founded the group.
 func (v *Voter) tryFounding() bool {
 	if !v.mayFound() {
 		v.giveUpAttempt()
@@ -98,12 +98,11 @@
 // found founds the group with the instances that have promised.
 func (v *Voter) found() {
 	ids := []ID{v.config.Self}
-	promised := v.attempt.promised
-	if v.config.disabled.foundingPromise {
-		promised = v.emptyVoters
-	}
-	for _, id := range promised {
-		ids = append(ids, id)
+	for name, id := range v.emptyVoters {
+		// A promise of an identity whose disk was lost since does not count.
+		if v.attempt.promised[name] == id || v.config.disabled.foundingPromise {
+			ids = append(ids, id)
+		}
 	}
 	slices.SortFunc(ids, compareIDs)
 	v.attempt = attempt{}
