--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	bin/cherviltide-bench measure $(if $(CASE),--case $(CASE))
 
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./picker ./framer ./forwarder ./relayer ./platform ./registrar
+	$(GO) test -run '^$$' -bench . -benchmem ./picker ./framer ./forwarder ./relayer ./platform ./registrar ./voter
 
 # KNOWN_RED matches the tests of KNOWN-RED.txt, whose faults are known and not fixed yet.
 KNOWN_RED := ^($(shell awk '!/^\#/ && NF {printf "%s%s", sep, $$2; sep="|"}' KNOWN-RED.txt))$$
--- a/voter/founding_test.go
+++ b/voter/founding_test.go
@@ -25,7 +25,10 @@
 // one more.
 func newFirstStart(seed uint64, disabled disabledProtections) *firstStart {
 	size := 3 + int(seed%6)
-	losses := min(1+int(seed/6%2), (size-1)/2)
+	return drawFirstStart(seed, size, min(1+int(seed/6%2), (size-1)/2), disabled)
+}
+
+func drawFirstStart(seed uint64, size, losses int, disabled disabledProtections) *firstStart {
 	f := &firstStart{losses: losses, cluster: &cluster{
 		dynamicVoters: true, minVoters: 2*losses + 1, disabled: disabled, random: rand.New(rand.NewPCG(seed, 1)),
 		cutLinks: map[[2]string]bool{}, leaders: map[uint64]ID{}, nextNumber: 1,
@@ -166,3 +169,30 @@
 	}
 	t.Fatal("no schedule showed two founders")
 }
+
+// BenchmarkFirstStart measures the simulated time from the first start to the first committed entry of an edit, with starts within 300 ms
+// and three seeds, beside founding without promises.
+func BenchmarkFirstStart(b *testing.B) {
+	for name, disabled := range map[string]disabledProtections{"promises": {}, "without": {foundingPromise: true}} {
+		for _, size := range []int{3, 5, 6, 19} {
+			b.Run(fmt.Sprintf("%s/%d instances", name, size), func(b *testing.B) {
+				var times []cherviltide.Millis
+				for seed := uint64(0); b.Loop(); seed++ {
+					f := drawFirstStart(seed, size, 1, disabled)
+					for i := range f.instances {
+						f.startAt[i] = 1 + f.startAt[i]%300
+						f.instances[i].seeds = f.names[:3]
+					}
+					for f.now < 20_000 && !slices.ContainsFunc(f.committed, func(e Entry) bool { return len(e.Data) == 8 }) {
+						f.advance()
+						f.propose()
+					}
+					times = append(times, f.now)
+				}
+				slices.Sort(times)
+				b.ReportMetric(float64(times[len(times)/2]), "median-ms")
+				b.ReportMetric(float64(times[len(times)-1]), "most-ms")
+			})
+		}
+	}
+}
