--- a/journaler/layout.go
+++ b/journaler/layout.go
@@ -11,15 +11,21 @@
 //
 // A record follows only bytes that a sync has covered, but for a mark between them. So an intact record proves that all before it or
 // its mark was synced, while a power failure may have left any part of what follows the last sync, in any form. An empty record, the
-// mark, is written after a sync only to prove this. The checksums depend on the file and the offset, so old contents of the disk are never taken for a record.
+// mark, is written after a sync only to prove this. The checksums depend on the file and the offset, so old contents of the disk are
+// never taken for a record.
 const (
-	magic           = "CVTLOG02"
-	fileHeaderSize  = 29
-	stateOffset     = fileHeaderSize - 1
-	checkedSize     = stateOffset - 4
-	createdOffset   = 16
-	headerSize      = 12
-	checksumsOffset = 4
+	magic          = "CVTLOG02"
+	fileHeaderSize = 29
+	createdOffset  = 16
+	checkedSize    = 24
+	stateOffset    = 28
+)
+
+// A record starts with the length of its payload, a checksum of the length and one of the payload.
+const (
+	recordHeaderSize = 12
+	lengthSumOffset  = 4
+	payloadSumOffset = 8
 )
 
 // fileState tells how the file was left. Its byte is written in place, so no power failure can tear it.
@@ -94,24 +100,24 @@
 // frame returns a record at an offset: length of the payload, checksum of the length, checksum of the payload, and the payload.
 func (l layout) frame(offset int, payload []byte) []byte {
 	seed := l.seed(offset)
-	b := binary.BigEndian.AppendUint32(make([]byte, 0, headerSize+len(payload)), uint32(len(payload)))
+	b := binary.BigEndian.AppendUint32(make([]byte, 0, recordHeaderSize+len(payload)), uint32(len(payload)))
 	b = binary.BigEndian.AppendUint32(b, crc32.Update(seed, castagnoli, b))
 	b = binary.BigEndian.AppendUint32(b, crc32.Update(seed, castagnoli, payload))
 	return append(b, payload...)
 }
 
 func (l layout) hasValidLength(offset int, header []byte) bool {
-	return crc32.Update(l.seed(offset), castagnoli, header[:checksumsOffset]) == binary.BigEndian.Uint32(header[checksumsOffset:])
+	return crc32.Update(l.seed(offset), castagnoli, header[:lengthSumOffset]) == binary.BigEndian.Uint32(header[lengthSumOffset:])
 }
 
 // startsWithRecord reports whether the bytes at an offset start with an intact record.
 func (l layout) startsWithRecord(offset int, data []byte) bool {
-	if len(data) < headerSize || !l.hasValidLength(offset, data) {
+	if len(data) < recordHeaderSize || !l.hasValidLength(offset, data) {
 		return false
 	}
 	length := int(binary.BigEndian.Uint32(data))
-	return len(data)-headerSize >= length &&
-		crc32.Update(l.seed(offset), castagnoli, data[headerSize:headerSize+length]) == binary.BigEndian.Uint32(data[checksumsOffset+4:])
+	return len(data)-recordHeaderSize >= length &&
+		crc32.Update(l.seed(offset), castagnoli, data[recordHeaderSize:recordHeaderSize+length]) == binary.BigEndian.Uint32(data[payloadSumOffset:])
 }
 
 // isTorn reports whether the rest of a file from an offset, which does not start with an intact record, is a write that a power
@@ -131,33 +137,33 @@
 // hasRecordAfter reports whether rest has an intact record behind its start that proves that its start was synced. A record right
 // behind a missing mark doesn't: both were written since the last sync.
 func (l layout) hasRecordAfter(offset int, rest []byte) bool {
-	for i := 1; i+headerSize <= len(rest); i++ {
+	for i := 1; i+recordHeaderSize <= len(rest); i++ {
 		if !l.startsWithRecord(offset+i, rest[i:]) {
 			continue
 		}
 		length := int(binary.BigEndian.Uint32(rest[i:]))
-		if i != headerSize || length == 0 {
+		if i != recordHeaderSize || length == 0 {
 			return true
 		}
-		i += headerSize + length - 1
+		i += recordHeaderSize + length - 1
 	}
 	return false
 }
 
 // isCut reports whether a file ends within the record at an offset.
 func (l layout) isCut(offset int, rest []byte) bool {
-	return len(rest) < headerSize || (l.hasValidLength(offset, rest) && len(rest)-headerSize < int(binary.BigEndian.Uint32(rest)))
+	return len(rest) < recordHeaderSize || (l.hasValidLength(offset, rest) && len(rest)-recordHeaderSize < int(binary.BigEndian.Uint32(rest)))
 }
 
 // isInterruptedWrite reports the same as isTorn for files of earlier versions: the file ends within a record, or with blocks that
 // were never written and read as zeros. Without marks, a complete record with a wrong checksum may have been acknowledged.
 func isInterruptedWrite(rest []byte) bool {
 	nonZero := bytes.TrimRight(rest, "\x00")
-	if len(nonZero) < headerSize {
+	if len(nonZero) < recordHeaderSize {
 		return true
 	}
 	if !unmarkedLayout.hasValidLength(0, rest) {
 		return false
 	}
-	return len(nonZero) < headerSize+int(binary.BigEndian.Uint32(rest))
+	return len(nonZero) < recordHeaderSize+int(binary.BigEndian.Uint32(rest))
 }
--- a/journaler/record.go
+++ b/journaler/record.go
@@ -93,7 +93,7 @@
 			contents.tornBytes = len(data)
 			break
 		}
-		if err := contents.addPayload(l, data[headerSize:]); err != nil {
+		if err := contents.addPayload(l, data[recordHeaderSize:]); err != nil {
 			return contents, damagedError(path, offset, err)
 		}
 		offset += len(data)
@@ -106,9 +106,9 @@
 
 // readRecord returns the bytes of the next record with its header, or fewer where the file ends or the header is damaged.
 func (l layout) readRecord(offset int, file io.Reader) ([]byte, error) {
-	data := make([]byte, headerSize)
+	data := make([]byte, recordHeaderSize)
 	n, err := io.ReadFull(file, data)
-	if n < headerSize {
+	if n < recordHeaderSize {
 		return data[:n], ignoreEOF(err)
 	}
 	if !l.hasValidLength(offset, data) {
