--- a/controller/edits.go
+++ b/controller/edits.go
@@ -11,6 +11,7 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/coalescer"
+	"cherviltide.example/cherviltide/logger"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/registrar"
 	"cherviltide.example/cherviltide/runner"
@@ -79,7 +80,7 @@
 		return c.acceptEdit(ctx, req)
 	})
 	if errors.Is(err, coalescer.ErrAbandoned) {
-		c.config.Log.Info("EditAbandoned", zap.String("EditID", req.EditID), numberField("Number", req.Number), zap.String("Leader", r.url))
+		c.config.Log.Info("EditAbandoned", zap.String("EditID", req.EditID), logger.EditNumber("Number", req.Number), zap.String("Leader", r.url))
 	}
 	return res, err
 }
@@ -166,7 +167,7 @@
 		if err == nil {
 			return &messenger.ApplyResponse{Revision: number}, nil
 		}
-		c.config.Log.Info("EditRepeated", numberField("Number", req.Number), zap.Error(err))
+		c.config.Log.Info("EditRepeated", logger.EditNumber("Number", req.Number), zap.Error(err))
 		_ = runner.Sleep(ctx, retryDelay)
 	}
 	return nil, fault("controller.apply", cherviltide.KindUnavailable, errOutcomeUnknown)
@@ -175,20 +176,11 @@
 // logOvertaken logs that a file with a higher number than that of an edit is accepted.
 func (c *Controller) logOvertaken(req *messenger.ApplyRequest, current registrar.Revision) {
 	if current.Edit.Number.IsAbove(req.Number) {
-		c.config.Log.Info("EditOvertaken", numberField("Number", req.Number), numberField("Accepted", current.Edit.Number),
+		c.config.Log.Info("EditOvertaken", logger.EditNumber("Number", req.Number), logger.EditNumber("Accepted", current.Edit.Number),
 			zap.Uint64("Revision", current.Number))
 	}
 }
 
-// numberField returns the log field of a number, which is left out if there is none.
-func numberField(key string, n cherviltide.EditNumber) zap.Field {
-	value, isSet := n.Value()
-	if !isSet {
-		return zap.Skip()
-	}
-	return zap.Uint64(key, value)
-}
-
 // currentRevision returns the newest accepted revision.
 func (c *Controller) currentRevision(ctx context.Context) (registrar.Revision, error) {
 	var current registrar.Revision
--- a/controller/members.go
+++ b/controller/members.go
@@ -10,6 +10,7 @@
 
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/distributor"
+	"cherviltide.example/cherviltide/logger"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/registrar"
 	"cherviltide.example/cherviltide/tracker"
@@ -152,6 +153,9 @@
 
 func (c *Controller) useRules(revision registrar.Revision, rules cherviltide.Rules) {
 	c.members.configuration, c.members.rules = revision, rules.WithRevision(revision.Number)
+	_, leads := c.configuration.isLeader()
+	c.config.Log.Info("RulesPublished", zap.Uint64("Revision", revision.Number), logger.EditNumber("Number", revision.Edit.Number),
+		zap.Int("Bytes", len(revision.Edit.Text)), zap.Bool("Leads", leads), zap.Bool("Current", c.members.log.IsCurrent()))
 	c.proposeEvents(c.tracker.ReconcileTables(c.config.Clock.Now(), c.members.rules.Services))
 }
 
@@ -286,6 +290,18 @@
 	}
 }
 
+// oldestInForce returns the oldest revision that a live entry or agent has announced as in force; it is the newest revision if there is
+// no such member. Only the leader of the membership group gets all announcements.
+func (c *Controller) oldestInForce() uint64 {
+	oldest := c.registrar.Current().Number
+	for _, a := range c.members.announcements {
+		if a.Member.Role != cherviltide.RoleControl && !a.Ended {
+			oldest = min(oldest, a.RevisionInForce)
+		}
+	}
+	return oldest
+}
+
 func unavailableError(op string, err error) error {
 	return &Error{cherviltide.Fault{Op: op, Kind: cherviltide.KindUnavailable, Err: err}}
 }
--- a/controller/ready.go
+++ b/controller/ready.go
@@ -34,6 +34,8 @@
 	p.Metric("Disk.SyncMs", c.syncTimes.Value)
 	p.Metric("Edits", func() any { return c.edits.Counts() })
 	c.times.registerMetrics(p)
+	c.distributor.RegisterMetrics(p)
+	p.Metric("Rules.OldestInForce", c.loopMetric(func() any { return c.oldestInForce() }))
 	for name, g := range map[string]func() *group{
 		"Configuration": func() *group { return c.configuration }, "Membership": func() *group { return c.membership },
 	} {
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -14,6 +14,7 @@
 	"cherviltide.example/cherviltide"
 	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/picker"
+	"cherviltide.example/cherviltide/prober"
 )
 
 // Timing of streams.
@@ -82,7 +83,9 @@
 	admission *admission
 	// inFlight has the bytes of rules and tables that may be sent at the same time.
 	inFlight *semaphore.Weighted
-	now      func() cherviltide.Millis
+	// rulesSent has the time that each update with rules took until the follower's connection had accepted it.
+	rulesSent *prober.Histogram
+	now       func() cherviltide.Millis
 }
 
 // New returns a distributor with an empty state and the default limits.
@@ -97,6 +100,7 @@
 		changed:   make(chan struct{}),
 		admission: newAdmission(limits),
 		inFlight:  semaphore.NewWeighted(maxBytesInFlight),
+		rulesSent: prober.NewHistogram(),
 		state:     &publishedState{history: &history{}, tablesDigest: func() uint64 { return 0 }, rules: newSharedRules()},
 		now:       func() cherviltide.Millis { return cherviltide.MillisOf(time.Since(started)) },
 	}
@@ -225,6 +229,9 @@
 
 // sendLimited sends an update once its rules and tables fit the bound of bytes in flight.
 func (d *Distributor) sendLimited(ctx context.Context, u *messenger.FollowUpdate, send func(*messenger.FollowUpdate) error) error {
+	if u.HasRules() {
+		defer func(started time.Time) { d.rulesSent.Record(cherviltide.MillisOf(time.Since(started))) }(time.Now())
+	}
 	size := int64(min(u.Size(), maxBytesInFlight))
 	if err := d.inFlight.Acquire(ctx, size); err != nil {
 		return nil // The stream has ended.
@@ -233,6 +240,11 @@
 	return send(u)
 }
 
+// RegisterMetrics registers the distributor's metrics with a prober.
+func (d *Distributor) RegisterMetrics(p *prober.Prober) {
+	p.Metric("Rules.SendMs", d.rulesSent.Value)
+}
+
 // refusalFor returns the reason why a follower has to use another instance, or nil.
 func (p *publishedState) refusalFor(now cherviltide.Millis, held *messenger.FollowRequest) error {
 	switch {
--- a/follower/accept.go
+++ b/follower/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -88,6 +89,7 @@
 	if u == nil || u.Revision <= view.receivedRevision {
 		return view, nil
 	}
+	started := time.Now()
 	text := u.Text
 	if len(u.Deltas) > 0 {
 		text = view.text
@@ -111,7 +113,10 @@
 		return view, nil
 	}
 	rules.Former = u.Former
-	return view.WithRules(rules.WithRevision(u.Revision)), nil
+	view = view.WithRules(rules.WithRevision(u.Revision))
+	f.config.Log.Info("RulesTaken", zap.Uint64("Revision", u.Revision), zap.Int("Deltas", len(u.Deltas)), zap.Int("Bytes", len(text)),
+		zap.Int64("PrepareMs", time.Since(started).Milliseconds()))
+	return view, nil
 }
 
 func conflict(op string, err error) error {
--- a/messenger/follow.go
+++ b/messenger/follow.go
@@ -56,7 +56,12 @@
 
 // IsReferral reports whether the update only names control instances, since its sender does not accept the follower.
 func (u *FollowUpdate) IsReferral() bool {
-	return !u.Greeting && len(u.ControlURLs) > 0 && u.Base == 0 && u.Rules == nil && len(u.PackedRules) == 0 && !u.ReplaceTables && len(u.Tables) == 0
+	return !u.Greeting && len(u.ControlURLs) > 0 && u.Base == 0 && !u.HasRules() && !u.ReplaceTables && len(u.Tables) == 0
+}
+
+// HasRules reports whether the update has rules, packed or not.
+func (u *FollowUpdate) HasRules() bool {
+	return u.Rules != nil || len(u.PackedRules) > 0
 }
 
 // Size returns the approximate size of the rules and tables in bytes.
