--- a/controller/controller.go
+++ b/controller/controller.go
@@ -221,6 +221,7 @@
 	messenger.Announce.Handle(mux, c.announce)
 	messenger.Apply.Handle(mux, c.apply)
 	messenger.Current.Handle(mux, c.current)
+	messenger.Locate.Handle(mux, c.locate)
 	messenger.Status.Handle(mux, c.status)
 	messenger.Step.Handle(mux, c.step)
 	messenger.Follow.Handle(mux, c.distributor.Serve)
--- a/controller/delegate.go
+++ b/controller/delegate.go
@@ -19,8 +19,7 @@
 	"cherviltide.example/cherviltide/voter"
 )
 
-// delegateTimeout bounds one request to a voter, or the first attempt of an edit. Operators wait for about a second, so it leaves
-// time to try another voter.
+// delegateTimeout bounds one small request to a voter. Operators wait for about a second, so it leaves time to try another voter.
 const delegateTimeout = 700 * time.Millisecond
 
 // DelegateConfig describes a delegate.
@@ -38,8 +37,8 @@
 	Log       *zap.Logger
 }
 
-// Delegate is a control instance without a disk. It forwards the requests of operators and members to the voters, and
-// sends the addresses of the voters to members and to voters that want to join.
+// Delegate is a control instance without a disk. It forwards small requests of operators and members to the voters, tells where the
+// leader of the configuration is, and sends the addresses of the voters to members and to voters that want to join.
 type Delegate struct {
 	config DelegateConfig
 	mu     sync.Mutex
@@ -61,15 +60,15 @@
 		return fault("controller.Delegate.Run", cherviltide.KindInternal, err)
 	}
 	mux := http.NewServeMux()
-	messenger.Apply.Handle(mux, d.Apply)
+	messenger.Apply.Handle(mux, d.apply)
 	messenger.Current.Handle(mux, func(ctx context.Context, req *messenger.CurrentRequest) (*messenger.CurrentResponse, error) {
-		return forwardToVoters(ctx, d, delegateTimeout, messenger.Current, req)
+		return callLeader(ctx, d, messenger.Current, req)
 	})
 	messenger.Announce.Handle(mux, func(ctx context.Context, req *messenger.AnnounceRequest) (*messenger.AnnounceResponse, error) {
-		return forwardToVoters(ctx, d, delegateTimeout, messenger.Announce, req)
+		return forwardToVoters(ctx, d, messenger.Announce, req)
 	})
 	messenger.Status.Handle(mux, func(ctx context.Context, req *messenger.StatusRequest) (*messenger.StatusResponse, error) {
-		return forwardToVoters(ctx, d, delegateTimeout, messenger.Status, req)
+		return forwardToVoters(ctx, d, messenger.Status, req)
 	})
 	messenger.Evacuate.Handle(mux, d.Evacuate)
 	messenger.Follow.Handle(mux, d.follow)
@@ -96,31 +95,41 @@
 	return nil
 }
 
-// Apply parses an edit and forwards it to a voter. The edit goes on when the caller gives up, and the next attempt joins it.
-func (d *Delegate) Apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
+// LeaderURL returns the base URL of the leader of the configuration. Operators send edits to it and read from it directly: the link
+// of a machine without a disk may be thin, and what passes a configuration on to the voters holds up the control stream of an
+// entry on the same machine.
+func (d *Delegate) LeaderURL(ctx context.Context) (string, error) {
+	res, err := forwardToVoters(ctx, d, messenger.Locate, &messenger.LocateRequest{})
+	if err != nil {
+		return "", err
+	}
+	return res.URL, nil
+}
+
+// apply parses an edit and sends it to the leader. The edit goes on when the caller gives up, and the next attempt joins it.
+func (d *Delegate) apply(ctx context.Context, req *messenger.ApplyRequest) (*messenger.ApplyResponse, error) {
 	if _, err := d.config.Parse(req.Text); err != nil {
 		return nil, err
 	}
 	key := editKey{id: req.EditID, base: req.Base, number: req.Number, text: req.Text}
 	return d.edits.Do(ctx, key, len(req.Text), func(ctx context.Context) (*messenger.ApplyResponse, error) {
-		for timeout := delegateTimeout; ; timeout *= 2 {
-			res, err := forwardToVoters(ctx, d, timeout, messenger.Apply, req)
-			if err == nil || !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
-				return res, err
-			}
-		}
+		return callLeader(ctx, d, messenger.Apply, req)
 	})
 }
 
-// CurrentConfiguration returns the accepted configuration. It is marked as confirmed when a majority has confirmed that it
-// is the newest.
-func (d *Delegate) CurrentConfiguration(ctx context.Context) (*messenger.CurrentResponse, error) {
-	return forwardToVoters(ctx, d, delegateTimeout, messenger.Current, &messenger.CurrentRequest{})
+// callLeader calls a procedure of the leader of the configuration. It makes a single call, since the request or the response may be
+// large.
+func callLeader[Req, Res any](ctx context.Context, d *Delegate, p messenger.Procedure[Req, Res], req *Req) (*Res, error) {
+	url, err := d.LeaderURL(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return callOnNewClient(ctx, d.config.NewClient, p, url, req)
 }
 
 // Evacuate forwards an order about a failure domain to a voter.
 func (d *Delegate) Evacuate(ctx context.Context, req *messenger.EvacuateRequest) (*messenger.EvacuateResponse, error) {
-	return forwardToVoters(ctx, d, delegateTimeout, messenger.Evacuate, req)
+	return forwardToVoters(ctx, d, messenger.Evacuate, req)
 }
 
 // voterURLs returns the base URLs of the known voters. Requests are forwarded to voters only: two delegates would forward
@@ -137,16 +146,16 @@
 	return list
 }
 
-// forwardToVoters sends a request to the voters until one answers it or rejects it as invalid. The voters that do not respond
-// cost little time, however many there are.
-func forwardToVoters[Req, Res any](ctx context.Context, d *Delegate, timeout time.Duration, p messenger.Procedure[Req, Res], req *Req) (*Res, error) {
+// forwardToVoters sends a small request to the voters until one answers it or rejects it as invalid. The voters that do not
+// respond cost little time, however many there are.
+func forwardToVoters[Req, Res any](ctx context.Context, d *Delegate, p messenger.Procedure[Req, Res], req *Req) (*Res, error) {
 	urls := d.voterURLs()
 	if len(urls) == 0 {
 		return nil, unavailableError("controller.forwardToVoters", errNoVoterKnown)
 	}
 	var answer *Res
 	_, err := hedger.New(delegateDelay, delegatesInFlight).Call(ctx, urls, func(ctx context.Context, url string, win func() bool) error {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
+		ctx, cancel := context.WithTimeout(ctx, delegateTimeout)
 		defer cancel()
 		res, err := callOnNewClient(ctx, d.config.NewClient, p, url, req)
 		var remote *messenger.Error
@@ -160,8 +169,8 @@
 }
 
 const (
-	// delegateDelay is how long a voter may leave a request unanswered before another one is asked as well. All requests may
-	// be repeated: an edit has an ID or a number.
+	// delegateDelay is how long a voter may leave a request unanswered before another one is asked as well. All of these
+	// requests may be repeated.
 	delegateDelay = 300 * time.Millisecond
 	// delegatesInFlight is the highest number of voters that are asked at the same time.
 	delegatesInFlight = 2
--- a/controller/error.go
+++ b/controller/error.go
@@ -20,6 +20,7 @@
 	errRemoved        = errors.New("this voter identity was removed from the group")
 	errEntryLost      = errors.New("the entry was lost when the leader changed")
 	errNoVoterKnown   = errors.New("no voting control instance is known")
+	errNoLeaderKnown  = errors.New("no leader of the configuration is known")
 	errIsDelegate     = errors.New("this control instance has no disk and serves no followers")
 	errUnknownGroup   = errors.New("unknown replicated group")
 	errNoMajority     = errors.New("this instance has no majority of the control instances; nothing was accepted")
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -147,6 +147,20 @@
 	return r, err
 }
 
+// locate returns the base URL of the leader of the configuration, which may be this instance.
+func (c *Controller) locate(ctx context.Context, _ *messenger.LocateRequest) (*messenger.LocateResponse, error) {
+	r, err := c.locateLeader(ctx, c.configuration)
+	switch {
+	case err != nil:
+		return nil, err
+	case r.isSelf:
+		return &messenger.LocateResponse{URL: c.instanceURL(c.config.Name)}, nil
+	case r.url == "":
+		return nil, fault("controller.locate", cherviltide.KindUnavailable, errNoLeaderKnown)
+	}
+	return &messenger.LocateResponse{URL: r.url}, nil
+}
+
 // confirmLeadership reports whether a majority confirms within confirmTimeout that this instance leads the group.
 func (c *Controller) confirmLeadership(ctx context.Context, g *group) bool {
 	defer c.times.since(time.Now(), phaseConfirm)
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -7,6 +7,7 @@
 	Announce = Procedure[AnnounceRequest, AnnounceResponse]{path: "/cherviltide.Control/Announce"}
 	Apply    = Procedure[ApplyRequest, ApplyResponse]{path: "/cherviltide.Control/Apply"}
 	Current  = Procedure[CurrentRequest, CurrentResponse]{path: "/cherviltide.Control/Current"}
+	Locate   = Procedure[LocateRequest, LocateResponse]{path: "/cherviltide.Control/Locate"}
 	Status   = Procedure[StatusRequest, StatusResponse]{path: "/cherviltide.Control/Status"}
 	Follow   = Stream[FollowRequest, FollowUpdate]{path: "/cherviltide.Control/Follow"}
 )
@@ -93,6 +94,14 @@
 	Confirmed bool
 }
 
+// LocateRequest asks a voter where the leader of the configuration is.
+type LocateRequest struct{}
+
+// LocateResponse has the base URL of the leader as the voter knows it.
+type LocateResponse struct {
+	URL string
+}
+
 // StatusRequest requests the state of all members.
 type StatusRequest struct {
 	// Forwarded is true when another control instance has forwarded the request. It is not forwarded again.
