--- a/registrar/delta.go
+++ b/differ/differ.go
@@ -1,4 +1,5 @@
-package registrar
+// Package differ computes, applies and inverts the difference between two texts of lines.
+package differ
 
 import (
 	"fmt"
@@ -21,10 +22,10 @@
 	Add        []string
 }
 
-// diffLines returns the hunks that turn a into b. The time that it takes grows with the size of the texts, however they
+// Diff returns the hunks that turn the lines a into the lines b. The time that it takes grows with the size of the texts, however they
 // differ: it keeps the lines that occur once in each text and are in the same order (patience diff), and searches a shortest
 // diff only for the few lines between two of them.
-func diffLines(a, b []string) []Hunk {
+func Diff(a, b []string) []Hunk {
 	prefix, suffix := commonEnds(a, b)
 	middleA, middleB := a[prefix:len(a)-suffix], b[prefix:len(b)-suffix]
 	hunks := hunkList{{Keep: prefix}}
@@ -212,8 +213,8 @@
 	return hunks
 }
 
-// applyDiff returns the lines that result from applying the hunks to a, and false if they do not fit a.
-func applyDiff(a []string, hunks []Hunk) ([]string, bool) {
+// Apply returns the lines that result from applying the hunks to a, and false if they do not fit a.
+func Apply(a []string, hunks []Hunk) ([]string, bool) {
 	var lines []string
 	line := 0
 	for _, h := range hunks {
@@ -226,8 +227,8 @@
 	return lines, line == len(a)
 }
 
-// invertDiff returns the hunks that turn the result of applying the hunks to a back into a.
-func invertDiff(a []string, hunks []Hunk) []Hunk {
+// Invert returns the hunks that turn the result of applying the hunks to a back into a.
+func Invert(a []string, hunks []Hunk) []Hunk {
 	inverted := make([]Hunk, 0, len(hunks))
 	line := 0
 	for _, h := range hunks {
@@ -238,13 +239,13 @@
 	return inverted
 }
 
-// FormatDiff returns the diff between two texts, with - before a line of the first one and + before a line of the
+// Format returns the diff between two texts, with - before a line of the first one and + before a line of the
 // second, and with the line number in the first text before each group. It shows at most 40 lines.
-func FormatDiff(from, to string) string {
+func Format(from, to string) string {
 	a := strings.Split(from, "\n")
 	var out []string
 	line := 0
-	for _, h := range diffLines(a, strings.Split(to, "\n")) {
+	for _, h := range Diff(a, strings.Split(to, "\n")) {
 		line += h.Keep
 		if h.Drop+len(h.Add) == 0 {
 			continue
--- a/registrar/delta_test.go
+++ b/differ/differ_test.go
@@ -1,4 +1,4 @@
-package registrar
+package differ
 
 import (
 	"fmt"
@@ -75,16 +75,16 @@
 			for _, n := range []int{1, 2, 7, 3_000} {
 				before := numberedLines(n, 0, func(int) bool { return false })
 				after := pattern.change(before)
-				hunks := diffLines(before, after)
+				hunks := Diff(before, after)
 				added := 0
 				for _, h := range hunks {
 					added += len(h.Add)
 				}
 				require.LessOrEqual(t, added, pattern.added(n), "%d lines", n)
-				got, ok := applyDiff(before, hunks)
+				got, ok := Apply(before, hunks)
 				require.True(t, ok)
 				require.Equal(t, strings.Join(after, "\n"), strings.Join(got, "\n"))
-				reverted, ok := applyDiff(after, invertDiff(before, hunks))
+				reverted, ok := Apply(after, Invert(before, hunks))
 				require.True(t, ok)
 				require.Equal(t, before, reverted)
 			}
@@ -102,7 +102,7 @@
 				b.ReportAllocs()
 				b.SetBytes(int64(len(strings.Join(before, "\n"))))
 				for b.Loop() {
-					diffLines(before, after)
+					Diff(before, after)
 				}
 			})
 		}
--- a/registrar/history.go
+++ b/registrar/history.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/differ"
 	"cherviltide.example/cherviltide/parser"
 )
 
@@ -41,7 +42,7 @@
 			return
 		}
 		var ok bool
-		if lines, ok = applyDiff(lines, hunks); !ok {
+		if lines, ok = differ.Apply(lines, hunks); !ok {
 			return
 		}
 		text = strings.Join(lines, "\n")
--- a/registrar/packed.go
+++ b/registrar/packed.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/differ"
 )
 
 // packMinBytes is the smallest size of changed lines that are compressed; for fewer bytes compression saves little.
@@ -56,7 +57,7 @@
 }
 
 // hunks returns the diff that turns the revision's text back into the previous one.
-func (k keptRevision) hunks() ([]Hunk, error) {
+func (k keptRevision) hunks() ([]differ.Hunk, error) {
 	lines := k.Lines
 	if k.Packed {
 		var err error
@@ -64,6 +65,6 @@
 			return nil, err
 		}
 	}
-	var hunks []Hunk
+	var hunks []differ.Hunk
 	return hunks, decoder.Unmarshal(lines, &hunks)
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/differ"
 )
 
 // MaxRevisions and MaxBytes bound the kept revisions, by number and by bytes of changed lines. An edit ID is known as
@@ -71,7 +72,7 @@
 	Base     uint64
 	Time     cherviltide.Millis
 	Sum      uint64
-	Lines    []Hunk
+	Lines    []differ.Hunk
 	Number   cherviltide.EditNumber
 	// Former has the former services of the routes that the edit changes in that respect.
 	Former []cherviltide.FormerServices
@@ -138,7 +139,7 @@
 	if len(e.Text) > MaxTextBytes {
 		return nil, fault("registrar.EncodeEdit", cherviltide.KindInvalid, fmt.Errorf("%w: found %d bytes, maximum %d", errTextTooLarge, len(e.Text), MaxTextBytes))
 	}
-	lines := diffLines(strings.Split(base.Edit.Text, "\n"), strings.Split(e.Text, "\n"))
+	lines := differ.Diff(strings.Split(base.Edit.Text, "\n"), strings.Split(e.Text, "\n"))
 	return cbor.Marshal(editRecord{
 		ID: e.ID, Operator: e.Operator, Base: e.Base, Time: e.Time, Sum: xxhash.Sum64String(e.Text), Lines: lines,
 		Number: e.Number, Former: cherviltide.ChangedFormerServices(base.Edit.Former, e.Former),
@@ -174,12 +175,12 @@
 		return
 	}
 	before := strings.Split(r.state.text, "\n")
-	lines, ok := applyDiff(before, e.Lines)
+	lines, ok := differ.Apply(before, e.Lines)
 	text := strings.Join(lines, "\n")
 	if !ok || xxhash.Sum64String(text) != e.Sum {
 		return
 	}
-	e.Lines = invertDiff(before, e.Lines)
+	e.Lines = differ.Invert(before, e.Lines)
 	kept, err := newKeptRevision(e)
 	if err != nil {
 		panic(err) // Encoding strings and numbers into memory cannot fail.
@@ -212,7 +213,7 @@
 	if !accepted {
 		return 0, fault("registrar.EditResult", cherviltide.KindConflict, fmt.Errorf(
 			"base revision is %d, current revision is %d; diff from the current text to the sent one:\n%s",
-			e.Base, r.currentNumber(), FormatDiff(r.state.text, e.Text)))
+			e.Base, r.currentNumber(), differ.Format(r.state.text, e.Text)))
 	}
 	if r.state.kept[number-r.state.first-1].Sum != xxhash.Sum64String(e.Text) {
 		return 0, fault("registrar.EditResult", cherviltide.KindConflict, errEditIDReused)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/differ"
 )
 
 // TestDeltasReproduceEveryText guards against a text that changes on its way through the log, and against edits that
@@ -106,8 +107,8 @@
 func TestRestoreOfSnapshotWithoutHistory(t *testing.T) {
 	lines := func(list ...string) []string { return list }
 	data, err := cbor.Marshal(snapshot{First: 4, Text: "a\nc", Kept: []editRecord{
-		{ID: "five", Number: cherviltide.NewEditNumber(7), Lines: diffLines(lines("a"), lines(""))},
-		{ID: "six", Number: cherviltide.NewEditNumber(8), Lines: diffLines(lines("a", "c"), lines("a"))},
+		{ID: "five", Number: cherviltide.NewEditNumber(7), Lines: differ.Diff(lines("a"), lines(""))},
+		{ID: "six", Number: cherviltide.NewEditNumber(8), Lines: differ.Diff(lines("a", "c"), lines("a"))},
 	}})
 	require.NoError(t, err)
 	r := New()
