--- a/distributor/update.go
+++ b/distributor/update.go
@@ -50,7 +50,7 @@
 // update returns the changes that a follower lacks, and sets held to the follower's state after it has received them.
 func (p *publishedState) update(held *messenger.FollowRequest, heartbeat bool) (*messenger.FollowUpdate, error) {
 	u := &messenger.FollowUpdate{Base: p.Base, Position: p.Position}
-	if p.Revision > held.Revision {
+	if p.Revision > held.Revision && !held.WithoutRules {
 		shared, err := p.rules.get(heldRules{held.Revision, held.RulesDigest}, func() *messenger.RulesUpdate {
 			return p.history.rulesUpdate(p.State, held)
 		})
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -26,6 +26,8 @@
 	Member cherviltide.Member
 	// Service limits membership to one service; empty means all.
 	Service string
+	// WithoutRules is true when the process needs only the control instances, so that rules take nothing of its link.
+	WithoutRules bool
 	// Control has the base URLs of the control instances; it is never empty.
 	Control []string
 	// CurrentControlURLs returns the base URLs of the current settings; nil means that Control never changes.
@@ -203,6 +205,7 @@
 		Position: view.Position,
 		Service:  f.config.Service,
 
+		WithoutRules:       f.config.WithoutRules,
 		AcceptsPackedRules: true,
 		AcceptsGreeting:    true,
 	}
--- a/messenger/follow.go
+++ b/messenger/follow.go
@@ -18,6 +18,8 @@
 	Position uint64
 	// Service restricts the membership to one service; empty means all.
 	Service string
+	// WithoutRules is true when the follower needs no rules.
+	WithoutRules bool
 	// AcceptsPackedRules is true when the follower reads FollowUpdate.PackedRules.
 	AcceptsPackedRules bool
 	// AcceptsGreeting is true when the follower reads FollowUpdate.Greeting and referrals.
