--- a/messenger/role.go
+++ b/messenger/role.go
@@ -30,6 +30,7 @@
 	"/cherviltide.Control/Apply":    operatorRoles,
 	"/cherviltide.Control/Current":  operatorRoles,
 	"/cherviltide.Control/Status":   operatorRoles,
+	"/cherviltide.Control/Locate":   operatorRoles,
 	"/cherviltide.Control/Rules":    operatorRoles,
 	"/cherviltide.Control/History":  operatorRoles,
 	"/cherviltide.Control/Drain":    operatorRoles,
