Keep a control stream while bytes of a large message arrive

A process whose link is in use could go without new rules for good: it closed its stream after 1.5 s without a whole message, and the next stream began the message from the start.

Bytes on the connection now reset that timeout; a message may take 10 s. A stream that delivers nothing is closed after 1.5 s as before.

follower.TestLargeRulesOnThinLink (rules of 4 s at 4 KiB a second) failed before: no rules within 40 s. TestSilentStream holds.

--- a/follower/accept.go
+++ b/follower/accept.go
@@ -12,9 +12,10 @@
 )
 
 var (
-	errDiverged      = errors.New("tables, events or position do not match those of the control instance")
-	errRulesDigest   = errors.New("rules text differs from that of the control instance")
-	errStreamTimeout = errors.New("nothing received on the control stream before the timeout")
+	errDiverged       = errors.New("tables, events or position do not match those of the control instance")
+	errRulesDigest    = errors.New("rules text differs from that of the control instance")
+	errStreamTimeout  = errors.New("nothing received on the control stream before the timeout")
+	errMessageTimeout = errors.New("no whole message received on the control stream before the timeout")
 )
 
 // acceptUpdate publishes the view after an update. After an error the caller closes the stream, and the next request asks
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -18,8 +18,13 @@
 	"cherviltide.example/cherviltide/runner"
 )
 
-// streamTimeout is how long a stream may deliver nothing, not even heartbeats, before it is closed as broken.
-const streamTimeout cherviltide.Millis = 1_500
+const (
+	// streamTimeout is how long a stream may deliver no bytes, not even of a heartbeat, before it is closed as broken.
+	streamTimeout cherviltide.Millis = 1_500
+	// messageTimeout is how long a stream may deliver no whole message. A large one takes seconds on a thin link that is in use; on
+	// another stream it would begin again.
+	messageTimeout cherviltide.Millis = 10_000
+)
 
 // Config describes the process that follows.
 type Config struct {
@@ -173,12 +178,16 @@
 func (f *Follower) follow(ctx context.Context, base string, win func() bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	client := f.config.NewClient()
-	defer client.CloseIdleConnections()
 	watchdog := time.AfterFunc(streamTimeout.Duration(), func() { cancel(errStreamTimeout) })
 	defer watchdog.Stop()
-	err := messenger.Follow.Call(ctx, client, base, f.followRequest(), func(u *messenger.FollowUpdate) error {
+	messageWatchdog := time.AfterFunc(messageTimeout.Duration(), func() { cancel(errMessageTimeout) })
+	defer messageWatchdog.Stop()
+	client := f.config.NewClient()
+	defer client.CloseIdleConnections()
+	receipt := messenger.WithReceipt(ctx, func() { watchdog.Reset(streamTimeout.Duration()) })
+	err := messenger.Follow.Call(receipt, client, base, f.followRequest(), func(u *messenger.FollowUpdate) error {
 		watchdog.Reset(streamTimeout.Duration())
+		messageWatchdog.Reset(messageTimeout.Duration())
 		if u.IsReferral() {
 			f.control.refer(u.ControlURLs)
 			return nil
@@ -189,8 +198,8 @@
 		f.control.setFollowed(base)
 		return f.acceptUpdate(u)
 	})
-	if errors.Is(context.Cause(ctx), errStreamTimeout) {
-		err = &Error{cherviltide.Fault{Op: "follower.follow", Kind: cherviltide.KindUnavailable, Err: errStreamTimeout}}
+	if cause := context.Cause(ctx); errors.Is(cause, errStreamTimeout) || errors.Is(cause, errMessageTimeout) {
+		err = &Error{cherviltide.Fault{Op: "follower.follow", Kind: cherviltide.KindUnavailable, Err: cause}}
 	}
 	return err
 }
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -30,12 +31,21 @@
 	return &http.Client{Transport: &http.Transport{
 		Protocols:       protocols,
 		TLSClientConfig: tlsConfig,
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     dialPeer,
 		// Without pings, a response that was cancelled would keep the connection to an unresponsive peer open.
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: writeTimeout, WriteByteTimeout: writeTimeout},
 	}}
 }
 
+// dialPeer opens a connection to a peer.
+func dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return notifyReceipt(ctx, conn), nil
+}
+
 // NewServer returns an HTTP/2 server for the mux. A nil tlsConfig means cleartext.
 func NewServer(mux *http.ServeMux, tlsConfig *tls.Config) *http.Server {
 	protocols := new(http.Protocols)
