Count a voter as up to date only when it has applied what the leader committed

A control instance kept its followers, and accepted new ones, on older rules for as long as it heard the leader's heartbeats, also when a large entry did not reach it, and after a restart until it had caught up. Not seen to break a rule; suspected while the incident was traced, and shown by a test.

Heartbeats now carry the whole commit index, which the receiver limited to the entries that it has anyway. A voter is up to date if no entry that the leader had committed longer ago than the limit is missing, and not before it has caught up once since its start; a new leader has once its first entry is applied. Followers then move on as from an instance without contact.

--- a/voter/follower.go
+++ b/voter/follower.go
@@ -27,6 +27,7 @@
 }
 
 func (v *Voter) handleAppend(m Message) {
+	v.progress.learn(m.Commit, v.appliedIndex, v.now)
 	if !v.log.matches(m.Index, m.LogTerm) {
 		v.sendWhenDurable(Message{Type: MessageAppendReply, To: m.From, Round: m.Round, Reject: true,
 			Index: min(v.log.lastIndex(), m.Index-1)})
--- a/voter/leader.go
+++ b/voter/leader.go
@@ -52,6 +52,7 @@
 	v.peers = map[ID]*peer{}
 	v.termStart, v.admissionIndex, v.nextHeartbeat = v.log.lastIndex()+1, v.log.lastIndex()+1, v.now
 	v.appendEntries(Entry{Index: v.termStart, Term: v.hardState.Term})
+	v.progress.learn(v.termStart, v.appliedIndex, v.now)
 	v.addVoterPeers()
 	if p := v.peers[v.formerLeader]; p != nil && !formerLeaderVoted {
 		p.lastContact = v.leaderContact
@@ -168,9 +169,10 @@
 	}
 }
 
-// sendHeartbeat sends an Append without entries. It refers to an entry that the peer is known to have.
+// sendHeartbeat sends an Append without entries. It refers to an entry that the peer is known to have; the peer commits none behind that
+// one, and learns how far it is behind.
 func (v *Voter) sendHeartbeat(id ID, p *peer) {
-	m := Message{Type: MessageAppend, To: id, Commit: min(v.commitIndex, p.matchIndex), Round: v.round}
+	m := Message{Type: MessageAppend, To: id, Commit: v.commitIndex, Round: v.round}
 	if term, ok := v.log.term(p.matchIndex); ok {
 		m.Index, m.LogTerm = p.matchIndex, term
 	}
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -113,6 +113,8 @@
 	leaderContact cherviltide.Millis
 	// commitIndex >= appliedIndex
 	commitIndex, appliedIndex uint64
+	// progress tells how far the applied entries are behind those that the leader has committed.
+	progress progress
 	// unsnapshottedBytes is the size of the applied entries that are not covered by a snapshot.
 	unsnapshottedBytes int
 	disk               diskState
@@ -227,14 +229,14 @@
 }
 
 // IsCurrent reports whether this voter is up to date: it leads, or a leader has contacted it within the longest
-// election timeout, and its disk completes writes.
+// election timeout, it has applied what the leader had committed that long ago, and its disk completes writes.
 func (v *Voter) IsCurrent() bool {
 	return v.IsCurrentWithin(2 * ElectionTimeout)
 }
 
 // IsCurrentWithin reports the same with another limit of the time since the last contact with a leader.
 func (v *Voter) IsCurrentWithin(limit cherviltide.Millis) bool {
-	return v.failure == nil && !v.disk.isStalled(v.now) && (v.role == leader || v.now-v.leaderContact < limit)
+	return v.failure == nil && !v.disk.isStalled(v.now) && (v.role == leader || v.now-v.leaderContact < limit) && v.progress.isWithin(limit, v.now)
 }
 
 // AppliedIndex returns the index of the last entry that TakeOutput has returned.
@@ -292,6 +294,7 @@
 		v.output.Committed = append(v.output.Committed, applied...)
 		v.appliedIndex = end
 	}
+	v.progress.advance(v.appliedIndex, v.now)
 	v.completeReads()
 }
 
