Measure the time from publication to force over thin links

A configuration of the target size, one changed line and 1,500 new lines, to a follower behind links of 1.5, 5 and 100 Mbit/s. The whole text is what a change of a numbered file cost before; it is the baseline in the same run. The throttled link also serves follower.TestLargeRulesOnThinLink.

--- a/bench/measurer/measurer.go
+++ b/bench/measurer/measurer.go
@@ -23,6 +23,7 @@
 	{"distribution-targets", distributionTargets},
 	{"distribution-services", distributionServices},
 	{"catch-up", measureCatchUp},
+	{"thin-links", thinLinks},
 	{"control-accept", controlAccept},
 	{"control-restart", controlRestart},
 	{"journal-replay", journalReplay},
--- a/follower/thinlink_test.go
+++ b/follower/thinlink_test.go
@@ -1,48 +1,21 @@
 package follower_test
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/bench/throttler"
 	"cherviltide.example/cherviltide/distributor"
 	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/messenger"
 )
 
-// thinConn is a connection that receives few bytes in a second.
-type thinConn struct{ net.Conn }
-
-// Read implements io.Reader with 4 KiB in a second.
-func (c thinConn) Read(p []byte) (int, error) {
-	time.Sleep(125 * time.Millisecond)
-	return c.Conn.Read(p[:min(len(p), 512)])
-}
-
-// newThinClient returns a client whose connections are thin.
-func newThinClient() *http.Client {
-	client := messenger.NewClient(nil)
-	transport := client.Transport.(*http.Transport)
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return thinConn{conn}, nil
-	}
-	return client
-}
-
 // TestLargeRulesOnThinLink guards against a process that never gets rules which take longer than the timeout of a silent stream, since it
 // gives up the stream in the middle of them.
 func TestLargeRulesOnThinLink(t *testing.T) {
@@ -56,7 +29,7 @@
 	x.distributor.Publish(distributor.State{Revision: 1, Text: text.String(), Base: x.tracker.Base(), Position: x.tracker.Position(), Tables: x.tracker.Tables()})
 	f := follower.New(follower.Config{
 		Member: cherviltide.Member{Name: "entry-1", Role: cherviltide.RoleEntry}, Control: []string{"http://" + x.address},
-		NewClient: newThinClient, FillAnnouncement: func(*messenger.AnnounceRequest) {}, Log: zap.NewNop(),
+		NewClient: throttler.New(4 << 10).Client, FillAnnouncement: func(*messenger.AnnounceRequest) {}, Log: zap.NewNop(),
 	})
 	start(t, f)
 	eventually(t, "the rules", func() bool { return f.View().Rules.Revision == 1 })
