Wrap the connections of a client in one place, and drop a digest that nothing reads

The throttled link repeated the dial wrapper of the counting subscriber; both use messenger.WrapConnections. A change of the history no longer keeps the digest of its newer text, which was computed for each publication and is not used since changes may span revisions. No change of behaviour.

--- a/bench/subscriber/subscriber.go
+++ b/bench/subscriber/subscriber.go
@@ -177,17 +177,9 @@
 
 // client returns a client whose connections are counted.
 func (c *trafficCounter) client() *http.Client {
-	client := messenger.NewClient(nil)
-	transport := client.Transport.(*http.Transport)
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &countedConn{Conn: conn, count: &c.bytes}, nil
-	}
-	return client
+	return messenger.WrapConnections(messenger.NewClient(nil), func(conn net.Conn) net.Conn {
+		return &countedConn{Conn: conn, count: &c.bytes}
+	})
 }
 
 // countedConn is a connection that counts its bytes.
--- a/bench/throttler/throttler.go
+++ b/bench/throttler/throttler.go
@@ -2,7 +2,6 @@
 package throttler
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -32,17 +31,9 @@
 
 // Client returns a client for the procedures of control whose connections pass the link. It shares no connections with other clients.
 func (l *Link) Client() *http.Client {
-	client := messenger.NewClient(nil)
-	transport := client.Transport.(*http.Transport)
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &throttledConn{Conn: conn, link: l}, nil
-	}
-	return client
+	return messenger.WrapConnections(messenger.NewClient(nil), func(conn net.Conn) net.Conn {
+		return &throttledConn{Conn: conn, link: l}
+	})
 }
 
 // direction is one direction of a link.
--- a/distributor/history.go
+++ b/distributor/history.go
@@ -8,10 +8,9 @@
 // change is the difference between the texts of two revisions that this instance has published one after the other. It has not
 // published a revision that was overtaken while it was parsed.
 type change struct {
-	// from and to are the revisions, base and digest the digests of their texts.
-	from, to     uint64
-	base, digest uint64
-	deltas       []messenger.LineDelta
+	// from and to are the revisions, and base is the digest of the text at from.
+	from, to, base uint64
+	deltas         []messenger.LineDelta
 	// size is the size of the deltas in bytes.
 	size int
 }
@@ -31,7 +30,7 @@
 	if revision == newest {
 		return h
 	}
-	c := change{from: newest, to: revision, base: messenger.TextDigest(before), digest: messenger.TextDigest(after)}
+	c := change{from: newest, to: revision, base: messenger.TextDigest(before)}
 	c.deltas = messenger.NewLineDeltas(before, after)
 	for _, d := range c.deltas {
 		c.size += d.Size()
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -37,6 +37,21 @@
 	}}
 }
 
+// WrapConnections makes a client of NewClient pass each new connection to wrap and use the result. It returns the client, which must not
+// be in use.
+func WrapConnections(client *http.Client, wrap func(net.Conn) net.Conn) *http.Client {
+	transport := client.Transport.(*http.Transport)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return wrap(conn), nil
+	}
+	return client
+}
+
 // dialPeer opens a connection to a peer.
 func dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
