--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -19,6 +19,9 @@
 var cases = map[string]func(s *site, trouble bool) (int, error){
 	"first-start-cut": firstStartCut,
 	"lost-disk":       diskLostWithoutSeeds,
+	"killed-start":    killedDuringFirstStart,
+	"lost-seed":       seedGoneDuringFirstStart,
+	"retired-service": retiredService,
 }
 
 func main() {
--- a/review/_rig3/site.go
+++ b/review/_rig3/site.go
@@ -20,6 +20,10 @@
 	contactTime     = 4 * time.Second
 	propagationTime = 3 * time.Second
 	syncTime        = 4 * time.Second
+	graceTime       = 6 * time.Second
+	reorderTime     = 2 * time.Second
+	// restartDelay is the time from the end of a process to its next start.
+	restartDelay = 300 * time.Millisecond
 )
 
 // site is a small deployment on loopback addresses. All machines have the same ports, as on a real site.
@@ -31,6 +35,7 @@
 	started                                      time.Time
 	record                                       *os.File
 	machines                                     []*machine
+	daemons                                      []*daemon
 }
 
 func newSite(record *os.File) (*site, error) {
@@ -56,6 +61,9 @@
 	for _, m := range s.machines {
 		m.kill()
 	}
+	for _, d := range s.daemons {
+		d.kill()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(s.directory)
 	} else {
@@ -123,18 +131,29 @@
 	return f
 }
 
+func (m *machine) settingsPath() string {
+	return filepath.Join(m.site.directory, m.name, "settings.json")
+}
+
+// writeSettings writes the settings file.
+func (m *machine) writeSettings() error {
+	data, err := json.Marshal(m.settings())
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(m.settingsPath()+".new", data, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(m.settingsPath()+".new", m.settingsPath())
+}
+
 // start starts the control process with the command of the deploy file.
 func (m *machine) start() error {
 	directory := filepath.Join(m.site.directory, m.name)
 	if err := os.MkdirAll(m.dataDirectory(), 0o755); err != nil {
 		return err
 	}
-	data, err := json.Marshal(m.settings())
-	if err != nil {
-		return err
-	}
-	path := filepath.Join(directory, "settings.json")
-	if err := os.WriteFile(path, data, 0o644); err != nil {
+	if err := m.writeSettings(); err != nil {
 		return err
 	}
 	m.starts++
@@ -144,7 +163,7 @@
 	}
 	defer func() { _ = output.Close() }()
 	m.command = exec.Command(program, "platform", "control", "--metrics-port", fmt.Sprint(m.site.metrics))
-	m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHERVILTIDE_SETTINGS=" + path}
+	m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHERVILTIDE_SETTINGS=" + m.settingsPath()}
 	if m.gate != nil {
 		m.command.Env = append(m.command.Env, "CHERVILTIDE_CONTROL_LISTEN="+m.listenAddress())
 	}
