--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Two machines of the core lose their disks one after the other while the seeds of their settings are down.
+# A machine of the core loses its disk while the seeds of its settings are frozen; later another one is replaced.
 # It needs the build of the deploy file and review/build-3.sh. It exits with 1 if the rule was broken, 0 if it held, 2 if it could
 # not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
--- a/review/_rig3/lostdisk.go
+++ b/review/_rig3/lostdisk.go
@@ -1,10 +1,19 @@
 package main
 
-import "time"
+import (
+	"syscall"
+	"time"
+)
 
-// diskLostWithoutSeeds empties the disk of one machine of the core while all seeds of its settings are down, and that of another one
-// when the first machine counts as intact again.
-func diskLostWithoutSeeds(s *site, trouble bool) (int, error) {
+const (
+	// darkTime is how long a machine that loses its disk is down, and freezeTime how long the seeds are frozen.
+	darkTime   = 3 * time.Second
+	freezeTime = 7800 * time.Millisecond
+)
+
+// diskLostWhileSeedsFrozen empties the disk of one machine of the core while all seeds of its settings are frozen, and replaces another
+// one when the first machine counts as intact again.
+func diskLostWhileSeedsFrozen(s *site, trouble bool) (int, error) {
 	a := s.newMachine("edge-muc-a-1", "muc-a", 1, 1, true)
 	d := s.newMachine("edge-muc-a-2", "muc-a", 1, 2, false)
 	b := s.newMachine("edge-muc-b-1", "muc-b", 2, 1, true)
@@ -24,27 +33,46 @@
 		return couldNot, nil
 	}
 	time.Sleep(contactTime)
-	if trouble {
+	a.kill()
+	if err := a.wipe(); err != nil {
+		return couldNot, err
+	}
+	s.logf("%s is down and has lost its disk", a.name)
+	time.Sleep(darkTime / 2)
+	signal := func(sig syscall.Signal) {
 		for _, m := range []*machine{d, e, f} {
-			m.kill()
-			s.logf("%s is down from now on", m.name)
+			if trouble {
+				_ = m.command.Process.Signal(sig)
+				s.logf("%s: %v", m.name, sig)
+			}
 		}
-		time.Sleep(contactTime)
 	}
-	if err := s.loseDisk(a); err != nil {
+	signal(syscall.SIGSTOP)
+	wake := time.Now().Add(freezeTime)
+	time.Sleep(darkTime / 2)
+	a.bootstrap = false
+	if err := a.start(); err != nil {
 		return couldNot, err
 	}
 	// The machine counts as lost until SyncS after it is back.
-	time.Sleep(syncTime + contactTime)
-	if s.put(11, []*machine{b, c}, 5*time.Second).IsZero() {
+	intact := time.Now().Add(syncTime + 500*time.Millisecond)
+	if s.put(11, []*machine{b, c}, 3*time.Second).IsZero() {
+		signal(syscall.SIGCONT)
 		s.logf("version 11 was not acknowledged")
 		return couldNot, nil
 	}
-	time.Sleep(time.Second)
-	if err := s.loseDisk(b); err != nil {
+	time.Sleep(time.Until(intact))
+	b.kill()
+	s.logf("%s is gone for good", b.name)
+	time.Sleep(time.Until(wake))
+	signal(syscall.SIGCONT)
+	time.Sleep(time.Until(intact.Add(2 * time.Second)))
+	g := s.newMachine("edge-muc-b-4", "muc-b", 2, 4, true)
+	g.seeds, g.bootstrap = b.seeds, false
+	if err := g.start(); err != nil {
 		return couldNot, err
 	}
-	time.Sleep(12 * time.Second)
+	time.Sleep(recoveryTime)
 	got, ended, err := s.readBack(s.machines, contactTime+2*time.Second)
 	if err != nil {
 		return couldNot, err
@@ -56,15 +84,3 @@
 	}
 	return held, nil
 }
-
-// loseDisk kills a process, empties its disk and starts it again at its address.
-func (s *site) loseDisk(m *machine) error {
-	m.kill()
-	if err := m.wipe(); err != nil {
-		return err
-	}
-	s.logf("%s has lost its disk", m.name)
-	time.Sleep(time.Second)
-	m.bootstrap = false
-	return m.start()
-}
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -18,7 +18,7 @@
 // cases maps the names of the cases to their functions. trouble is false for a run without the disruption.
 var cases = map[string]func(s *site, trouble bool) (int, error){
 	"first-start-cut": firstStartCut,
-	"lost-disk":       diskLostWithoutSeeds,
+	"lost-disk":       diskLostWhileSeedsFrozen,
 	"killed-start":    killedDuringFirstStart,
 	"lost-seed":       seedGoneDuringFirstStart,
 	"retired-service": retiredService,
--- a/review/_rig3/site.go
+++ b/review/_rig3/site.go
@@ -20,6 +20,7 @@
 	contactTime     = 4 * time.Second
 	propagationTime = 3 * time.Second
 	syncTime        = 4 * time.Second
+	recoveryTime    = 12 * time.Second
 	graceTime       = 6 * time.Second
 	reorderTime     = 2 * time.Second
 	// restartDelay is the time from the end of a process to its next start.
