Let an instance whose disk was emptied learn of the voters from their messages

Cause: an instance that starts with an empty disk asks only its seeds for admission. The voters go on sending messages to its former identity, and it answers each of them with MessageGone, but it did not keep the sender. Voters contact only instances whose names are not in their set, so they did not ask it either.

Change: the sender of any message becomes a seed in a group with dynamic voters. The leader's next heartbeat is enough, so joining takes a few hundred milliseconds and depends on no other process.

--- a/voter/admission.go
+++ b/voter/admission.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// learnSender makes the sender of a message a seed. An instance whose disk was emptied may know only seeds that do not answer, while the
+// voters go on sending messages to its former identity.
+func (v *Voter) learnSender(from ID) {
+	if v.config.DynamicVoters {
+		v.addSeedIDs([]ID{from})
+	}
+}
+
 // contactInterval is the time between two Join messages of a voter to an instance that it contacts.
 const contactInterval cherviltide.Millis = 300
 
@@ -99,9 +107,6 @@
 // handleJoin answers a Join with an empty log or the known voters. The leader adds the sender as a peer, so that it
 // receives the log and can be admitted.
 func (v *Voter) handleJoin(m Message) {
-	if v.config.DynamicVoters {
-		v.addSeedIDs([]ID{{Name: m.From.Name}})
-	}
 	if v.hasEmptyLog() {
 		v.replyEmptyLog(m.From)
 		return
--- /dev/null
+++ b/voter/darkseeds_test.go
@@ -0,0 +1,85 @@
+package voter
+
+import (
+	"slices"
+	"testing"
+
+	"cherviltide.example/cherviltide"
+)
+
+// darkSeeds are the names of seeds that never answer.
+var darkSeeds = []string{"seed1", "seed2", "seed3"}
+
+// runFor advances the time and proposes entries.
+func (c *cluster) runFor(duration cherviltide.Millis) {
+	for end := c.now + duration; c.now < end; {
+		if c.step(); c.random.IntN(50) == 0 {
+			c.propose()
+		}
+	}
+}
+
+// diskLoss is a loss of disks while no seed answers.
+type diskLoss struct {
+	count int
+	// downFor is the time until the instances start again.
+	downFor cherviltide.Millis
+	// othersRestart is true if all other instances stop at the same moment and start again at once.
+	othersRestart bool
+}
+
+// loseDisksWithDarkSeeds empties the disks of some running instances, which start again and know only seeds that never answer.
+func (c *cluster) loseDisksWithDarkSeeds(loss diskLoss) {
+	nodes := slices.DeleteFunc(slices.Clone(c.instances), func(node *instance) bool { return !node.running })
+	c.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	for i, node := range nodes {
+		if node.seeds, node.joins = darkSeeds, true; i < loss.count {
+			c.crash(node)
+			c.wipe(node)
+		}
+	}
+	for _, node := range nodes[loss.count:] {
+		if loss.othersRestart {
+			c.crash(node)
+			c.start(node)
+		}
+	}
+	c.runFor(loss.downFor)
+	for _, node := range nodes[:loss.count] {
+		c.start(node)
+	}
+}
+
+// TestDiskLossWhileSeedsAreDark guards against an instance that has lost its disk and does not join again while its seeds do not answer,
+// although the voters send it messages: with the next loss the group has no majority for good. Each disk is lost when the
+// instances with the disks lost before count as intact again.
+func TestDiskLossWhileSeedsAreDark(t *testing.T) {
+	const untilRemoved = 2 * unresponsiveTimeout
+	for name, test := range map[string]struct {
+		size int
+		loss diskLoss
+	}{
+		"one of three":                     {size: 3, loss: diskLoss{count: 1}},
+		"one of three, back late":          {size: 3, loss: diskLoss{count: 1, downFor: 3_000}},
+		"one of three, the others restart": {size: 3, loss: diskLoss{count: 1, downFor: 1_000, othersRestart: true}},
+		"one of four, removed meanwhile":   {size: 4, loss: diskLoss{count: 1, downFor: untilRemoved}},
+		"two of five, back late":           {size: 5, loss: diskLoss{count: 2, downFor: 3_000}},
+		"two of six, removed meanwhile":    {size: 6, loss: diskLoss{count: 2, downFor: untilRemoved}},
+		"two of eight, the others restart": {size: 8, loss: diskLoss{count: 2, downFor: 1_000, othersRestart: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range scheduleCount(10) {
+				c := newSettledCluster(t, *firstSeed+uint64(i), test.size, 2*test.loss.count+1)
+				for range 3 {
+					c.loseDisksWithDarkSeeds(test.loss)
+					c.runFor(syncTime)
+				}
+				c.requireProgress(t)
+				for range test.loss.count {
+					c.crash(c.instances[slices.IndexFunc(c.instances, func(node *instance) bool { return node.running })])
+				}
+				c.requireProgress(t)
+			}
+		})
+	}
+}
--- a/voter/election.go
+++ b/voter/election.go
@@ -97,6 +97,7 @@
 	if v.failure != nil || m.To.Name != v.config.Self.Name {
 		return
 	}
+	v.learnSender(m.From)
 	if m.Type == MessageJoin {
 		v.handleJoin(m)
 		return
