--- a/voter/darkseeds_test.go
+++ b/voter/darkseeds_test.go
@@ -24,8 +24,9 @@
 	count int
 	// downFor is the time until the instances start again.
 	downFor cherviltide.Millis
-	// othersRestart is true if all other instances stop at the same moment and start again at once.
-	othersRestart bool
+	// othersRestart is true if all other instances stop at the same moment and start again at once, othersRestartLater if they do so
+	// when the instances start again.
+	othersRestart, othersRestartLater bool
 }
 
 // loseDisksWithDarkSeeds empties the disks of some running instances, which start again and know only seeds that never answer.
@@ -38,13 +39,19 @@
 			c.wipe(node)
 		}
 	}
-	for _, node := range nodes[loss.count:] {
-		if loss.othersRestart {
+	restartOthers := func() {
+		for _, node := range nodes[loss.count:] {
 			c.crash(node)
 			c.start(node)
 		}
 	}
+	if loss.othersRestart {
+		restartOthers()
+	}
 	c.runFor(loss.downFor)
+	if loss.othersRestartLater {
+		restartOthers()
+	}
 	for _, node := range nodes[:loss.count] {
 		c.start(node)
 	}
@@ -59,13 +66,14 @@
 		size int
 		loss diskLoss
 	}{
-		"one of three":                     {size: 3, loss: diskLoss{count: 1}},
-		"one of three, back late":          {size: 3, loss: diskLoss{count: 1, downFor: 3_000}},
-		"one of three, the others restart": {size: 3, loss: diskLoss{count: 1, downFor: 1_000, othersRestart: true}},
-		"one of four, removed meanwhile":   {size: 4, loss: diskLoss{count: 1, downFor: untilRemoved}},
-		"two of five, back late":           {size: 5, loss: diskLoss{count: 2, downFor: 3_000}},
-		"two of six, removed meanwhile":    {size: 6, loss: diskLoss{count: 2, downFor: untilRemoved}},
-		"two of eight, the others restart": {size: 8, loss: diskLoss{count: 2, downFor: 1_000, othersRestart: true}},
+		"one of three":                                       {size: 3, loss: diskLoss{count: 1}},
+		"one of three, back late":                            {size: 3, loss: diskLoss{count: 1, downFor: 3_000}},
+		"one of three, the others restart":                   {size: 3, loss: diskLoss{count: 1, downFor: 1_000, othersRestart: true}},
+		"one of four, removed meanwhile":                     {size: 4, loss: diskLoss{count: 1, downFor: untilRemoved}},
+		"one of four, removed meanwhile, the others restart": {size: 4, loss: diskLoss{count: 1, downFor: untilRemoved, othersRestartLater: true}},
+		"two of five, back late":                             {size: 5, loss: diskLoss{count: 2, downFor: 3_000}},
+		"two of six, removed meanwhile":                      {size: 6, loss: diskLoss{count: 2, downFor: untilRemoved}},
+		"two of eight, the others restart":                   {size: 8, loss: diskLoss{count: 2, downFor: 1_000, othersRestart: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for i := range scheduleCount(10) {
