Let new seeds of a voter replace those that were silent for longest

Seeds that are gone were never dropped, and beyond 64 no newer one was learned. On a system whose control instances were replaced often a newcomer would never be asked.

Change: seeds are ordered by when they were last heard from; beyond 64 the first makes room. Names that are empty are not learned.

voter.TestSeedsMakeRoom failed before (the newest sender was not known) and holds.

--- a/voter/admission.go
+++ b/voter/admission.go
@@ -49,21 +49,31 @@
 // maxSeeds bounds the number of seeds.
 const maxSeeds = 64
 
+// addSeedIDs adds instances that are not seeds yet. Beyond maxSeeds the seed that was silent for longest makes room, since those that
+// are gone for good accumulate.
 func (v *Voter) addSeedIDs(ids []ID) {
 	for _, id := range ids {
 		id = ID{Name: id.Name}
-		if id.Name != v.config.Self.Name && !slices.Contains(v.seeds, id) && len(v.seeds) < maxSeeds {
-			v.seeds = append(v.seeds, id)
-			v.lastNewSeed = v.now
+		if id.Name == "" || id.Name == v.config.Self.Name || slices.Contains(v.seeds, id) {
+			continue
+		}
+		if len(v.seeds) == maxSeeds {
+			v.seeds = slices.Delete(v.seeds, 0, 1)
 		}
+		v.seeds = append(v.seeds, id)
+		v.lastNewSeed = v.now
 	}
 }
 
 // learnSender makes the sender of a message a seed. An instance whose disk was emptied may know only seeds that do not answer, while the
 // voters go on sending messages to its former identity.
 func (v *Voter) learnSender(from ID) {
-	if v.config.DynamicVoters {
-		v.addSeedIDs([]ID{from})
+	if !v.config.DynamicVoters {
+		return
+	}
+	v.addSeedIDs([]ID{from})
+	if i := slices.Index(v.seeds, ID{Name: from.Name}); i >= 0 {
+		v.seeds = append(slices.Delete(v.seeds, i, i+1), ID{Name: from.Name})
 	}
 }
 
--- a/voter/darkseeds_test.go
+++ b/voter/darkseeds_test.go
@@ -1,9 +1,12 @@
 package voter
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"cherviltide.example/cherviltide"
 )
 
@@ -91,3 +94,19 @@
 		})
 	}
 }
+
+// TestSeedsMakeRoom guards against an instance that is never asked because too many others were known before it, most of which are gone.
+func TestSeedsMakeRoom(t *testing.T) {
+	v := New(Config{Self: ID{Name: "c0", Number: 1}, DynamicVoters: true}, StoredState{}, 0)
+	join := func(name string) {
+		v.Receive(Message{Type: MessageJoin, From: ID{Name: name, Number: 2}, To: ID{Name: "c0"}})
+	}
+	for i := range 3 * maxSeeds {
+		join(fmt.Sprint("gone", i))
+		join("alive")
+		v.AddSeeds([]string{"", "c0"})
+	}
+	require.Len(t, v.seeds, maxSeeds)
+	require.Subset(t, v.otherInstances(), []string{"alive", fmt.Sprint("gone", 3*maxSeeds-1)})
+	require.NotContains(t, v.otherInstances(), "")
+}
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -138,8 +138,9 @@
 	emptyVoters map[string]ID
 	// nextJoin is when the next Join messages are due.
 	nextJoin cherviltide.Millis
-	// seeds are further instances to ask for admission: senders of messages, and those named by other instances or by AddSeeds. lastNewSeed is when one was last added. foundsNothing are the instances that take
-	// no part in a founding, because they have no disk or may have lost it.
+	// seeds are further instances to ask for admission: senders of messages, and those named by other instances or by AddSeeds, the one
+	// that was silent for longest first. lastNewSeed is when one was last added. foundsNothing are the instances that take no part in
+	// a founding, because they have no disk or may have lost it.
 	seeds         []ID
 	lastNewSeed   cherviltide.Millis
 	foundsNothing map[string]bool
