Log and measure instances that are not admitted and groups with too few voters

NotAdmitted now has the instances that are known, with the last answer of each, and VotersMissing the voters that the leader does not hear from; both begin after 2 s, which a restart or a change of the voters explains, and come every 5 s. The metrics NotAdmittedMs and VotersMissingMs of both groups have the same as a time.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -303,6 +303,9 @@
 	monotonic := cherviltide.MillisOf(time.Since(c.started))
 	c.configuration.voter.Tick(monotonic)
 	c.membership.voter.Tick(monotonic)
+	for _, g := range c.groups {
+		g.watch(monotonic)
+	}
 	c.checkLeave()
 	changed := c.members.log.IsLeader() != c.tracker.IsLeader() || c.members.log.IsCurrent() == c.members.stale
 	if changed || monotonic >= c.nextLeaseCheck {
--- a/controller/group.go
+++ b/controller/group.go
@@ -71,6 +71,9 @@
 	// lastLedTerm is the newest term in which this instance was leader.
 	lastLedTerm uint64
 	admitted    bool
+	// minVoters is the number of voters that the deployment needs; 0 if it is not known.
+	minVoters int
+	watched   groupWatch
 	// lostVoters are the voters known to have lost their disks, as they were last logged.
 	lostVoters []voter.ID
 	// leaving is true after a call of Leave.
@@ -97,6 +100,7 @@
 		mailboxes:    map[string]mailboxes{},
 		proposals:    map[uint64][]proposal{},
 		pendingReads: map[uint64]func(bool){},
+		minVoters:    config.MinVoters, watched: groupWatch{answers: map[string]voter.MessageType{}},
 	}
 	g.voter = voter.New(voter.Config{Self: self, Names: names, DynamicVoters: config.DynamicVoters, MinVoters: config.MinVoters, Bootstrap: config.Bootstrap, Seed: rand.Uint64()}, stored, 0)
 	config.Log.Info("GroupOpened", zap.String("Group", name), zap.Uint64("Identity", self.Number),
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -77,6 +77,9 @@
 	defer cancel()
 	err := c.runInLoop(ctx, func() {
 		for _, m := range req.Messages {
+			if !g.admitted {
+				g.watched.heard(m.From, m.Type)
+			}
 			g.voter.Receive(m)
 		}
 	})
--- a/controller/ready.go
+++ b/controller/ready.go
@@ -42,6 +42,8 @@
 		p.Metric(name+".Leads", c.loopMetric(func() any { _, leads := g().isLeader(); return leads }))
 		p.Metric(name+".Unsnapshotted", c.loopMetric(func() any { return g().voter.Unsnapshotted() }))
 		p.Metric(name+".UnsnapshottedBytes", c.loopMetric(func() any { return g().voter.UnsnapshottedBytes() }))
+		p.Metric(name+".NotAdmittedMs", c.loopMetric(func() any { w := &g().watched; return w.notAdmitted.duration(w.now) }))
+		p.Metric(name+".VotersMissingMs", c.loopMetric(func() any { w := &g().watched; return w.incomplete.duration(w.now) }))
 		p.Metric(name+".Voters", c.loopMetric(func() any { return len(g().voter.Voters()) }))
 	}
 	p.Metric("Membership.Members", c.loopMetric(func() any {
--- a/voter/message.go
+++ b/voter/message.go
@@ -98,6 +98,20 @@
 	MessageFoundingEnded
 )
 
+// messageNames has the names of the message types, in the order of their values.
+var messageNames = [...]string{
+	"", "PreVote", "PreVoteReply", "Vote", "VoteReply", "Append", "AppendReply", "SnapshotChunk", "SnapshotChunkReply", "Join", "EmptyLog",
+	"Voters", "Leave", "MayStop", "Gone", "Found", "FoundReply", "FoundingEnded",
+}
+
+// String returns the name of the type, as it stands in logs.
+func (t MessageType) String() string {
+	if int(t) < len(messageNames) {
+		return messageNames[t]
+	}
+	return "unknown"
+}
+
 // hasTerm reports whether a message of this type belongs to a term of its sender.
 func (t MessageType) hasTerm() bool {
 	switch t {
--- a/voter/progress_test.go
+++ b/voter/progress_test.go
@@ -64,3 +64,11 @@
 	blocked = ""
 	require.True(t, currentNow())
 }
+
+// TestMessageNames guards against a message type without a name in the logs.
+func TestMessageNames(t *testing.T) {
+	require.Len(t, messageNames, int(MessageFoundingEnded)+1)
+	require.Equal(t, "Join", MessageJoin.String())
+	require.Equal(t, "FoundingEnded", MessageFoundingEnded.String())
+	require.Equal(t, "unknown", MessageType(200).String())
+}
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -274,6 +274,23 @@
 	return v.appliedIndex - v.snapshot.Index
 }
 
+// KnownInstances returns the names of all other instances that this voter asks, or sends messages to.
+func (v *Voter) KnownInstances() []string {
+	return v.otherInstances()
+}
+
+// PresentVoters returns the voters that a leader has heard from lately and whose disks are not known to be lost, itself included.
+// It returns false if this voter does not lead.
+func (v *Voter) PresentVoters() ([]ID, bool) {
+	if v.role != leader {
+		return nil, false
+	}
+	return slices.DeleteFunc(v.Voters(), func(id ID) bool {
+		p := v.peers[id]
+		return id != v.config.Self && (p == nil || v.lost[id] || v.now-p.lastContact > 2*ElectionTimeout)
+	}), true
+}
+
 func (v *Voter) isVoter(id ID) bool {
 	return slices.Contains(v.log.currentVoters().ids, id)
 }
