--- a/voter/darkseeds_test.go
+++ b/voter/darkseeds_test.go
@@ -110,3 +110,27 @@
 	require.Subset(t, v.otherInstances(), []string{"alive", fmt.Sprint("gone", 3*maxSeeds-1)})
 	require.NotContains(t, v.otherInstances(), "")
 }
+
+// TestReplacedWhileSeedsAreDark guards against a group without a majority after a voter was replaced by an instance that knows only seeds
+// that never answer, and another voter has lost its disk when the successor counts as intact. The seeds answer again afterwards.
+func TestReplacedWhileSeedsAreDark(t *testing.T) {
+	for i := range scheduleCount(10) {
+		c := newSettledCluster(t, *firstSeed+uint64(i), 3, 3)
+		c.crash(c.instances[i%3])
+		c.runFor(500)
+		successor := &instance{id: ID{Name: "c4"}, seeds: darkSeeds, joins: true}
+		c.names, c.instances = append(c.names, "c4"), append(c.instances, successor)
+		c.wipe(successor)
+		c.start(successor)
+		c.runFor(syncTime)
+		lost := c.instances[(i+1)%3]
+		c.crash(lost)
+		c.wipe(lost)
+		lost.seeds, lost.joins = darkSeeds, true
+		c.runFor(1_000)
+		c.start(lost)
+		c.runFor(syncTime)
+		successor.voter.AddSeeds(c.names)
+		c.requireProgress(t)
+	}
+}
