Go on with the founding of a group after a restart without Bootstrap

Cause: voter.takesPart and mayFound went by the settings of the present start. After the restart these no longer allow a founding, so every instance answered that it takes no part, although its disk was intact.

Change: an instance with Bootstrap stores at its first start that it takes part, as the names in its promise, before it sends any message that depends on its state. No format changes: the names were empty before the first promise.

--- a/voter/founding.go
+++ b/voter/founding.go
@@ -12,7 +12,8 @@
 // each other whom they know, so founders that don't know each other learn of each other from any instance that both have asked. Of
 // the seeds that they have in common one must keep its disk.
 //
-// With dynamic voters an instance that may not found also promises nothing: it may have lost its disk, and with it a promise. An
+// With dynamic voters an instance that may not found also promises nothing: it may have lost its disk, and with it a promise. Whether it
+// may is stored at its first start, since a restart halfway must not end the founding. An
 // instance that is no seed and does not answer is left out, but not when a founder has lost its disk: then it may be one of the few
 // that have the founder's log.
 
@@ -76,7 +77,7 @@
 // seeds have reported an empty log to this identity, and it has promised nothing to another founder. Without dynamic voters only the
 // first configured instance founds a group.
 func (v *Voter) mayFound() bool {
-	if !v.config.Bootstrap || v.groupExists || !v.mayPromise(v.config.Self) {
+	if !(v.config.Bootstrap || v.hasStoredPart()) || v.groupExists || !v.mayPromise(v.config.Self) {
 		return false
 	}
 	if !v.config.DynamicVoters && v.config.Names[0] != v.config.Self.Name {
@@ -127,9 +128,23 @@
 	return isFree && v.hardState.Term == v.hardState.Promise.Term
 }
 
-// takesPart reports whether this voter takes part in a founding.
+// takesPart reports whether this voter takes part in a founding. One whose disk shows that it did goes on with it, whatever the
+// configuration says at the present start: it has lost no promise.
 func (v *Voter) takesPart() bool {
-	return v.config.Bootstrap || !v.config.DynamicVoters
+	return v.config.Bootstrap || !v.config.DynamicVoters || v.hasStoredPart()
+}
+
+// hasStoredPart reports whether the disk shows that this voter takes part in the founding of a group with dynamic voters.
+func (v *Voter) hasStoredPart() bool {
+	return v.config.DynamicVoters && len(v.hardState.Promise.Instances) > 0
+}
+
+// storePart makes this voter take part in the founding after its next start too. It is stored before the voter answers anybody.
+func (v *Voter) storePart() {
+	if v.config.DynamicVoters && v.config.Bootstrap && v.hasEmptyLog() && !v.hasStoredPart() {
+		v.hardState.Promise.Instances = append(slices.Clone(v.config.Names), v.config.Self.Name)
+		v.disk.hardStateDirty = true
+	}
 }
 
 // promiseTo lets an instance that knows the named ones found a group.
@@ -139,6 +154,9 @@
 		return
 	}
 	v.founderLost = v.founderLost || v.lost[former.Founder]
+	if len(instances) == 0 {
+		instances = former.Instances
+	}
 	v.hardState.Promise = Promise{Founder: founder, Attempt: attempt, Instances: instances, Term: v.hardState.Term, OwnAttempts: former.OwnAttempts}
 	v.disk.hardStateDirty = true
 }
--- a/voter/founding_test.go
+++ b/voter/founding_test.go
@@ -16,6 +16,8 @@
 type firstStart struct {
 	*cluster
 	losses int
+	// restartsFound is true if instances that start again are still configured to found a group.
+	restartsFound bool
 	// startAt is when an instance starts, 0 if it has started.
 	startAt []cherviltide.Millis
 	lost    int
@@ -29,7 +31,7 @@
 }
 
 func drawFirstStart(seed uint64, size, losses int, disabled disabledProtections) *firstStart {
-	f := &firstStart{losses: losses, cluster: &cluster{
+	f := &firstStart{losses: losses, restartsFound: seed/3%2 == 0, cluster: &cluster{
 		dynamicVoters: true, minVoters: 2*losses + 1, disabled: disabled, random: rand.New(rand.NewPCG(seed, 1)),
 		cutLinks: map[[2]string]bool{}, leaders: map[uint64]ID{}, nextNumber: 1,
 	}}
@@ -70,6 +72,8 @@
 		if f.startAt[i] > 0 && f.now >= f.startAt[i] {
 			f.startAt[i] = 0
 			f.start(node)
+			// Only an instance that was stopped before its first write is as one whose disk was emptied.
+			node.joins = node.joins || !f.restartsFound
 		}
 	}
 	f.step()
--- a/voter/message.go
+++ b/voter/message.go
@@ -47,7 +47,8 @@
 	Founder ID
 	// Attempt is the attempt that the promise was given to. The attempts of a founder are numbered from 1 on.
 	Attempt uint64
-	// Instances are the names of the instances that the founder knew. Any of them may have the log of the group.
+	// Instances are the names of the instances that the founder knew. Any of them may have the log of the group. Before the first
+	// promise they are those of the configuration. They are empty only if the voter takes no part in a founding.
 	Instances []string
 	// Term is the voter's term when it promised. A later one shows that there is a group.
 	Term uint64
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -61,7 +61,8 @@
 	// reduced, by two voters that are gone, only if it keeps that many; 0 means that it is never reduced.
 	MinVoters int
 	// Bootstrap allows this voter to bootstrap a new group. It does so only after every other instance of Names has
-	// reported an empty log, or with DynamicVoters, every other known instance that has a disk.
+	// reported an empty log, or with DynamicVoters, every other known instance that has a disk. With DynamicVoters it is stored, and
+	// still holds when a later start does not set it.
 	Bootstrap bool
 	Seed      uint64
 	// BatchSize bounds the bytes of a message that has more than one entry, and of the part of a snapshot in one message;
@@ -182,6 +183,7 @@
 		v.appliedIndex = v.snapshot.Index
 	}
 	v.restorePromise()
+	v.storePart()
 	v.resetElectionTimer()
 	return v
 }
