Give the agents of a retired service the table that control sends

The recall of a restarted agent begins with the first table that has members, so it never began, and packets of unknown flows are dropped until it has ended. Control sends the table all the while, and entries use it.

Change: follower.View.ServiceTable, which the routes of entries used already, serves agents too.

--- a/follower/accept.go
+++ b/follower/accept.go
@@ -77,7 +77,7 @@
 	}
 	if u.ReplaceTables || len(u.Tables) > 0 {
 		var err error
-		if next, err = next.withTables(u.Tables, u.ReplaceTables, u.Evacuated); err != nil {
+		if next, err = next.WithTables(u.Tables, u.ReplaceTables, u.Evacuated); err != nil {
 			return view, err
 		}
 	}
--- a/follower/route.go
+++ b/follower/route.go
@@ -93,10 +93,8 @@
 func (v *View) routeTables() map[netip.AddrPort]*RouteTables {
 	routes := make(map[netip.AddrPort]*RouteTables, len(v.Rules.Routes))
 	table := func(service string) *picker.Table {
-		if t, ok := v.Tables[service]; ok {
-			return t
-		}
-		return v.controlTables[service]
+		t, _ := v.ServiceTable(service)
+		return t
 	}
 	former := make(map[netip.AddrPort][]string, len(v.formerServices))
 	for _, f := range v.formerServices {
--- a/follower/view.go
+++ b/follower/view.go
@@ -118,9 +118,9 @@
 	}
 }
 
-// withTables returns the view with tables that control sent. A snapshot without data removes the table of its service from
+// WithTables returns the view with tables that control sent. A snapshot without data removes the table of its service from
 // controlTables. With reset all other tables are dropped, and evacuated are the evacuated failure domains.
-func (v *View) withTables(snapshots []messenger.TableSnapshot, reset bool, evacuated []string) (*View, error) {
+func (v *View) WithTables(snapshots []messenger.TableSnapshot, reset bool, evacuated []string) (*View, error) {
 	next := *v
 	next.Tables, next.controlTables = maps.Clone(v.Tables), maps.Clone(v.controlTables)
 	if reset || next.controlTables == nil {
@@ -154,6 +154,16 @@
 	return &next, nil
 }
 
+// ServiceTable returns the table of a service, and false if there is none. A service that the rules do not define any more keeps the
+// table that control sends: its targets still have open flows.
+func (v *View) ServiceTable(name string) (*picker.Table, bool) {
+	if table, ok := v.Tables[name]; ok {
+		return table, true
+	}
+	table, ok := v.controlTables[name]
+	return table, ok
+}
+
 // newTable returns an empty table of a service, with the evacuated failure domains.
 func (v *View) newTable(s cherviltide.Service) *picker.Table {
 	return picker.New(s).WithEvacuated(v.evacuated)
--- a/relayer/recall_test.go
+++ b/relayer/recall_test.go
@@ -7,7 +7,9 @@
 	"github.com/stretchr/testify/require"
 
 	"cherviltide.example/cherviltide"
+	"cherviltide.example/cherviltide/follower"
 	"cherviltide.example/cherviltide/framer"
+	"cherviltide.example/cherviltide/messenger"
 	"cherviltide.example/cherviltide/picker"
 )
 
@@ -138,6 +140,33 @@
 	require.Less(t, rounds, maxRecalls)
 }
 
+// TestRecallOfRetiredService guards against an agent that drops the packets of open flows after its restart because the rules no longer
+// define its service: without the table of the service it never asks the other agents who holds them.
+func TestRecallOfRetiredService(t *testing.T) {
+	table := tableOf(3)
+	data, err := table.Snapshot()
+	require.NoError(t, err)
+	other := cherviltide.Rules{Revision: 1, Services: []cherviltide.Service{{Name: "other", ID: cherviltide.ServiceIDOf("other"), Buckets: 8}}}
+	for name, rules := range map[string]cherviltide.Rules{
+		"retired by the newest rules": {Revision: 2, Services: other.Services},
+		"retired before the restart":  other,
+	} {
+		t.Run(name, func(t *testing.T) {
+			view := follower.NewView().WithRules(other)
+			view, err := view.WithTables([]messenger.TableSnapshot{{Service: service, Buckets: 64, Data: data}}, true, nil)
+			require.NoError(t, err)
+			r := newViewRules(view.WithRules(rules), service)
+			require.True(t, r.hasTable)
+			d, self := deciderOf(true), member(1)
+			in := inputAt(1, self, r.table)
+			require.Len(t, d.Notices(in), 2)
+			deliverNotices(d, in, member(2), []Notice{{To: self.Address, Use: noticeRecallEnd}})
+			deliverNotices(d, in, member(3), []Notice{{To: self.Address, Use: noticeRecallEnd}})
+			require.Equal(t, ReasonUnsure, d.FromPeer(in, ack(ownedBy(t, table, self), 501)).Reason)
+		})
+	}
+}
+
 // TestRecallOfStranger guards against an answer to an agent that is not in the table.
 func TestRecallOfStranger(t *testing.T) {
 	table := tableOf(2)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -193,7 +193,7 @@
 
 func newViewRules(view *follower.View, service string) *viewRules {
 	v := &viewRules{view: view, service: service}
-	if v.table, v.hasTable = view.Tables[service]; !v.hasTable {
+	if v.table, v.hasTable = view.ServiceTable(service); !v.hasTable {
 		v.table = picker.New(cherviltide.Service{Name: service, ID: cherviltide.ServiceIDOf(service)}).WithEvacuated(view.Evacuated())
 		v.hasTable = len(view.Rules.Services) > 0
 	}
