--- a/controller/peers.go
+++ b/controller/peers.go
@@ -109,11 +109,11 @@
 	return ""
 }
 
-// ReplaceSeeds names the control instances that the voters contact to find the leaders after a change of the settings.
-func (c *Controller) ReplaceSeeds(ctx context.Context, names []string) error {
+// AddSeeds adds control instances that the voters contact to find the leaders. It is used after a change of the settings.
+func (c *Controller) AddSeeds(ctx context.Context, names []string) error {
 	return c.runInLoop(ctx, func() {
 		for _, g := range c.groups {
-			g.voter.ReplaceSeeds(names)
+			g.voter.AddSeeds(names)
 		}
 	})
 }
--- a/voter/admission.go
+++ b/voter/admission.go
@@ -46,21 +46,6 @@
 	}
 }
 
-// ReplaceSeeds adds the instances that the settings name now. A founding does not wait any longer for those of the configuration that
-// are not named any more, as they are gone for good, and a promise to one of them ends. At least half of them must be left: two
-// founders must need the promise of a common one, also when one of them has older settings.
-func (v *Voter) ReplaceSeeds(names []string) {
-	v.AddSeeds(names)
-	dropped := slices.DeleteFunc(slices.Clone(v.config.Names), func(name string) bool { return slices.Contains(names, name) })
-	if 2*len(dropped) > len(v.config.Names) {
-		return
-	}
-	v.droppedSeeds = dropped
-	if founder := v.hardState.Promise.Founder; v.hasEmptyLog() && slices.Contains(dropped, founder.Name) {
-		v.lost[founder] = true
-	}
-}
-
 // maxSeeds bounds the number of seeds.
 const maxSeeds = 64
 
--- a/voter/election.go
+++ b/voter/election.go
@@ -113,9 +113,6 @@
 		v.handleTermless(m)
 		return
 	}
-	if m.Type.startsGroup() && !v.mayJoinGroupOf(m) {
-		return
-	}
 	switch {
 	case m.Term < v.hardState.Term:
 		v.rejectStaleTerm(m)
--- a/voter/founding.go
+++ b/voter/founding.go
@@ -8,15 +8,13 @@
 
 // A group is founded once. The founder is the instance with the lowest name of all that it knows, and it founds only when these have
 // promised it to, each of them to one founder at a time. A promise is durable: no restart, freeze or late message takes it back. It
-// ends when the founder gives up the attempt, as for a founder with a lower name, when the founder's disk is lost, or when newer settings
-// do not name the founder any more. Until then the voter stores no uncommitted entry of another founder and does not vote for it, so
-// that a founder which comes back late finds no majority. Instances tell
+// ends when the founder gives up the attempt, as for a founder with a lower name, or when the founder's disk is lost. Instances tell
 // each other whom they know, so founders that don't know each other learn of each other from any instance that both have asked. Of
 // the seeds that they have in common one must keep its disk.
 //
 // With dynamic voters an instance that may not found also promises nothing: it may have lost its disk, and with it a promise. Whether it
 // may is stored at its first start, since a restart halfway must not end the founding. An
-// instance that is no seed, or no longer one by newer settings, and does not answer is left out, but not when a founder has lost its disk: then it may be one of the few
+// instance that is no seed and does not answer is left out, but not when a founder has lost its disk: then it may be one of the few
 // that have the founder's log.
 
 const (
@@ -72,7 +70,7 @@
 
 // isNeeded reports whether a group is not founded without an answer of this instance.
 func (v *Voter) isNeeded(name string) bool {
-	return (v.founderLost || slices.Contains(v.config.Names, name)) && !slices.Contains(v.droppedSeeds, name)
+	return v.founderLost || slices.Contains(v.config.Names, name)
 }
 
 // mayFound reports whether this voter should found a group: it is the one with the lowest name of the known instances that may, all
@@ -163,13 +161,6 @@
 	v.disk.hardStateDirty = true
 }
 
-// mayJoinGroupOf reports whether a voter with an empty log may help an instance to commit the first entries of a group. A promise to another
-// founder forbids it, since that one relies on it, until the entries are committed: then there is no other group.
-func (v *Voter) mayJoinGroupOf(m Message) bool {
-	promised := v.hardState.Promise.Founder
-	return !v.hasEmptyLog() || promised == ID{} || promised == m.From || m.Commit > 0 || v.config.disabled.foundingPromise
-}
-
 // takeBackPromise ends the present promise.
 func (v *Voter) takeBackPromise() {
 	v.hardState.Promise.Founder = ID{}
--- a/voter/message.go
+++ b/voter/message.go
@@ -122,11 +122,6 @@
 	return true
 }
 
-// startsGroup reports whether a message of this type can make the first entries of a group committed.
-func (t MessageType) startsGroup() bool {
-	return t == MessagePreVote || t == MessageVote || t == MessageAppend || t == MessageSnapshotChunk
-}
-
 // Message is sent from one voter to another. It may be lost, delayed, duplicated or reordered.
 type Message struct {
 	_        struct{} `cbor:",toarray"`
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -142,9 +142,7 @@
 	// seeds are further instances to ask for admission: senders of messages, and those named by other instances or by AddSeeds, the one
 	// that was silent for longest first. lastNewSeed is when one was last added. foundsNothing are the instances that take no part in
 	// a founding, because they have no disk or may have lost it.
-	seeds []ID
-	// droppedSeeds are the instances of the configuration that newer settings do not name.
-	droppedSeeds  []string
+	seeds         []ID
 	lastNewSeed   cherviltide.Millis
 	foundsNothing map[string]bool
 	incoming      *incomingSnapshot
