--- a/controller/watch.go
+++ b/controller/watch.go
@@ -41,12 +41,12 @@
 	return false
 }
 
-// duration returns how long the state has lasted; 0 if it does not apply.
+// duration returns how long the state has lasted, at least 1 ms; 0 if it does not apply.
 func (l *lasting) duration(now cherviltide.Millis) cherviltide.Millis {
 	if !l.applies {
 		return 0
 	}
-	return now - l.since
+	return max(now-l.since, 1)
 }
 
 // groupWatch tells operators why an instance is not admitted to a group, and that a group runs with fewer voters than the deployment
--- a/controller/watch_test.go
+++ b/controller/watch_test.go
@@ -23,6 +23,7 @@
 		}
 	}
 	update(true, 100, 1_100)
+	require.EqualValues(t, 1, l.duration(100))
 	update(false, 1_100, 3_000)
 	require.Empty(t, lines)
 	update(true, 3_000, 11_000)
