Bound the former voters that are contacted

Since former voters are contacted, their number grew with the voter sets in the log, which can be thousands of entries.

--- a/voter/admission.go
+++ b/voter/admission.go
@@ -96,12 +96,19 @@
 	}
 }
 
-// otherInstances returns the names of all known instances except this one; each of them may know the leader. Former voters are among
-// them: one that was removed while it was down may start again with an empty disk, and know nobody.
+// learnVoters makes the voters of a set seeds, so that they are still contacted once they are former ones: a voter that was removed while
+// it was down may start again with an empty disk, and know nobody.
+func (v *Voter) learnVoters(set voterSet) {
+	if v.config.DynamicVoters {
+		v.addSeedIDs(set.ids)
+	}
+}
+
+// otherInstances returns the names of all known instances except this one; each of them may know the leader.
 func (v *Voter) otherInstances() []string {
-	names := append(slices.Clone(v.config.Names), idNames(v.seeds)...)
-	for _, set := range v.log.voterSets {
-		names = append(names, idNames(set.ids)...)
+	names := slices.Clone(v.config.Names)
+	for _, id := range append(v.Voters(), v.seeds...) {
+		names = append(names, id.Name)
 	}
 	slices.Sort(names)
 	return slices.DeleteFunc(slices.Compact(names), func(name string) bool { return name == v.config.Self.Name })
--- a/voter/disk.go
+++ b/voter/disk.go
@@ -110,6 +110,9 @@
 		v.disk.writeLastIndex = min(v.disk.writeLastIndex, first-1)
 	}
 	for _, e := range entries {
+		if e.Type == EntryVoters {
+			v.learnVoters(v.log.currentVoters())
+		}
 		v.log.append(e)
 	}
 	if v.disk.firstDirtyIndex == 0 || first < v.disk.firstDirtyIndex {
--- a/voter/follower.go
+++ b/voter/follower.go
@@ -82,6 +82,7 @@
 	if v.log.matches(s.Index, s.Term) {
 		rest = v.log.entriesFrom(s.Index+1, int(^uint(0)>>1))
 	}
+	v.learnVoters(v.log.currentVoters())
 	v.log = newMemoryLog(s, rest)
 	v.snapshot = s
 	v.commitIndex = s.Index
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -182,6 +182,9 @@
 		v.output.Restore = &restore
 		v.appliedIndex = v.snapshot.Index
 	}
+	for _, set := range v.log.voterSets {
+		v.learnVoters(set)
+	}
 	v.restorePromise()
 	v.storePart()
 	v.resetElectionTimer()
