Close the mailboxes of peers that are gone to make room for new ones

A control instance sent nothing to a new instance once it had sent to 256 others since its start: each peer kept its mailboxes and two goroutines for good.

Change: the mailboxes of the peer that got no message for longest are closed, and their senders end.

controller.TestManyPeers failed before (no sender for the newest peer) and holds.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -110,8 +110,9 @@
 	// leaving is true from a call of Leave until left receives the names of the groups that have removed this instance.
 	leaving bool
 	left    chan []string
-	// senderExits receives the exits of the goroutines that send to peers. Its buffer holds all of them.
+	// senderExits receives the exits of the goroutines that send to peers; senders is the number of those that were not read.
 	senderExits chan runner.Exit
+	senders     int
 }
 
 // New returns a controller that has not started.
@@ -135,7 +136,7 @@
 		writeResults:  make(chan writeResult, 2),
 		left:          make(chan []string, 1),
 		edits:         newEditJobs(),
-		senderExits:   make(chan runner.Exit, 4*maxPeers),
+		senderExits:   make(chan runner.Exit),
 		syncTimes:     prober.NewHistogram(),
 		times:         newPhaseTimes(),
 		parseExits:    make(chan runner.Exit),
@@ -169,10 +170,8 @@
 	}
 	err = group.Wait()
 	c.edits.Close()
-	for _, g := range c.groups {
-		for range 2 * len(g.mailboxes) {
-			<-c.senderExits
-		}
+	for ; c.senders > 0; c.senders-- {
+		<-c.senderExits
 	}
 	return err
 }
@@ -242,6 +241,7 @@
 func (c *Controller) loop(ctx context.Context) error {
 	for _, g := range c.groups {
 		g.startSender = func(mailbox <-chan voter.Message, to string) {
+			c.senders++
 			runner.Start(ctx, "send", c.senderExits, func(ctx context.Context) error { return c.sendMessages(ctx, g, to, mailbox) })
 		}
 	}
@@ -272,6 +272,9 @@
 		case <-c.parseExits:
 			started = time.Now()
 			c.parses--
+		case <-c.senderExits:
+			started = time.Now()
+			c.senders--
 		case <-ticker.C:
 			started = time.Now()
 			c.tick()
--- a/controller/group.go
+++ b/controller/group.go
@@ -62,7 +62,9 @@
 	// writes has a buffer for one write; a voter has at most one in progress.
 	writes chan voter.Write
 	// mailboxes has the outgoing messages of each peer; startSender starts a goroutine that sends those of one mailbox.
-	mailboxes   map[string]mailboxes
+	mailboxes map[string]*mailboxes
+	// messages counts the messages that were put into mailboxes.
+	messages    uint64
 	startSender func(mailbox <-chan voter.Message, to string)
 	// proposals is keyed by log index, pendingReads by token.
 	proposals    map[uint64][]proposal
@@ -97,7 +99,7 @@
 	g := &group{
 		name: name, log: config.Log, self: self, journal: journal, synchronousWrites: config.synchronousWrites, stateMachine: stateMachine,
 		writes:       make(chan voter.Write, 1),
-		mailboxes:    map[string]mailboxes{},
+		mailboxes:    map[string]*mailboxes{},
 		proposals:    map[uint64][]proposal{},
 		pendingReads: map[uint64]func(bool){},
 		minVoters:    config.MinVoters, watched: groupWatch{answers: map[string]voter.MessageType{}},
@@ -212,21 +214,30 @@
 // mailboxes has the outgoing messages of a peer. Large ones have a mailbox and a connection of their own: behind an entry of
 // several hundred KB, heartbeats would arrive too late on a slow machine, and an edit would cause an election. A large message
 // that finds another one waiting is dropped; it is most likely a repetition.
-type mailboxes struct{ small, large chan voter.Message }
+type mailboxes struct {
+	small, large chan voter.Message
+	// usedAt is the number of the last message that was put into one of them.
+	usedAt uint64
+}
 
 // enqueue puts a message into a mailbox of its peer. It drops the message when the mailbox is full; voters tolerate lost
 // messages.
 func (g *group) enqueue(m voter.Message) {
 	boxes, ok := g.mailboxes[m.To.Name]
 	if !ok {
-		if g.startSender == nil || len(g.mailboxes) == maxPeers {
+		if g.startSender == nil {
 			return
 		}
-		boxes = mailboxes{small: make(chan voter.Message, mailboxCapacity), large: make(chan voter.Message, 1)}
+		if len(g.mailboxes) == maxPeers {
+			g.closeOldestMailboxes()
+		}
+		boxes = &mailboxes{small: make(chan voter.Message, mailboxCapacity), large: make(chan voter.Message, 1)}
 		g.mailboxes[m.To.Name] = boxes
 		g.startSender(boxes.small, m.To.Name)
 		g.startSender(boxes.large, m.To.Name)
 	}
+	g.messages++
+	boxes.usedAt = g.messages
 	mailbox := boxes.small
 	if m.Size() > largeMessageBytes {
 		mailbox = boxes.large
@@ -237,6 +248,20 @@
 	}
 }
 
+// closeOldestMailboxes ends the senders of the peer that got no message for longest. Without it, no message would reach a new
+// instance once maxPeers others have come and gone.
+func (g *group) closeOldestMailboxes() {
+	oldest := ""
+	for name, boxes := range g.mailboxes {
+		if oldest == "" || boxes.usedAt < g.mailboxes[oldest].usedAt {
+			oldest = name
+		}
+	}
+	close(g.mailboxes[oldest].small)
+	close(g.mailboxes[oldest].large)
+	delete(g.mailboxes, oldest)
+}
+
 func (g *group) restore(s *voter.Snapshot) error {
 	if err := g.stateMachine.Restore(s.Index, s.Data); err != nil {
 		return err
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -20,7 +20,7 @@
 	largeMessageBytes = 64 << 10
 	// maxRequestBytes is the size from which on a request gets no further messages.
 	maxRequestBytes = 256 << 10
-	// maxPeers bounds the peers that a control instance sends to in each group until it restarts.
+	// maxPeers bounds the peers that a control instance sends to in each group at a time.
 	maxPeers = 256
 	// stepTimeout bounds a request to a peer. It is shorter than an election timeout, so that a connection that is dead
 	// without being closed is replaced before the voters elect another leader.
@@ -33,7 +33,7 @@
 	retryDelay     = 50 * time.Millisecond
 )
 
-// sendMessages sends the messages of a mailbox to a peer. After a failure it opens a new connection.
+// sendMessages sends the messages of a mailbox to a peer until the mailbox is closed. After a failure it opens a new connection.
 func (c *Controller) sendMessages(ctx context.Context, g *group, peer string, mailbox <-chan voter.Message) error {
 	client := c.config.NewClient()
 	defer func() { client.CloseIdleConnections() }()
@@ -43,7 +43,10 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case m := <-mailbox:
+		case m, open := <-mailbox:
+			if !open {
+				return nil
+			}
 			req.Messages = append(req.Messages, m)
 		}
 		size := req.Messages[0].Size()
--- a/controller/peers_test.go
+++ b/controller/peers_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -12,7 +13,7 @@
 // heartbeats arrive too late on a slow machine. Repetitions of such an entry must not pile up either.
 func TestLargeMessagesDoNotDelayHeartbeats(t *testing.T) {
 	var started []<-chan voter.Message
-	g := &group{mailboxes: map[string]mailboxes{}, startSender: func(mailbox <-chan voter.Message, _ string) {
+	g := &group{mailboxes: map[string]*mailboxes{}, startSender: func(mailbox <-chan voter.Message, _ string) {
 		started = append(started, mailbox)
 	}}
 	to := voter.ID{Name: "control-2", Number: 1}
@@ -34,3 +35,26 @@
 	require.Len(t, started, 2, "a second sender was started for the same mailbox")
 	require.Len(t, started[1], 1)
 }
+
+// TestManyPeers guards against a control instance that sends nothing to new instances because too many others came and went before.
+func TestManyPeers(t *testing.T) {
+	senders := map[string][]<-chan voter.Message{}
+	g := &group{mailboxes: map[string]*mailboxes{}, startSender: func(mailbox <-chan voter.Message, to string) {
+		senders[to] = append(senders[to], mailbox)
+	}}
+	send := func(name string) { g.enqueue(voter.Message{To: voter.ID{Name: name}, Type: voter.MessageJoin}) }
+	for i := range 3 * maxPeers {
+		send(fmt.Sprint("gone", i))
+		send("alive")
+	}
+	require.Len(t, g.mailboxes, maxPeers)
+	require.Len(t, senders["alive"], 2, "the mailboxes of a peer in use were closed")
+	last := senders[fmt.Sprint("gone", 3*maxPeers-1)]
+	require.Len(t, last, 2, "no sender was started for a new peer")
+	require.Len(t, last[0], 1)
+	<-senders["gone0"][0]
+	for _, mailbox := range senders["gone0"] {
+		_, open := <-mailbox
+		require.False(t, open, "the sender of a peer that is gone does not end")
+	}
+}
