Found a group only with a majority of the disks that are known and needed

Cause: seeds without a disk promise nothing, and an instance that is no seed and silent for 500 ms is left out of a founding. Nothing was left that two founders both needed.

Change: a founder needs the promises of more than half of the instances with a disk that it knows, and of a majority of MinVoters; if there are fewer disks than that, all of them found 2 s after the last one has appeared.

--- a/voter/darkseeds_test.go
+++ b/voter/darkseeds_test.go
@@ -10,7 +10,7 @@
 	"cherviltide.example/cherviltide"
 )
 
-// darkSeeds are the names of seeds that never answer.
+// darkSeeds are the names of seeds that have no disk, and that answer only where a test says so.
 var darkSeeds = []string{"seed1", "seed2", "seed3"}
 
 // runFor advances the time and proposes entries.
--- a/voter/founding.go
+++ b/voter/founding.go
@@ -21,6 +21,9 @@
 	// foundingDelay is how long a founder waits for further instances, counted from the last one that it has heard of. All instances
 	// of a new system start at about the same time.
 	foundingDelay cherviltide.Millis = 500
+	// fewDisksDelay is how long a founder waits for the disks that the deployment needs, counted from the last instance that it has
+	// heard of. It must be shorter than the time within which operators expect an acknowledgement.
+	fewDisksDelay cherviltide.Millis = 2_000
 	// foundingTermRange is the number of terms from which a founder chooses the first one at random.
 	foundingTermRange = 1 << 20
 )
@@ -62,12 +65,34 @@
 	if v.config.DynamicVoters && v.now-v.lastNewSeed < foundingDelay {
 		return false
 	}
+	complete = complete && v.hasEnoughPromises()
 	if complete || v.config.disabled.foundingPromise {
 		v.found()
 	}
 	return complete
 }
 
+// hasEnoughPromises reports whether so many instances with a disk have promised to the attempt that no other founder can have as many, and
+// that the group bears the losses of the deployment. The seeds alone may have no disk to keep a promise on. With fewer disks than
+// the deployment needs all of them found the group once no further one has appeared for fewDisksDelay.
+func (v *Voter) hasEnoughPromises() bool {
+	if !v.config.DynamicVoters {
+		return true
+	}
+	promised, disks := 1, 1
+	for _, name := range v.attempt.instances {
+		if !v.foundsNothing[name] {
+			disks++
+		}
+		if _, ok := v.attempt.promised[name]; ok {
+			promised++
+		}
+	}
+	bearsLosses := 2*promised > v.config.MinVoters
+	hasFewDisks := promised == disks && v.now-v.lastNewSeed >= fewDisksDelay
+	return 2*promised > disks && (bearsLosses || hasFewDisks)
+}
+
 // isNeeded reports whether a group is not founded without an answer of this instance.
 func (v *Voter) isNeeded(name string) bool {
 	return v.founderLost || slices.Contains(v.config.Names, name)
--- a/voter/founding_test.go
+++ b/voter/founding_test.go
@@ -162,6 +162,55 @@
 	}
 }
 
+// TestFirstStartWithDisklessSeeds guards against two groups when the seeds have no disk to keep a promise on, and some instances can't reach
+// the others at the first start: each side would found a group of its own.
+func TestFirstStartWithDisklessSeeds(t *testing.T) {
+	for name, test := range map[string]struct{ size, losses, cutOff int }{
+		"one of three":                       {size: 3, losses: 1, cutOff: 1},
+		"one of three for lack of any other": {size: 3, losses: 1, cutOff: 3},
+		"two of five":                        {size: 5, losses: 2, cutOff: 2},
+		"two of five, one may be lost":       {size: 5, losses: 1, cutOff: 2},
+		"half of six":                        {size: 6, losses: 2, cutOff: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range scheduleCount(20) {
+				seed := *firstSeed + uint64(i)
+				f := drawFirstStart(seed, test.size, test.losses, disabledProtections{})
+				f.diskless = map[string][]ID{"seed1": nil, "seed2": nil, "seed3": nil}
+				for j, node := range f.instances {
+					node.seeds = darkSeeds
+					f.startAt[j] = 1 + f.startAt[j]%300
+					for _, other := range f.instances[j+1:] {
+						if j < test.cutOff {
+							f.cutLinks[[2]string{node.id.Name, other.id.Name}], f.cutLinks[[2]string{other.id.Name, node.id.Name}] = true, true
+						}
+					}
+				}
+				for f.now < 5_500 && f.violation == nil {
+					if f.advance(); f.random.IntN(10) == 0 {
+						f.propose()
+					}
+				}
+				require.NoError(t, f.run(0), "seed %d", seed)
+			}
+		})
+	}
+}
+
+// TestFewDisks guards against a group that is never founded because there are fewer disks than the deployment should have.
+func TestFewDisks(t *testing.T) {
+	for size := 1; size <= 2; size++ {
+		f := drawFirstStart(1, 3, 1, disabledProtections{})
+		f.instances, f.startAt, f.minVoters = f.instances[:size], f.startAt[:size], 5
+		f.losses = 0
+		f.diskless = map[string][]ID{"seed1": nil, "seed2": nil, "seed3": nil}
+		for i, node := range f.instances {
+			node.seeds, f.startAt[i] = darkSeeds, 1
+		}
+		require.NoError(t, f.run(400), "%d disks", size)
+	}
+}
+
 // TestFirstStartNeedsPromises guards against a model of the first start that finds nothing: without promises it must show two founders.
 func TestFirstStartNeedsPromises(t *testing.T) {
 	for seed := uint64(1); seed <= 2000; seed++ {
--- a/voter/schedule_test.go
+++ b/voter/schedule_test.go
@@ -69,6 +69,8 @@
 	instances    []*instance
 	network      []inFlightMessage
 	cutLinks     map[[2]string]bool
+	// diskless has the instances without a disk, and whom each of them has heard of. They only tell others about these.
+	diskless map[string][]ID
 	// committed has every entry that any instance has applied, and stateHashes the hash of the state after each of them.
 	committed   []Entry
 	stateHashes []uint64
@@ -269,6 +271,12 @@
 }
 
 func (c *cluster) deliver(m Message) {
+	if contacts, ok := c.diskless[m.To.Name]; ok && m.Type == MessageJoin {
+		if from := (ID{Name: m.From.Name}); !slices.Contains(contacts, from) {
+			c.diskless[m.To.Name] = append(contacts, from)
+		}
+		c.send(Message{Type: MessageEmptyLog, From: ID{Name: m.To.Name}, To: m.From, Reject: true, Voters: slices.Clone(c.diskless[m.To.Name])})
+	}
 	for _, node := range c.instances {
 		if node.id.Name == m.To.Name && node.running && !node.frozen && !c.cutLinks[[2]string{m.From.Name, m.To.Name}] {
 			node.voter.Receive(m)
