--- a/voter/founding.go
+++ b/voter/founding.go
@@ -13,9 +13,9 @@
 // the seeds that they have in common one must keep its disk.
 //
 // With dynamic voters an instance that may not found also promises nothing: it may have lost its disk, and with it a promise. Whether it
-// may is stored at its first start, since a restart halfway must not end the founding. An
-// instance that is no seed and does not answer is left out, but not when a founder has lost its disk: then it may be one of the few
-// that have the founder's log.
+// may is stored at its first start, since a restart halfway must not end the founding. An instance that is no seed and does not answer
+// is left out, but not when a founder has lost its disk: then it may be one of the few that have the founder's log. Since all seeds
+// may be instances without a disk, a founder also needs a majority of the known disks; see hasEnoughPromises.
 
 const (
 	// foundingDelay is how long a founder waits for further instances, counted from the last one that it has heard of. All instances
