Add the sender of a founding request in one place, and share how schedules add an instance

Receive makes the sender of every message a seed, so handleFound need not do it again. In a group with fixed voters, whose instances are all configured, it did nothing of use.

--- a/voter/darkseeds_test.go
+++ b/voter/darkseeds_test.go
@@ -118,10 +118,7 @@
 		c := newSettledCluster(t, *firstSeed+uint64(i), 3, 3)
 		c.crash(c.instances[i%3])
 		c.runFor(500)
-		successor := &instance{id: ID{Name: "c4"}, seeds: darkSeeds, joins: true}
-		c.names, c.instances = append(c.names, "c4"), append(c.instances, successor)
-		c.wipe(successor)
-		c.start(successor)
+		successor := c.addInstance(darkSeeds)
 		c.runFor(syncTime)
 		lost := c.instances[(i+1)%3]
 		c.crash(lost)
--- a/voter/founding.go
+++ b/voter/founding.go
@@ -217,7 +217,7 @@
 
 // handleFound promises to let the sender found a group, or refuses it and names the instances that it knows.
 func (v *Voter) handleFound(m Message) {
-	v.addSeedIDs(append(slices.Clone(m.Voters), m.From))
+	v.addSeedIDs(m.Voters)
 	if p := v.hardState.Promise; p.Founder == m.From && m.Round < p.Attempt {
 		return // Delayed; the founder has ended that attempt.
 	}
--- a/voter/loss_test.go
+++ b/voter/loss_test.go
@@ -141,11 +141,8 @@
 
 // addSuccessor adds an instance that is to replace another one.
 func (s *lossSchedule) addSuccessor() {
-	node := &instance{id: ID{Name: fmt.Sprintf("c%d", len(s.instances)+1)}, seeds: s.someNames(), joins: true}
-	s.names, s.instances = append(s.names, node.id.Name), append(s.instances, node)
-	s.wipe(node)
-	s.start(node)
-	s.successor, s.readySince[node] = node, 0
+	s.successor = s.addInstance(s.someNames())
+	s.readySince[s.successor] = 0
 }
 
 // replaceOne ends an instance that has a successor, and wipes as many disks as may be lost soon after, or at once.
--- a/voter/schedule_test.go
+++ b/voter/schedule_test.go
@@ -142,6 +142,15 @@
 	}
 }
 
+// addInstance adds an instance with an empty disk that joins the group, and starts it.
+func (c *cluster) addInstance(seeds []string) *instance {
+	node := &instance{id: ID{Name: fmt.Sprintf("c%d", len(c.instances)+1)}, seeds: seeds, joins: true}
+	c.names, c.instances = append(c.names, node.id.Name), append(c.instances, node)
+	c.wipe(node)
+	c.start(node)
+	return node
+}
+
 func (node *instance) completeWrite(w *Write) {
 	node.stored.Hard = w.Hard
 	if w.Snapshot != nil {
